Lay out the workspace, the design and the shared contracts

Cause: nothing exists yet, and the packages can only be built in parallel against fixed interfaces. Change: npm workspaces with strict TypeScript, XO, mocha; docs/design.md and the glossary; core types, message codec, settings and logs; the interfaces of the platform clients and of the scheduler. Conclusion: the packages can be built against these interfaces.

--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** Name of the package. */
+export const PACKAGE_NAME = '@amaranthsail/cli';
--- /dev/null
+++ b/packages/core/tests/settings.test.ts
@@ -0,0 +1,47 @@
+import {expect} from 'chai';
+import {
+	addressListSetting, addressSetting, integerSetting, readSettings, secretSetting,
+} from '@amaranthsail/core';
+
+const schema = {
+	listenAddress: addressSetting('Where to listen.', '127.0.0.1:0'),
+	entryAddresses: addressListSetting('The entries.'),
+	sharedSecret: secretSetting('Authenticates datagrams.'),
+	workerCount: integerSetting('Number of workers.', [1, 9], 2),
+};
+
+describe('readSettings', () => {
+	it('prefers the flag over the environment variable', () => {
+		const outcome = readSettings('test', schema, ['--worker-count', '3', '--shared-secret=long enough'], {
+			AMARANTHSAIL_WORKER_COUNT: '4',
+			AMARANTHSAIL_ENTRY_ADDRESSES: '127.0.0.1:1,127.0.0.1:2',
+		});
+		expect(outcome).to.deep.equal({
+			ok: true,
+			value: {
+				kind: 'run',
+				settings: {
+					listenAddress: {host: '127.0.0.1', port: 0},
+					entryAddresses: [{host: '127.0.0.1', port: 1}, {host: '127.0.0.1', port: 2}],
+					sharedSecret: 'long enough',
+					workerCount: 3,
+				},
+			},
+		});
+	});
+
+	// Guards against an operator mending one setting at a time, and against a secret in an error message.
+	it('names every wrong setting at once', () => {
+		const outcome = readSettings('test', schema, ['--worker-count=12', '--shared-secret=short', '--wroker-count=1', 'stray'], {});
+		expect(outcome.ok).to.equal(false);
+		const problems = outcome.ok ? [] : outcome.error.problems;
+		expect(problems.map(problem => problem.setting)).to.deep.equal([
+			'--wroker-count',
+			'stray',
+			'--entry-addresses (AMARANTHSAIL_ENTRY_ADDRESSES)',
+			'--shared-secret (AMARANTHSAIL_SHARED_SECRET)',
+			'--worker-count (AMARANTHSAIL_WORKER_COUNT)',
+		]);
+		expect(JSON.stringify(problems)).not.to.include('"short"');
+	});
+});
--- /dev/null
+++ b/packages/platform/src/object-store.ts
@@ -0,0 +1,24 @@
+import type {Result} from '@amaranthsail/core';
+
+/** Errors of the object store. */
+export type ObjectError
+	= | {readonly kind: 'unavailable'; readonly message: string}
+	/** A put was sent and no answer came. Puts are idempotent, so it is safe to repeat. */
+		| {readonly kind: 'outcome_unknown'; readonly message: string}
+		| {readonly kind: 'rejected'; readonly message: string};
+
+/** The platform's object store. */
+export interface ObjectStore {
+	/** Stores bytes under a key, replacing what was there. */
+	put(key: string, content: Uint8Array): Promise<Result<undefined, ObjectError>>;
+
+	/**
+	 * Reads an object.
+	 *
+	 * @returns The bytes, or undefined when there is no such object.
+	 */
+	get(key: string): Promise<Result<Uint8Array | undefined, ObjectError>>;
+
+	/** Deletes an object; deleting an absent one succeeds. */
+	delete(key: string): Promise<Result<undefined, ObjectError>>;
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,1 @@
+export * from './scheduler.js';
