Add the stores, their HTTP clients and the platform stand-in

Cause: other packages need a table service, an object store and a worker to build and test against. Change: in-memory table store, object store and worker runtime with injected faults; HTTP clients over undici and over node:http; the program amaranthsail-standin, which serves the in-memory services by HTTP, with endpoints, a StatsD sink, counters and fault switches. One table of cases runs against the memory stores and against the clients. The worker runtime has no contract tests yet, and retries with read-back are still to come.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,3 +1,13 @@
 export type * from './table-store.js';
 export type * from './object-store.js';
 export type * from './worker-runtime.js';
+export * from './fault-plan.js';
+export * from './fault-switches.js';
+export * from './memory-table-store.js';
+export * from './memory-object-store.js';
+export * from './memory-worker-runtime.js';
+export * from './task-emulation.js';
+export * from './emulated-task.js';
+export * from './http-table-store.js';
+export * from './http-object-store.js';
+export type {HttpServiceOptions} from './service-call.js';
--- /dev/null
+++ b/packages/standin/src/bin.ts
@@ -0,0 +1,65 @@
+#!/usr/bin/env node
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {
+	createLogger, EXIT_INVALID_SETTINGS, formatAddress, readSettings, type SettingsOf,
+} from '@amaranthsail/core';
+import {standinSettings} from './standin-settings.js';
+import {startPlatform} from './start-platform.js';
+import {startWorker} from './start-worker.js';
+
+const PROGRAM = 'amaranthsail-standin';
+
+type Started = {readonly addresses: Readonly<Record<string, string>>; close(): Promise<void>};
+
+async function start(settings: SettingsOf<typeof standinSettings>): Promise<Started> {
+	const platform = settings.role === 'worker' ? undefined : await startPlatform(settings);
+	const worker = settings.role === 'platform'
+		? undefined
+		: await startWorker({
+			...settings,
+			address: settings.role === 'all' ? settings.workerAddress : settings.address,
+			agentAddress: settings.agentAddress === 'none' ? undefined : settings.agentAddress,
+		});
+	return {
+		addresses: {
+			...(worker && {address: formatAddress(worker.address), workerAddress: formatAddress(worker.address)}),
+			...(platform && {address: formatAddress(platform.address), statsdAddress: formatAddress(platform.statsdAddress)}),
+		},
+		async close() {
+			await worker?.changeEndpoints({leaving: true});
+			await Promise.all([platform?.close(), worker?.close()]);
+		},
+	};
+}
+
+async function run(settings: SettingsOf<typeof standinSettings>): Promise<void> {
+	const logger = createLogger('standin');
+	const started = await start(settings);
+	const stop = (): void => {
+		logger.info('closing');
+		void started.close();
+	};
+
+	process.once('SIGTERM', stop);
+	process.once('SIGINT', stop);
+	logger.info('ready', {role: settings.role, ...started.addresses});
+}
+
+// `readSettings` gives every flag a value.
+const argumentTexts = process.argv.slice(2).map(text => text === '--fail-everything' ? '--fail-everything=true' : text);
+const outcome = readSettings(PROGRAM, standinSettings, argumentTexts, process.env);
+if (!outcome.ok) {
+	for (const {setting, message} of outcome.error.problems) {
+		process.stderr.write(`${setting}: ${message}\n`);
+	}
+
+	process.exitCode = EXIT_INVALID_SETTINGS;
+} else if (outcome.value.kind === 'help') {
+	process.stdout.write(outcome.value.text);
+} else if (outcome.value.kind === 'version') {
+	const {version} = JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8')) as {version: string};
+	process.stdout.write(`${version}\n`);
+} else {
+	await run(outcome.value.settings);
+}
--- /dev/null
+++ b/packages/standin/src/start-worker.ts
@@ -0,0 +1,104 @@
+import {
+	SystemClock, type Address, type Clock, type EndpointReport, type Resources,
+} from '@amaranthsail/core';
+import {FaultPlan, MemoryWorkerRuntime} from '@amaranthsail/platform';
+import {z} from 'zod';
+import {EndpointAnnouncer} from './endpoint-announcer.js';
+import {faultRoutes} from './fault-routes.js';
+import {json, serve, type RunningServer} from './http-app.js';
+import {withBody} from './replies.js';
+import {FREE_ADDRESS} from './start-platform.js';
+import {workerRoutes} from './worker-routes.js';
+
+/** How often a worker looks for lapsed leases; it also does so on every call. */
+export const LEASE_CHECK_INTERVAL_MS = 100;
+
+/** A worker of the register division. */
+export const DEFAULT_CAPACITY: Resources = {
+	slots: 8, connections: 64, processors: 30, memoryMb: 64_000, accelerators: 8,
+};
+
+/** Settings of a worker stand-in. */
+export type WorkerOptions = {
+	/** Where to listen; a free port of 127.0.0.1 by default. */
+	readonly address?: Address;
+	/** The agent that the endpoints announce themselves to; none by default. */
+	readonly agentAddress?: Address;
+	/** Id of the endpoint; with several services each has the id `{endpointId}-{service}`. `endpoint-1` by default. */
+	readonly endpointId?: string;
+	/** The services that have an endpoint here; none by default. */
+	readonly services?: readonly string[];
+	/** The id in answers and executions; the endpoint id by default. */
+	readonly workerId?: string;
+	/** `rack-1` by default. */
+	readonly rack?: string;
+	/** {@link DEFAULT_CAPACITY} by default. */
+	readonly capacity?: Resources;
+	/** Whether every task fails as soon as it starts. */
+	readonly failEverything?: boolean;
+	/** The clock of the VM; the machine's by default. */
+	readonly clock?: Clock;
+	/** Progress by checkpoint key; pass one map to all workers that continue one another's tasks. */
+	readonly checkpoints?: Map<string, number>;
+};
+
+/** A worker stand-in that serves requests. */
+export type RunningWorker = RunningServer & {
+	readonly runtime: MemoryWorkerRuntime;
+	/** Changes what the endpoints announce; see {@link EndpointAnnouncer.change}. */
+	changeEndpoints(change: {readonly leaving?: boolean; readonly silent?: boolean}): Promise<void>;
+};
+
+/**
+ * Starts the worker runtime of one VM and the endpoints on it in this process.
+ *
+ * @param options - Identity, capacity and addresses.
+ * @returns The stand-in, ready.
+ * @throws Error when the address cannot be used.
+ */
+export async function startWorker(options: WorkerOptions = {}): Promise<RunningWorker> {
+	const endpointId = options.endpointId ?? 'endpoint-1';
+	const runtime = new MemoryWorkerRuntime({
+		clock: options.clock ?? new SystemClock(),
+		workerId: options.workerId ?? endpointId,
+		rack: options.rack ?? 'rack-1',
+		capacity: options.capacity ?? DEFAULT_CAPACITY,
+		failEverything: options.failEverything,
+		checkpoints: options.checkpoints,
+		faults: new FaultPlan(),
+	});
+	const endpoints = endpointsOf(endpointId, options.services ?? []);
+	const announcer = options.agentAddress && new EndpointAnnouncer(options.agentAddress, endpoints);
+	const server = await serve([
+		...workerRoutes(runtime),
+		...faultRoutes(runtime.faults),
+		['GET', '/v1/endpoints', () => json({endpoints: announcer?.endpoints ?? endpoints})],
+		['PUT', '/v1/endpoints', withBody(z.strictObject({leaving: z.boolean().optional(), silent: z.boolean().optional()}), async change => {
+			await announcer?.change(change);
+			return json({endpoints: announcer?.endpoints ?? endpoints});
+		})],
+	], options.address ?? FREE_ADDRESS);
+	const timer = setInterval(() => {
+		runtime.tick();
+	}, LEASE_CHECK_INTERVAL_MS);
+	announcer?.start();
+	return {
+		address: server.address,
+		runtime,
+		async changeEndpoints(change) {
+			await announcer?.change(change);
+		},
+		async close() {
+			clearInterval(timer);
+			await Promise.all([server.close(), announcer?.close()]);
+		},
+	};
+}
+
+function endpointsOf(endpointId: string, services: readonly string[]): readonly EndpointReport[] {
+	return services.map(service => ({
+		endpointId: services.length === 1 ? endpointId : `${endpointId}-${service}`,
+		service,
+		leaving: false,
+	}));
+}
--- /dev/null
+++ b/packages/standin/tests/contracts/table-store-cases.ts
@@ -0,0 +1,202 @@
+import {expect} from 'chai';
+import type {Result} from '@amaranthsail/core';
+import type {
+	FaultPlan, TableError, TableStore, Transaction,
+} from '@amaranthsail/platform';
+
+/** A table store under test and the faults behind it. */
+export type TableHarness = {readonly store: TableStore; readonly faults: FaultPlan};
+
+/** One case of the contract of {@link TableStore}; the comment above each names the failure that it guards against. */
+export type TableCase = {readonly title: string; run(harness: TableHarness): Promise<void>};
+
+/**
+ * Makes a transaction that writes one row.
+ *
+ * @param key - The row of table `jobs`.
+ * @param version - The version it must have.
+ * @param value - The value; undefined deletes the row.
+ * @returns The transaction.
+ */
+export function writeRow(key: string, version: number, value?: Readonly<Record<string, unknown>>): Transaction {
+	return {writeId: `write-${key}-${version}`, conditions: [{table: 'jobs', key, version}], writes: [{table: 'jobs', key, value}]};
+}
+
+/**
+ * Takes the value of a result that has to be a success.
+ *
+ * @param result - The result.
+ * @returns The value.
+ */
+export function valueOf<Value>(result: Result<Value, {readonly kind: string}>): Value {
+	if (!result.ok) {
+		throw new Error(`unexpected error: ${JSON.stringify(result.error)}`);
+	}
+
+	return result.value;
+}
+
+/**
+ * Takes the kind of error of a result that has to be a failure.
+ *
+ * @param result - The result.
+ * @returns The tag of the error.
+ */
+export function errorKindOf(result: Result<unknown, {readonly kind: string}>): string {
+	return result.ok ? `success: ${JSON.stringify(result.value)}` : result.error.kind;
+}
+
+function failOnly(faults: FaultPlan, operation: string, kind: 'unavailable' | 'lost_before_effect' | 'lost_after_effect' | 'duplicated' | 'stale_read'): void {
+	faults.use(seen => ({kind: seen.operation === operation ? kind : 'none'}));
+}
+
+/** The contract of every table store. */
+export const TABLE_CASES: readonly TableCase[] = [
+	{
+		// A key with separators or other scripts that reaches another row.
+		title: 'keeps rows apart whose keys differ only in separators',
+		async run({store}) {
+			const keys = ['a/b', 'a%2Fb', 'a b', 'a?b#c', 'ä/..', 'a//b'];
+			for (const key of keys) {
+				expect(valueOf(await store.transact(writeRow(key, 0, {key})))).to.deep.equal([1]);
+			}
+
+			for (const key of keys) {
+				expect(valueOf(await store.get('jobs', key))).to.deep.equal({key, value: {key}, version: 1});
+			}
+		},
+	},
+	{
+		// An absent row that is taken for an error, or the reverse.
+		title: 'returns undefined for an absent row and no rows for an absent table',
+		async run({store}) {
+			expect(valueOf(await store.get('jobs', 'absent'))).to.equal(undefined);
+			expect(valueOf(await store.scan('jobs', {limit: 5}))).to.deep.equal([]);
+		},
+	},
+	{
+		// Half of a transaction that takes effect.
+		title: 'writes nothing when one of several conditions fails, and names exactly those',
+		async run({store}) {
+			valueOf(await store.transact(writeRow('a', 0, {n: 1})));
+			const result = await store.transact({
+				writeId: 'both',
+				conditions: [{table: 'jobs', key: 'a', version: 1}, {table: 'jobs', key: 'b', version: 4}],
+				writes: [{table: 'jobs', key: 'a', value: {n: 2}}, {table: 'jobs', key: 'b', value: {n: 2}}],
+			});
+			expect(result).to.deep.equal({ok: false, error: {kind: 'condition_failed', failed: [{table: 'jobs', key: 'b', version: 4}]}});
+			expect(valueOf(await store.get('jobs', 'a'))?.value).to.deep.equal({n: 1});
+			expect(valueOf(await store.get('jobs', 'b'))).to.equal(undefined);
+		},
+	},
+	{
+		// A late request with an old version that matches a row which was deleted and made again.
+		title: 'never repeats a version over deletion and re-creation',
+		async run({store}) {
+			valueOf(await store.transact(writeRow('a', 0, {n: 1})));
+			expect(valueOf(await store.transact(writeRow('a', 1)))).to.deep.equal([0]);
+			expect(valueOf(await store.get('jobs', 'a'))).to.equal(undefined);
+			const [version] = valueOf(await store.transact(writeRow('a', 0, {n: 2})));
+			expect(version).to.be.greaterThan(1);
+			expect(errorKindOf(await store.transact(writeRow('a', 1, {n: 3})))).to.equal('condition_failed');
+		},
+	},
+	{
+		// A client that relies on deduplication by write id, which the service does not do.
+		title: 'applies a transaction without conditions again under the same write id',
+		async run({store}) {
+			const transaction: Transaction = {writeId: 'same', conditions: [], writes: [{table: 'jobs', key: 'a', value: {}}]};
+			expect(valueOf(await store.transact(transaction))).to.deep.equal([1]);
+			expect(valueOf(await store.transact(transaction))).to.deep.equal([2]);
+		},
+	},
+	{
+		// A scan that skips or repeats rows at a page boundary, or leaves its prefix.
+		title: 'pages through a prefix in key order',
+		async run({store}) {
+			for (const key of ['p/3', 'q/1', 'p/1', 'o/9', 'p/2', 'p/10']) {
+				valueOf(await store.transact(writeRow(key, 0, {})));
+			}
+
+			valueOf(await store.transact(writeRow('p/2', 1)));
+			const first = valueOf(await store.scan('jobs', {prefix: 'p/', limit: 2}));
+			const second = valueOf(await store.scan('jobs', {prefix: 'p/', after: first.at(-1)!.key, limit: 2}));
+			expect([...first, ...second].map(({key}) => key)).to.deep.equal(['p/1', 'p/10', 'p/3']);
+			expect(valueOf(await store.scan('jobs', {prefix: 'p/', after: 'z', limit: 2}))).to.deep.equal([]);
+			expect(valueOf(await store.scan('jobs', {prefix: 'p/', after: 'a', limit: 1}))[0]?.key).to.equal('p/1');
+		},
+	},
+	{
+		// A row or transaction that the real service would refuse, accepted in tests.
+		title: 'rejects a value over 256 KiB, a transaction over 100 rows, and a row written twice',
+		async run({store}) {
+			const rows = Array.from({length: 101}, (_, index) => ({table: 'jobs', key: `k${index}`, value: {}}));
+			expect(errorKindOf(await store.transact(writeRow('long', 0, {text: 'x'.repeat(256 * 1024)})))).to.equal('rejected');
+			expect(errorKindOf(await store.transact({writeId: 'many', conditions: [], writes: rows}))).to.equal('rejected');
+			expect(errorKindOf(await store.transact({writeId: 'twice', conditions: [], writes: [rows[0]!, rows[0]!]}))).to.equal('rejected');
+			expect(valueOf(await store.transact({writeId: 'most', conditions: [], writes: rows.slice(1)}))).to.have.length(100);
+		},
+	},
+	{
+		// A change to a value after it was written or read that reaches the store.
+		title: 'does not share values with its callers',
+		async run({store}) {
+			const value = {list: [1]};
+			valueOf(await store.transact(writeRow('a', 0, value)));
+			value.list.push(2);
+			(valueOf(await store.get('jobs', 'a'))!.value as typeof value).list.push(3);
+			expect(valueOf(await store.get('jobs', 'a'))!.value).to.deep.equal({list: [1]});
+		},
+	},
+	...faultCase('refused', 'unavailable', 'unavailable', 0),
+	...faultCase('lost before the effect', 'lost_before_effect', 'outcome_unknown', 0),
+	...faultCase('answered with silence after the effect', 'lost_after_effect', 'outcome_unknown', 1),
+	...faultCase('delivered twice', 'duplicated', 'condition_failed', 1),
+	{
+		// A lost read reported as an unknown outcome, which has no meaning for a read.
+		title: 'reports a lost read as unavailable',
+		async run({store, faults}) {
+			for (const kind of ['unavailable', 'lost_before_effect', 'lost_after_effect'] as const) {
+				faults.use(() => ({kind}));
+				expect(errorKindOf(await store.get('jobs', 'a'))).to.equal('unavailable');
+				expect(errorKindOf(await store.scan('jobs', {limit: 1}))).to.equal('unavailable');
+			}
+		},
+	},
+	{
+		// A stand-in whose reads are always current, so that no test meets an old row.
+		title: 'reads the row before its last write under stale reads',
+		async run({store, faults}) {
+			valueOf(await store.transact(writeRow('a', 0, {n: 1})));
+			valueOf(await store.transact(writeRow('a', 1, {n: 2})));
+			failOnly(faults, 'get', 'stale_read');
+			expect(valueOf(await store.get('jobs', 'a'))?.version).to.equal(1);
+			faults.clear();
+			expect(valueOf(await store.get('jobs', 'a'))?.version).to.equal(2);
+		},
+	},
+	{
+		// Two requests that overtake each other: the delayed one must meet its condition when it takes effect, not when it was sent.
+		title: 'checks the conditions of a delayed transaction at its effect',
+		async run({store, faults}) {
+			faults.use(({sequence, key}) => ({kind: 'none', delayMs: key === 'write-a-0' && sequence > 0 ? 50 : 0}));
+			const delayed = store.transact(writeRow('a', 0, {from: 'delayed'}));
+			valueOf(await store.transact({...writeRow('a', 0, {from: 'other'}), writeId: 'other'}));
+			expect(errorKindOf(await delayed)).to.equal('condition_failed');
+			expect(valueOf(await store.get('jobs', 'a'))?.value).to.deep.equal({from: 'other'});
+		},
+	},
+];
+
+function faultCase(title: string, kind: Parameters<typeof failOnly>[2], expected: TableError['kind'], versionAfter: number): readonly TableCase[] {
+	return [{
+		// An error tag that promises more than is known of the effect.
+		title: `reports ${expected} for a transaction that is ${title}`,
+		async run({store, faults}) {
+			failOnly(faults, 'transact', kind);
+			expect(errorKindOf(await store.transact(writeRow('a', 0, {n: 1})))).to.equal(expected);
+			faults.clear();
+			expect(valueOf(await store.get('jobs', 'a'))?.version ?? 0).to.equal(versionAfter);
+		},
+	}];
+}
