Add records: schemas, field ownership and the watcher

Cause: the packages above need validated records, a store that refuses to revert another operator's change, and a configuration that never goes back in a running process.

Change: zod schemas for the five kinds (Guarantee in two versions), the YAML and JSON reader, ConfigStore with an owner and revision per field, cross-record checks, read-back of lost acknowledgements by the log row, and ConfigWatcher with confirmation by a conditional write. A removed field keeps its owner, so re-applying an old file cannot bring back a removed field or a withdrawn record.

--- a/packages/records/src/index.ts
+++ b/packages/records/src/index.ts
@@ -1,2 +1,23 @@
-/** Name of the package. */
-export const PACKAGE_NAME = '@amaranthsail/records';
+export * from './record-document.js';
+export * from './record-problem.js';
+export * from './schema-versions.js';
+export * from './validate-record.js';
+export * from './parse-documents.js';
+export * from './fields.js';
+export * from './stored-record.js';
+export * from './record-view.js';
+export * from './config-rows.js';
+export * from './config-error.js';
+export * from './config-snapshot.js';
+export * from './plan-change.js';
+export * from './cross-checks.js';
+export * from './diff-documents.js';
+export * from './load-config.js';
+export * from './config-store.js';
+export * from './config-watcher.js';
+export * from './scheduler-config.js';
+export type * from './schemas/client-account.js';
+export type * from './schemas/failure-domain.js';
+export type * from './schemas/guarantee.js';
+export type * from './schemas/policy.js';
+export type * from './schemas/service.js';
--- /dev/null
+++ b/packages/records/src/parse-documents.ts
@@ -0,0 +1,65 @@
+import {err, ok, type Result} from '@amaranthsail/core';
+import {parseAllDocuments, type Document} from 'yaml';
+import type {RecordDocument} from './record-document.js';
+import type {RecordProblem} from './record-problem.js';
+import {validateRecord} from './validate-record.js';
+
+/** Faults of one document of a file. */
+export type DocumentProblems = {
+	/** Name of the file or other origin. */
+	readonly source: string;
+	/** Position in the file, from 1. */
+	readonly document: number;
+	readonly problems: readonly RecordProblem[];
+};
+
+/** Most times that YAML aliases may be resolved in one document; bounds exponential expansion. */
+const MAX_ALIAS_COUNT = 100;
+
+/**
+ * Reads a file of records: YAML or JSON, one or many documents; a list counts as many documents.
+ *
+ * @param text - The content.
+ * @param source - The file name, for messages.
+ * @returns The documents in order, or the problems of every wrong one.
+ */
+export function parseRecordDocuments(text: string, source: string): Result<readonly RecordDocument[], readonly DocumentProblems[]> {
+	const faults: DocumentProblems[] = [];
+	const documents: RecordDocument[] = [];
+	let position = 0;
+	for (const parsed of parseAllDocuments(text)) {
+		const decoded = decode(parsed);
+		if (!decoded.ok) {
+			position++;
+			faults.push({source, document: position, problems: decoded.error});
+			continue;
+		}
+
+		// A trailing separator or a file of comments makes an empty document.
+		const values = decoded.value === null ? [] : [decoded.value].flat();
+		for (const item of values) {
+			position++;
+			const record = validateRecord(item);
+			if (record.ok) {
+				documents.push(record.value);
+			} else {
+				faults.push({source, document: position, problems: record.error});
+			}
+		}
+	}
+
+	return faults.length > 0 ? err(faults) : ok(documents);
+}
+
+function decode(document: Document.Parsed): Result<unknown, readonly RecordProblem[]> {
+	const problemOf = (message: string): RecordProblem => ({path: '', expectation: `expected YAML or JSON: ${message}`});
+	if (document.errors.length > 0) {
+		return err(document.errors.map(({message}) => problemOf(message)));
+	}
+
+	try {
+		return ok(document.toJS({maxAliasCount: MAX_ALIAS_COUNT}));
+	} catch (error) {
+		return err([problemOf(error instanceof Error ? error.message : String(error))]);
+	}
+}
--- /dev/null
+++ b/packages/records/src/schemas/failure-domain.ts
@@ -0,0 +1,17 @@
+import {z} from 'zod';
+import {nameSchema, resourcesSchema} from './common.js';
+
+const rackSchema = z.strictObject({
+	/** Resources of each worker of the rack. */
+	workers: z.array(resourcesSchema).min(1),
+});
+
+/** `FailureDomain`, schema version 1. */
+export const failureDomainV1 = z.strictObject({
+	region: nameSchema,
+	/** Declared racks by name. */
+	racks: z.record(nameSchema, rackSchema),
+});
+
+/** A failure domain as the newest readers see it. */
+export type FailureDomainSpec = z.output<typeof failureDomainV1>;
