Let long inputs travel as objects

Cause: an input of more than 400 bytes does not fit a prepare command. Change: the job and the task assignment may name the object that holds the input.

--- a/packages/core/src/job.ts
+++ b/packages/core/src/job.ts
@@ -35,8 +35,10 @@
 	readonly deadlineAtMs?: number;
 	/** Failure domains the job may run in; absent means any. */
 	readonly failureDomains?: readonly string[];
-	/** Input of up to {@link MAX_INLINE_INPUT_BYTES}; a longer one is the object `inputs/{jobId}`. */
+	/** Input of up to {@link MAX_INLINE_INPUT_BYTES}. */
 	readonly inlineInput?: string;
+	/** Key of the object that holds a longer input. */
+	readonly inputKey?: string;
 };
 
 /** Longest input that travels inside a `prepare` command. */
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -105,8 +105,9 @@
 	readonly taskCount: number;
 	readonly repeatable: boolean;
 	readonly checkpointable: boolean;
-	/** Input, or undefined when it is the object `inputs/{jobId}`. */
 	readonly inlineInput?: string;
+	/** Object key of an input that is too long for a datagram; the worker fetches it. */
+	readonly inputKey?: string;
 	/** Object key of the checkpoint to continue from. */
 	readonly checkpointKey?: string;
 };
