--- a/packages/records/src/diff-documents.ts
+++ b/packages/records/src/diff-documents.ts
@@ -1,5 +1,5 @@
 import {checkPlan} from './check-plan.js';
-import type {ConfigError} from './config-error.js';
+import {refusalOf, type ConfigRefusal} from './config-error.js';
 import type {FieldChange} from './config-rows.js';
 import type {GuaranteeCheck} from './cross-checks.js';
 import type {LoadedConfig, RecordRow} from './load-config.js';
@@ -16,7 +16,7 @@
 	readonly action: 'create' | 'amend' | 'none' | 'refuse';
 	readonly changes: readonly FieldChange[];
 	/** Why it would be refused. */
-	readonly error?: ConfigError;
+	readonly refusal?: ConfigRefusal;
 };
 
 /**
@@ -34,7 +34,7 @@
 		const valid = validateRecord(document);
 		if (!valid.ok) {
 			return {
-				index, action: 'refuse', changes: [], error: {kind: 'invalid_record', problems: valid.error},
+				index, action: 'refuse', changes: [], refusal: refusalOf({kind: 'invalid_record', problems: valid.error}),
 			};
 		}
 
@@ -44,7 +44,7 @@
 		const checked = checkPlan({...config, rows}, plan, checkGuarantees);
 		if (!checked.ok) {
 			return {
-				index, record, action: 'refuse', changes: plan.changes, error: checked.error,
+				index, record, action: 'refuse', changes: plan.changes, refusal: refusalOf(checked.error),
 			};
 		}
 
--- a/packages/records/src/schemas/failure-domain.ts
+++ b/packages/records/src/schemas/failure-domain.ts
@@ -9,6 +9,10 @@
 /** `FailureDomain`, schema version 1. */
 export const failureDomainV1 = z.strictObject({
 	region: nameSchema,
+	/** Expected one-way delay to the other failure domains of the region; for information. */
+	peerDelayMs: z.number().min(0).optional(),
+	/** Expected one-way delay to clients; for information. */
+	clientDelayMs: z.number().min(0).optional(),
 	/** Declared racks by name. */
 	racks: z.record(nameSchema, rackSchema),
 });
--- a/packages/records/tests/config-store.test.ts
+++ b/packages/records/tests/config-store.test.ts
@@ -252,7 +252,7 @@
 		const config = configStoreOn(new FaultyTableStore());
 		await submitAll(config, [account({weight: 2})]);
 		const diffs = await config.diff([DOMAIN, GUARANTEE_V1, account({weight: 3}), account({weight: 2}), {kind: 'Policy'}], 'ben');
-		expect(diffs.ok && diffs.value.map(({action, error}) => `${action} ${error?.kind ?? ''}`)).to.deep.equal([
+		expect(diffs.ok && diffs.value.map(({action, refusal}) => `${action} ${refusal?.code ?? ''}`)).to.deep.equal([
 			'create ', 'create ', 'refuse field_conflict', 'none ', 'refuse invalid_record',
 		]);
 		const listed = await config.list();
