--- /dev/null
+++ b/packages/scheduler/src/balanced-policy.ts
@@ -0,0 +1,41 @@
+import type {Fit} from './gang-placement.js';
+import type {OrderingPolicy, QueuedJob} from './ordering-policy.js';
+import type {SchedulingPolicy} from './scheduler.js';
+
+/** A gang that has waited this long gets a reservation. */
+const RESERVATION_AFTER_MS = 60_000;
+
+/** Short learned work first, aged by its wait, so that a job of twice the run time passes after twice the wait. */
+export class BalancedPolicy implements OrderingPolicy {
+	readonly #weights: SchedulingPolicy['weights'];
+
+	/**
+	 * @param policy - The policy record.
+	 */
+	constructor(policy: SchedulingPolicy) {
+		this.#weights = policy.weights;
+	}
+
+	get fit(): Fit {
+		return 'best';
+	}
+
+	get usesEstimates(): boolean {
+		return true;
+	}
+
+	order(queue: readonly QueuedJob[], nowMs: number): readonly QueuedJob[] {
+		const scores = new Map(queue.map(job => [job.jobId, this.#score(job, nowMs)]));
+		return queue.toSorted((left, right) => scores.get(left.jobId)! - scores.get(right.jobId)! || left.submittedAtMs - right.submittedAtMs);
+	}
+
+	wantsReservation(job: QueuedJob, nowMs: number): boolean {
+		return this.#weights.fragmentation > 0 && job.accelerators > 1 && nowMs - job.queuedAtMs >= RESERVATION_AFTER_MS;
+	}
+
+	#score(job: QueuedJob, nowMs: number): number {
+		const waitedMs = nowMs - job.queuedAtMs;
+		const urgency = job.spec.workClass === 'urgent' ? 0.01 : 1;
+		return urgency * job.estimateMs * (1 + job.dominantShare) / (1 + (waitedMs / job.estimateMs));
+	}
+}
--- /dev/null
+++ b/packages/scheduler/src/check-guarantees.ts
@@ -0,0 +1,33 @@
+import {shapesOf} from './guarantee-shape.js';
+import {packShapes, type UnplacedShape} from './guarantee-packing.js';
+import {limitsOf} from './limits.js';
+import type {PackingWorker} from './packing-state.js';
+import type {DeclaredRack, Guarantee} from './scheduler.js';
+
+/**
+ * Describes a shape that found no place.
+ *
+ * @param unplaced - The shape and the lost rack.
+ * @returns A sentence for operators.
+ */
+export function describeUnplaced({shape, lostRack}: UnplacedShape): string {
+	const {name, account, accelerators, count, adjacency} = shape.guarantee;
+	const when = lostRack === undefined ? '' : ` after the loss of rack ${lostRack}`;
+	return `guarantee ${name} of account ${account} (${count} x ${accelerators} accelerators, adjacency ${adjacency}) does not pack together with the other guarantees${when}`;
+}
+
+/**
+ * Checks whether guarantees pack jointly on empty racks.
+ *
+ * @param racks - The declared racks of one failure domain.
+ * @param guarantees - The guarantees of the same failure domain.
+ * @returns The reason for the first guarantee that does not pack, or undefined when all do.
+ */
+export function checkGuarantees(racks: readonly DeclaredRack[], guarantees: readonly Guarantee[]): string | undefined {
+	const workers = racks.flatMap(({rack, workers: capacities}) => capacities.map((capacity, index): PackingWorker => ({
+		workerId: `${rack}/${index}`, rack, accelerators: capacity.accelerators, capacity: limitsOf(capacity), fixed: [],
+	})));
+	const shapes = shapesOf(guarantees, Math.max(0, ...workers.map(worker => worker.accelerators)));
+	const [first] = packShapes(workers, shapes).unplaced;
+	return first && describeUnplaced(first);
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -47,6 +47,8 @@
 	readonly policy: SchedulingPolicy;
 	readonly guarantees: readonly Guarantee[];
 	readonly accounts: readonly AccountShare[];
+	/** Declared racks of the failure domain. With them, workers that are not known yet count when a job is checked for ever fitting. */
+	readonly racks?: readonly DeclaredRack[];
 };
 
 /** A job as the scheduler sees it. Times are monotonic milliseconds. */
