Add the agent's state machine and program

Cause: endpoints need a process that runs tasks under leases and reports to the owner. Change: AgentCore decides without I/O; a driver performs its effects over UDP and HTTP; the program reads settings and handles signals.

--- /dev/null
+++ b/packages/agent/src/agent-program.ts
@@ -0,0 +1,102 @@
+import dgram from 'node:dgram';
+import {once} from 'node:events';
+import {
+	type Clock, type Logger, MessageCodec, newId,
+} from '@amaranthsail/core';
+import type {ObjectStore, WorkerRuntime} from '@amaranthsail/platform';
+import {AgentCore} from './agent-core.js';
+import {AgentDriver} from './agent-driver.js';
+import type {AgentExitCode} from './agent-effect.js';
+import {createAgentHttp} from './agent-http.js';
+import type {AgentSettings} from './agent-settings.js';
+import {queryOwner} from './owner-query.js';
+
+/** What the agent runs on beside its settings. */
+export type AgentSurroundings = {
+	readonly clock: Clock;
+	readonly runtime: WorkerRuntime;
+	readonly objects: ObjectStore;
+	readonly logger: Logger;
+};
+
+/** A running agent. */
+export type RunningAgent = {
+	/** Bound HTTP port. */
+	readonly httpPort: number;
+	/** Bound UDP port. */
+	readonly datagramPort: number;
+	/** Requests a shutdown, as a signal does. */
+	readonly shutDown: () => void;
+	/** Resolves with the exit code once all sockets are closed. */
+	readonly exited: Promise<AgentExitCode>;
+};
+
+/**
+ * Binds the sockets and runs an agent.
+ *
+ * @param settings - Valid settings.
+ * @param surroundings - Clock, platform clients and logger.
+ * @returns The running agent.
+ * @throws The error of the socket, such as `EADDRINUSE`, when an address cannot be bound.
+ */
+export async function runAgent(settings: AgentSettings, surroundings: AgentSurroundings): Promise<RunningAgent> {
+	const {clock, runtime, objects, logger} = surroundings;
+	const {workerId, failureDomain, rack, entryAddresses, listenAddress, datagramAddress, sharedSecret} = settings;
+	const socket = dgram.createSocket('udp4');
+	socket.bind(datagramAddress.port, datagramAddress.host);
+	await once(socket, 'listening');
+	const datagramPort = socket.address().port;
+	const core = new AgentCore({
+		workerId, failureDomain, rack: rack === '' ? undefined : rack, incarnation: newId(), entryAddresses, replyPort: datagramPort, random: Math.random,
+	});
+	const server = createAgentHttp({
+		status: () => core.status(clock.monotonicMs()),
+		announce(announcement) {
+			driver.dispatch({kind: 'announcement', announcement});
+		},
+	});
+	let resolveExit: (code: AgentExitCode) => void;
+	const exited = new Promise<AgentExitCode>(resolve => {
+		resolveExit = resolve;
+	});
+	const driver = new AgentDriver({
+		core,
+		clock,
+		socket,
+		codec: new MessageCodec(sharedSecret),
+		runtime,
+		objects,
+		queryOwner: async entry => queryOwner(entry, {failureDomain, sharedSecret}),
+		logger,
+		onExit(code) {
+			socket.close();
+			server.close(() => {
+				resolveExit(code);
+			});
+			server.closeAllConnections();
+		},
+	});
+	try {
+		server.listen(listenAddress.port, listenAddress.host);
+		await once(server, 'listening');
+	} catch (error) {
+		socket.close();
+		throw error;
+	}
+
+	const address = server.address();
+	const httpPort = typeof address === 'object' && address !== null ? address.port : listenAddress.port;
+	socket.on('error', error => {
+		logger.warn('socket error', {error: error.message});
+	});
+	logger.info('agent started', {workerId, failureDomain, httpPort, datagramPort});
+	driver.start();
+	return {
+		httpPort,
+		datagramPort,
+		shutDown() {
+			driver.dispatch({kind: 'shutdownRequested'});
+		},
+		exited,
+	};
+}
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,3 @@
-/** Name of the package. */
-export const PACKAGE_NAME = '@amaranthsail/agent';
+export * from './agent-core.js';
+export * from './agent-effect.js';
+export type * from './agent-event.js';
--- /dev/null
+++ b/packages/agent/src/message-guard.ts
@@ -0,0 +1,28 @@
+import {
+	type Command, COMMAND_KINDS, type ControlMessage, type HeartbeatAck, type TaskKey,
+} from '@amaranthsail/core';
+
+function isTaskKey(value: unknown): value is TaskKey {
+	const key = value as Partial<TaskKey> | undefined;
+	return typeof key?.jobId === 'string' && Number.isInteger(key.attempt) && Number.isInteger(key.taskIndex);
+}
+
+function isFrom(message: HeartbeatAck | Command): boolean {
+	return typeof message.ownerId === 'string' && Number.isInteger(message.epoch);
+}
+
+/**
+ * Tells whether an authenticated message can be handled. Authentication proves the sender, not that its version
+ * writes the fields that this one reads.
+ *
+ * @param message - The decoded message.
+ * @returns True for acknowledgements and commands with all required fields.
+ */
+export function isUsableMessage(message: ControlMessage): message is HeartbeatAck | Command {
+	if (message.type === 'ack') {
+		return isFrom(message) && [message.sequence, message.sentAtMs, message.revision].every(value => Number.isFinite(value))
+			&& Array.isArray(message.renewed) && message.renewed.every(key => isTaskKey(key));
+	}
+
+	return message.type === 'command' && isFrom(message) && COMMAND_KINDS.includes(message.kind) && isTaskKey(message.task);
+}
--- /dev/null
+++ b/packages/agent/tests/agent-program.test.ts
@@ -0,0 +1,215 @@
+import dgram from 'node:dgram';
+import {once} from 'node:events';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {
+	type ControlMessage, formatTaskKey, type Heartbeat, MessageCodec, ok, type Result, silentLogger, SystemClock, type TaskKey,
+} from '@amaranthsail/core';
+import type {
+	ObjectStore, RuntimeError, RuntimeTask, WorkerRuntime,
+} from '@amaranthsail/platform';
+import {ASSIGNMENT, TASK} from './agent-harness.js';
+import {type RunningAgent, runAgent} from '@amaranthsail/agent/agent-program.js';
+
+const SHARED_SECRET = 'a shared secret';
+const WAIT_MS = 5000;
+
+class MemoryRuntime implements WorkerRuntime {
+	readonly tasks = new Map<string, RuntimeTask>();
+
+	async facts(): ReturnType<WorkerRuntime['facts']> {
+		return ok({
+			rack: 'rack-1', capacity: {
+				slots: 8, connections: 64, processors: 30, memoryMb: 64_000, accelerators: 8,
+			},
+		});
+	}
+
+	async start(key: TaskKey): Promise<Result<RuntimeTask, RuntimeError>> {
+		return this.#set({key, state: 'running'});
+	}
+
+	async stop(key: TaskKey): Promise<Result<RuntimeTask, RuntimeError>> {
+		return this.#set({key, state: 'stopped'});
+	}
+
+	async list(): ReturnType<WorkerRuntime['list']> {
+		return ok([...this.tasks.values()]);
+	}
+
+	async renew(): Promise<Result<undefined, RuntimeError>> {
+		return ok(undefined);
+	}
+
+	async checkpoint(): Promise<Result<undefined, RuntimeError>> {
+		return ok(undefined);
+	}
+
+	async throttle(): Promise<Result<undefined, RuntimeError>> {
+		return ok(undefined);
+	}
+
+	async forget(): Promise<Result<undefined, RuntimeError>> {
+		return ok(undefined);
+	}
+
+	finish(key: TaskKey): void {
+		this.#set({key, state: 'finished', answerBase64: 'YW5zd2Vy'});
+	}
+
+	#set(task: RuntimeTask): Result<RuntimeTask, RuntimeError> {
+		this.tasks.set(formatTaskKey(task.key), task);
+		return ok(task);
+	}
+}
+
+class MemoryObjects implements ObjectStore {
+	readonly contents = new Map<string, Uint8Array>();
+
+	async put(key: string, content: Uint8Array): ReturnType<ObjectStore['put']> {
+		this.contents.set(key, content);
+		return ok(undefined);
+	}
+
+	async get(key: string): ReturnType<ObjectStore['get']> {
+		return ok(this.contents.get(key));
+	}
+
+	async delete(key: string): ReturnType<ObjectStore['delete']> {
+		this.contents.delete(key);
+		return ok(undefined);
+	}
+}
+
+/** An owner that acknowledges every heartbeat and takes it through a queue of expectations. */
+class StandInOwner {
+	readonly socket = dgram.createSocket('udp4');
+	readonly #codec = new MessageCodec(SHARED_SECRET);
+	#last: {readonly heartbeat: Heartbeat; readonly port: number} | undefined;
+
+	constructor() {
+		this.socket.on('message', (datagram, {port}) => {
+			const decoded = this.#codec.decode(datagram);
+			if (!decoded.ok || decoded.value.type !== 'heartbeat') {
+				return;
+			}
+
+			const heartbeat = decoded.value;
+			this.#last = {heartbeat, port};
+			this.#send({
+				type: 'ack', ownerId: 'owner-1', epoch: 1, sequence: heartbeat.sequence, sentAtMs: heartbeat.sentAtMs, degraded: false, revision: 5, wantFacts: false, renewed: heartbeat.reports,
+			}, port);
+		});
+	}
+
+	command(kind: 'prepare' | 'release' | 'forget'): void {
+		const {heartbeat, port} = this.#last!;
+		this.#send({
+			type: 'command', kind, ownerId: 'owner-1', epoch: 1, workerId: 'worker-a', incarnation: heartbeat.incarnation, task: TASK, assignment: ASSIGNMENT,
+		}, port);
+	}
+
+	async until(isMet: (heartbeat: Heartbeat) => boolean): Promise<Heartbeat> {
+		const signal = AbortSignal.timeout(WAIT_MS);
+		while (this.#last === undefined || !isMet(this.#last.heartbeat)) {
+			await once(this.socket, 'message', {signal});
+		}
+
+		return this.#last.heartbeat;
+	}
+
+	#send(message: ControlMessage, port: number): void {
+		this.socket.send(this.#codec.encode(message), port, '127.0.0.1');
+	}
+}
+
+describe('runAgent', () => {
+	const runtime = new MemoryRuntime();
+	const objects = new MemoryObjects();
+	const owner = new StandInOwner();
+	let authorization: string | undefined;
+	const entry = http.createServer((request, response) => {
+		authorization = request.headers.authorization;
+		response.end(JSON.stringify({
+			ownerId: 'owner-1', epoch: 1, host: '127.0.0.1', port: owner.socket.address().port,
+		}));
+	});
+	let agent: RunningAgent;
+
+	async function call(path: string, body?: unknown): Promise<{readonly status: number; readonly body: Record<string, unknown>}> {
+		const response = await fetch(`http://127.0.0.1:${agent.httpPort}${path}`, body === undefined ? {} : {method: 'POST', body: JSON.stringify(body)});
+		return {status: response.status, body: await response.json() as Record<string, unknown>};
+	}
+
+	async function statusOf(path: string, body?: unknown): Promise<number> {
+		const {status} = await call(path, body);
+		return status;
+	}
+
+	before(async () => {
+		owner.socket.bind(0, '127.0.0.1');
+		entry.listen(0, '127.0.0.1');
+		await Promise.all([once(owner.socket, 'listening'), once(entry, 'listening')]);
+		agent = await runAgent({
+			workerId: 'worker-a',
+			failureDomain: 'catania',
+			rack: '',
+			entryAddresses: [{host: '127.0.0.1', port: (entry.address() as AddressInfo).port}],
+			workerAddress: {host: '127.0.0.1', port: 1},
+			objectStoreAddress: {host: '127.0.0.1', port: 1},
+			listenAddress: {host: '127.0.0.1', port: 0},
+			datagramAddress: {host: '127.0.0.1', port: 0},
+			sharedSecret: SHARED_SECRET,
+			logLevel: 'error',
+		}, {
+			clock: new SystemClock(), runtime, objects, logger: silentLogger,
+		});
+	});
+
+	after(() => {
+		owner.socket.close();
+		entry.close();
+		entry.closeAllConnections();
+	});
+
+	it('finds the owner with the shared secret and reports its facts', async () => {
+		const heartbeat = await owner.until(({facts}) => facts !== undefined);
+		expect(heartbeat.facts?.rack).to.equal('rack-1');
+		expect(heartbeat.replyPort).to.equal(agent.datagramPort);
+		expect(authorization).to.equal(`Bearer ${SHARED_SECRET}`);
+		expect(await statusOf('/readyz')).to.equal(200);
+		expect(await statusOf('/healthz')).to.equal(200);
+	});
+
+	it('takes announcements and refuses malformed ones', async () => {
+		expect(await statusOf('/v1/announcements', {endpointId: 'endpoint-a', service: 'register', leaving: false})).to.equal(200);
+		const refused = await call('/v1/announcements', {endpointId: 'endpoint-a'});
+		expect([refused.status, refused.body.code]).to.deep.equal([400, 'invalid_announcement']);
+		expect(await statusOf('/nowhere')).to.equal(404);
+		await owner.until(({facts}) => facts?.endpoints.length === 1);
+	});
+
+	// Guards against an owner that is told of an answer which is not in the store.
+	it('runs a task and stores its answer before it reports it', async () => {
+		owner.command('prepare');
+		await owner.until(({reports}) => reports[0]?.state === 'prepared');
+		owner.command('release');
+		await owner.until(({reports}) => reports[0]?.state === 'running');
+		runtime.finish(TASK);
+		const {reports} = await owner.until(heartbeat => heartbeat.reports[0]?.state === 'finished');
+		expect(reports[0]?.answer?.lengthBytes).to.equal(6);
+		expect([...objects.contents.keys()]).to.deep.equal(['answers/job-a/1/0']);
+		const {body} = await call('/v1/status');
+		expect(body).to.deep.include({epoch: 1, revisionInForce: 5, ready: true});
+		expect(body.memory).to.have.property('residentKb');
+	});
+
+	it('drains: reports leaving, waits for forget and exits 0', async () => {
+		agent.shutDown();
+		await owner.until(({leaving}) => leaving);
+		expect(await statusOf('/readyz')).to.equal(503);
+		owner.command('forget');
+		expect(await agent.exited).to.equal(0);
+	});
+});
