First usable owner

Cause: nothing owns a failure domain yet, so accepted jobs are never placed. Change: OwnerCore (workers, attempts, commands, durable writes, recovery, waiters) and OwnershipManager as state machines without I/O, OwnerDriver and OwnerHost around them. The plain path is tested; faults follow. Conclusion: entry, agent and fuzzer can build on the interfaces of this package.

--- a/packages/owner/src/index.ts
+++ b/packages/owner/src/index.ts
@@ -1,2 +1,10 @@
-/** Name of the package. */
-export const PACKAGE_NAME = '@amaranthsail/owner';
+export * from './owned-job-row.js';
+export type * from './owner-events.js';
+export * from './owner-core.js';
+export type {OwnerCoreOptions} from './core-context.js';
+export * from './ownership-rows.js';
+export type * from './ownership-events.js';
+export * from './ownership-manager.js';
+export * from './durable-writer.js';
+export * from './owner-driver.js';
+export * from './owner-host.js';
--- /dev/null
+++ b/packages/owner/src/job-intake.ts
@@ -0,0 +1,132 @@
+import {FINAL_JOB_STATES} from '@amaranthsail/core';
+import {createAttempt, placedTasksOf} from './attempt.js';
+import type {CoreContext} from './core-context.js';
+import {driveJob} from './job-driver.js';
+import {createJobRecord, toSchedulerJob, type JobRecord} from './job-record.js';
+import type {JobResults} from './job-results.js';
+import type {OwnedJobRow} from './owned-job-row.js';
+
+/** Delay before a job that the scheduler refused for the moment is submitted again. */
+export const RESUBMIT_DELAY_MS = 1000;
+
+function submit(context: CoreContext, job: JobRecord, nowMs: number): void {
+	const answer = context.scheduler.submit(toSchedulerJob(job, context.options.wallOffsetMs), nowMs);
+	if (answer.admitted) {
+		job.queued = true;
+		context.needsDecide = true;
+		return;
+	}
+
+	// A takeover submits many jobs at once; those were admitted before and are not refused for load.
+	if (answer.refusal.retryable && !context.gate.isRecovered) {
+		job.resubmitAtMs = nowMs + RESUBMIT_DELAY_MS;
+		return;
+	}
+
+	job.refusal = answer.refusal;
+}
+
+/**
+ * Submits jobs again that the scheduler refused during a takeover.
+ *
+ * @param context - The core's state.
+ * @param job - The job.
+ * @param nowMs - Monotonic milliseconds.
+ */
+export function resubmitDue(context: CoreContext, job: JobRecord, nowMs: number): void {
+	if (job.resubmitAtMs === undefined || nowMs < job.resubmitAtMs || job.cancelRequested) {
+		return;
+	}
+
+	job.resubmitAtMs = undefined;
+	const answer = context.scheduler.submit(toSchedulerJob(job, context.options.wallOffsetMs), nowMs);
+	if (answer.admitted) {
+		job.queued = true;
+		context.needsDecide = true;
+		return;
+	}
+
+	if (answer.refusal.retryable) {
+		job.resubmitAtMs = nowMs + RESUBMIT_DELAY_MS;
+		return;
+	}
+
+	job.refusal = answer.refusal;
+}
+
+/** Restores a decided or running attempt from its row. Its members count as unreported until their agents are heard. */
+function restore(context: CoreContext, job: JobRecord, nowMs: number): void {
+	const {row} = job;
+	const attempt = createAttempt(row.attempt, row.members, {recovered: true, nowMs});
+	context.attach(job, attempt);
+	job.placed = true;
+	const startedAtMs = row.startedAtMs === undefined ? nowMs : row.startedAtMs - context.options.wallOffsetMs;
+	context.scheduler.restore(toSchedulerJob(job, context.options.wallOffsetMs), placedTasksOf(attempt), startedAtMs, nowMs);
+}
+
+/**
+ * Takes a row as read after an acceptance, a scan or a failed condition.
+ *
+ * @param context - The core's state.
+ * @param results - Applies rows to jobs whose write is in doubt.
+ * @param input - The row and its version.
+ * @param nowMs - Monotonic milliseconds.
+ */
+export function takeJobRow(context: CoreContext, results: JobResults, input: {readonly row: OwnedJobRow; readonly version: number}, nowMs: number): void {
+	const {row, version} = input;
+	const known = context.jobs.get(row.jobId);
+	if (known !== undefined) {
+		if (known.readingSinceMs !== undefined) {
+			results.readBack(known, row, version, nowMs);
+		}
+
+		return;
+	}
+
+	if (FINAL_JOB_STATES.has(row.state)) {
+		context.answer(context.waiters.answer(row.jobId, row));
+		return;
+	}
+
+	if (row.failureDomain !== context.options.failureDomain || results.isOutdated(row.jobId, version)) {
+		return;
+	}
+
+	const job = createJobRecord(row, version);
+	context.jobs.set(row.jobId, job);
+	if (row.state === 'waiting') {
+		if (!job.cancelRequested) {
+			submit(context, job, nowMs);
+		}
+	} else {
+		restore(context, job, nowMs);
+	}
+
+	driveJob(context, job, nowMs);
+}
+
+/**
+ * Requests the cancellation of jobs. Waiting jobs end with the next batch of writes; placed ones are stopped first.
+ *
+ * @param context - The core's state.
+ * @param jobIds - The jobs; unknown ones are ignored.
+ * @param nowMs - Monotonic milliseconds.
+ */
+export function cancelJobs(context: CoreContext, jobIds: readonly string[], nowMs: number): void {
+	for (const jobId of jobIds) {
+		const job = context.jobs.get(jobId);
+		if (job === undefined || job.cancelRequested) {
+			continue;
+		}
+
+		job.cancelRequested = true;
+		job.requeueAtMs = undefined;
+		job.resubmitAtMs = undefined;
+		if (job.attempt === undefined) {
+			context.scheduler.withdraw(jobId);
+			job.queued = false;
+		}
+
+		driveJob(context, job, nowMs);
+	}
+}
--- /dev/null
+++ b/packages/owner/src/member-commands.ts
@@ -0,0 +1,107 @@
+import {
+	FENCE_MARGIN_MS, TASK_LEASE_MS, type CommandKind, type TaskAssignment,
+} from '@amaranthsail/core';
+import type {Attempt, Member} from './attempt.js';
+import {taskKeyOf, type CoreContext} from './core-context.js';
+import type {JobRecord} from './job-record.js';
+import {checkpointObjectKey} from './owned-job-row.js';
+
+/** Delay before a command whose effect was not reported is sent again; a lost datagram then costs less than one heartbeat. */
+export const COMMAND_RESEND_MS = 200;
+
+function wantedCommand(job: JobRecord, attempt: Attempt, member: Member): CommandKind | undefined {
+	if (member.end !== undefined) {
+		return undefined;
+	}
+
+	if (attempt.stopCause !== undefined) {
+		return 'stop';
+	}
+
+	if (attempt.decision === 'none') {
+		return member.state === 'unreported' ? 'prepare' : undefined;
+	}
+
+	if (attempt.decision !== 'durable') {
+		return undefined;
+	}
+
+	if (attempt.preempt !== undefined) {
+		return job.row.spec.checkpointable && member.state === 'running' ? 'checkpoint' : undefined;
+	}
+
+	// After a takeover nothing is released before every member has reported; a lost member stops the attempt instead.
+	const mayRelease = !attempt.recovered || attempt.members.every(({state}) => state !== 'unreported');
+	return member.state === 'prepared' && mayRelease ? 'release' : undefined;
+}
+
+function assignmentOf(job: JobRecord, member: Member): TaskAssignment {
+	const {spec, jobId} = job.row;
+	const {endpointId, accelerators, taskIndex} = member.place;
+	return {
+		account: spec.account,
+		service: spec.service,
+		operation: spec.operation,
+		endpointId,
+		shape: spec.shape,
+		accelerators,
+		taskCount: spec.taskCount,
+		repeatable: spec.repeatable,
+		checkpointable: spec.checkpointable,
+		...(spec.inlineInput !== undefined && {inlineInput: spec.inlineInput}),
+		...(job.checkpointAttempt !== undefined && {checkpointKey: checkpointObjectKey(jobId, job.checkpointAttempt, taskIndex)}),
+	};
+}
+
+/**
+ * Sends each member of a job's attempt the command that is due, and repeats it until a report shows its effect.
+ *
+ * @param context - The core's state.
+ * @param job - The job.
+ * @param nowMs - Monotonic milliseconds.
+ */
+export function sendMemberCommands(context: CoreContext, job: JobRecord, nowMs: number): void {
+	const {attempt} = job;
+	for (const member of attempt?.members ?? []) {
+		const kind = wantedCommand(job, attempt!, member);
+		const {workerId, incarnation, taskIndex} = member.place;
+		const worker = context.workers.get(workerId);
+		if (kind === undefined || worker?.incarnation !== incarnation || context.workers.isSuspect(worker, nowMs)) {
+			continue;
+		}
+
+		if (member.lastCommand?.kind === kind && nowMs - member.lastCommand.atMs < COMMAND_RESEND_MS) {
+			continue;
+		}
+
+		// The hold ends no later than a lease granted by the last acknowledgement.
+		const holdMs = Math.min(TASK_LEASE_MS, context.workers.fenceAtMs(workerId, incarnation) - FENCE_MARGIN_MS - nowMs);
+		const isSent = context.sendCommand(worker, {
+			kind,
+			incarnation,
+			task: taskKeyOf(job, attempt!, taskIndex),
+			...(kind === 'prepare' && {assignment: assignmentOf(job, member), holdMs}),
+			...(kind === 'checkpoint' && {graceMs: Math.max(0, attempt!.preempt!.untilMs - nowMs)}),
+		}, nowMs);
+		if (isSent) {
+			member.lastCommand = {kind, atMs: nowMs};
+		}
+	}
+}
+
+/**
+ * Lets agents drop what they remember of the ended members of an attempt. Called only after the result is durable.
+ *
+ * @param context - The core's state.
+ * @param job - The job.
+ * @param attempt - The attempt that has ended.
+ * @param nowMs - Monotonic milliseconds.
+ */
+export function sendForgets(context: CoreContext, job: JobRecord, attempt: Attempt, nowMs: number): void {
+	for (const {place: {workerId, taskIndex}, end} of attempt.members) {
+		const worker = context.workers.get(workerId);
+		if (end === 'reported' && worker !== undefined) {
+			context.sendCommand(worker, {kind: 'forget', incarnation: worker.incarnation, task: taskKeyOf(job, attempt, taskIndex)}, nowMs);
+		}
+	}
+}
--- /dev/null
+++ b/packages/owner/src/owner-driver.ts
@@ -0,0 +1,371 @@
+import PQueue from 'p-queue';
+import {
+	OPEN_JOBS_SCAN_INTERVAL_MS, type Clock, type ControlMessage, type Logger,
+} from '@amaranthsail/core';
+import type {Row, TableStore} from '@amaranthsail/platform';
+import type {Explanation, SchedulerConfig} from '@amaranthsail/scheduler';
+import type {OwnerCoreOptions} from './core-context.js';
+import type {DurableWriter} from './durable-writer.js';
+import {OWNER_TABLES, type OwnedJobRow} from './owned-job-row.js';
+import {OwnerCore, type OwnerCoreStatus} from './owner-core.js';
+import type {
+	OwnerEffect, OwnerEvent, OwnerMetric, OwnershipValidity,
+} from './owner-events.js';
+
+/** Delay before a read that failed is repeated. */
+export const READ_RETRY_DELAY_MS = 250;
+
+/** Reads and writes of one failure domain that may be under way at once. */
+const STORE_CONCURRENCY = 8;
+
+/** Index rows per page of a scan. */
+const SCAN_PAGE_ROWS = 500;
+
+/** Shortest delay between two timer-driven steps. */
+const MIN_TICK_DELAY_MS = 5;
+
+/** Longest wait for writes under way when the driver stops. */
+const STOP_TIMEOUT_MS = 2000;
+
+/** What an owner driver is made of. */
+export type OwnerDriverOptions = {
+	readonly core: Omit<OwnerCoreOptions, 'wallOffsetMs'>;
+	readonly tables: TableStore;
+	readonly write: DurableWriter;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** Encodes and sends one message to an agent; losses are allowed. */
+	readonly send: (message: ControlMessage, host: string, port: number) => void;
+	readonly onMetric: (metric: OwnerMetric) => void;
+	/** A write showed another owner. */
+	readonly onOwnershipLost: () => void;
+};
+
+/** Connects an owner core to the table store, the datagram socket and the clock. All inputs pass through one queue in order. */
+export class OwnerDriver {
+	readonly #options: OwnerDriverOptions;
+	readonly #core: OwnerCore;
+	readonly #inputs = new PQueue({concurrency: 1});
+	readonly #store = new PQueue({concurrency: STORE_CONCURRENCY});
+	readonly #waiters = new Map<string, (row: OwnedJobRow | undefined) => void>();
+	#waiterCount = 0;
+	#timer: NodeJS.Timeout | undefined;
+	#scanTimer: NodeJS.Timeout | undefined;
+	#isStopped = false;
+	#isScanning = false;
+
+	/**
+	 * @param options - Identity, collaborators and callbacks.
+	 */
+	constructor(options: OwnerDriverOptions) {
+		this.#options = options;
+		const {clock} = options;
+		this.#core = new OwnerCore({...options.core, wallOffsetMs: clock.wallMs() - clock.monotonicMs()});
+	}
+
+	/** Epoch under which the failure domain is owned. */
+	get epoch(): number {
+		return this.#options.core.epoch;
+	}
+
+	/** Starts recovery: reads all open jobs of the failure domain, and repeats that until it succeeds. Returns at once. */
+	start(): void {
+		this.#schedule();
+		void this.#scan(true);
+	}
+
+	/**
+	 * Tells the owner that jobs were accepted or changed; their rows are read.
+	 *
+	 * @param jobIds - The jobs.
+	 */
+	notify(jobIds: readonly string[]): void {
+		this.#read(jobIds);
+	}
+
+	/**
+	 * Waits until a job is final.
+	 *
+	 * @param jobId - The job.
+	 * @param timeoutMs - Longest time to wait.
+	 * @returns The final row, or undefined when the time is over, the job is unknown or the ownership was lost.
+	 */
+	async waitForJob(jobId: string, timeoutMs: number): Promise<OwnedJobRow | undefined> {
+		return this.#wait(jobId, timeoutMs, false);
+	}
+
+	/**
+	 * Requests the cancellation of jobs.
+	 *
+	 * @param jobIds - The jobs.
+	 * @param timeoutMs - Longest time to wait for the rows.
+	 * @returns For each job its row once the cancellation is durable or the job final; undefined when that was not seen in time.
+	 */
+	async cancel(jobIds: readonly string[], timeoutMs = 5000): Promise<ReadonlyArray<OwnedJobRow | undefined>> {
+		// A job that was accepted a moment ago may not have been read yet.
+		const unknown = jobIds.filter(jobId => this.#core.rowOf(jobId) === undefined);
+		await Promise.all(unknown.map(async jobId => this.#readOne(jobId)));
+		const answers = jobIds.map(async jobId => this.#wait(jobId, timeoutMs, true));
+		this.#input({kind: 'cancel', jobIds});
+		return Promise.all(answers);
+	}
+
+	/**
+	 * Explains why a job waits.
+	 *
+	 * @param jobId - The job.
+	 * @returns The explanation.
+	 */
+	explain(jobId: string): Explanation {
+		return this.#core.explain(jobId, this.#nowMs());
+	}
+
+	/**
+	 * Takes a message from an agent; anything but a heartbeat is ignored.
+	 *
+	 * @param message - The decoded message.
+	 * @param remote - The sender's address.
+	 */
+	handleDatagram(message: ControlMessage, remote: {readonly host: string; readonly port: number}): void {
+		if (message.type === 'heartbeat') {
+			this.#input({kind: 'heartbeat', message, host: remote.host});
+		}
+	}
+
+	/**
+	 * Puts a configuration in force.
+	 *
+	 * @param config - What the scheduler takes from it.
+	 * @param revision - Its revision.
+	 */
+	configure(config: SchedulerConfig, revision: number): void {
+		this.#input({kind: 'configure', config, revision});
+	}
+
+	/**
+	 * Takes over a change of the ownership's validity.
+	 *
+	 * @param validity - The new validity.
+	 */
+	setValidity(validity: OwnershipValidity): void {
+		this.#input({kind: 'ownership', validity});
+	}
+
+	/** Notes that the previous owner sends nothing more. */
+	previousOwnerGone(): void {
+		this.#input({kind: 'previousOwnerGone'});
+	}
+
+	/**
+	 * Counts what the owner holds.
+	 *
+	 * @returns The counts and the load for routing.
+	 */
+	status(): OwnerCoreStatus {
+		return this.#core.status(this.#nowMs());
+	}
+
+	/** Stops new placements and decisions and waits, for a bounded time, for writes under way. */
+	async drain(): Promise<void> {
+		this.#input({kind: 'drain'});
+		await this.#inputs.onIdle();
+		await Promise.race([
+			this.#store.onIdle(),
+			new Promise(resolve => {
+				setTimeout(resolve, STOP_TIMEOUT_MS).unref();
+			}),
+		]);
+	}
+
+	/** Stops at once: nothing is sent or written any more, and all waiters are answered without a row. */
+	async stop(): Promise<void> {
+		if (this.#isStopped) {
+			return;
+		}
+
+		this.#input({kind: 'ownership', validity: {kind: 'lost'}});
+		this.#isStopped = true;
+		clearTimeout(this.#timer);
+		clearTimeout(this.#scanTimer);
+		this.#store.clear();
+		await this.#inputs.onIdle();
+		for (const resolve of this.#waiters.values()) {
+			resolve(undefined);
+		}
+
+		this.#waiters.clear();
+	}
+
+	#nowMs(): number {
+		return this.#options.clock.monotonicMs();
+	}
+
+	#input(event: OwnerEvent): void {
+		if (this.#isStopped) {
+			return;
+		}
+
+		void this.#inputs.add(() => {
+			this.#carryOut(this.#core.handle(event, this.#nowMs()));
+			this.#schedule();
+		});
+	}
+
+	#schedule(): void {
+		clearTimeout(this.#timer);
+		if (this.#isStopped) {
+			return;
+		}
+
+		const nowMs = this.#nowMs();
+		const delayMs = Math.max(MIN_TICK_DELAY_MS, this.#core.wakeAtMs(nowMs) - nowMs);
+		this.#timer = setTimeout(() => {
+			void this.#inputs.add(() => {
+				this.#carryOut(this.#core.tick(this.#nowMs()));
+				this.#schedule();
+			});
+		}, delayMs);
+	}
+
+	#carryOut(effects: readonly OwnerEffect[]): void {
+		for (const effect of effects) {
+			switch (effect.kind) {
+				case 'send': {
+					this.#options.send(effect.message, effect.host, effect.port);
+					break;
+				}
+
+				case 'write': {
+					this.#write(effect.transaction);
+					break;
+				}
+
+				case 'read': {
+					this.#read(effect.jobIds);
+					break;
+				}
+
+				case 'answer': {
+					this.#waiters.get(effect.waiterId)?.(effect.row);
+					this.#waiters.delete(effect.waiterId);
+					break;
+				}
+
+				case 'metric': {
+					this.#options.onMetric(effect.metric);
+					break;
+				}
+
+				case 'ownershipLost': {
+					this.#options.onOwnershipLost();
+					break;
+				}
+			}
+		}
+	}
+
+	#write(transaction: Parameters<DurableWriter>[0]): void {
+		void this.#store.add(async () => {
+			const {writeId} = transaction;
+			try {
+				this.#input({kind: 'writeResult', writeId, result: await this.#options.write(transaction)});
+			} catch (error) {
+				this.#options.logger.error('a write failed unexpectedly', {writeId, error: String(error)});
+				this.#input({kind: 'writeResult', writeId, result: {kind: 'unknown', message: String(error)}});
+			}
+		});
+	}
+
+	#read(jobIds: readonly string[]): void {
+		for (const jobId of jobIds) {
+			void this.#readOne(jobId);
+		}
+	}
+
+	/** Reads a job row until the store answers, and gives it to the core. */
+	async #readOne(jobId: string): Promise<void> {
+		for (;;) {
+			if (this.#isStopped) {
+				return;
+			}
+
+			const result = await this.#store.add(async () => this.#options.tables.get(OWNER_TABLES.jobs, jobId));
+			if (result.ok) {
+				this.#input(result.value === undefined
+					? {kind: 'jobAbsent', jobId}
+					: {kind: 'jobRow', row: result.value.value as unknown as OwnedJobRow, version: result.value.version});
+				return;
+			}
+
+			await this.#pause();
+		}
+	}
+
+	/** Reads the index and every job of it that is not held. The first complete pass ends recovery. */
+	async #scan(isRecovery: boolean): Promise<void> {
+		if (this.#isStopped || this.#isScanning) {
+			return;
+		}
+
+		this.#isScanning = true;
+		const prefix = `${this.#options.core.failureDomain}/`;
+		let after: string | undefined;
+		for (;;) {
+			const page = await this.#readPage(prefix, after);
+			if (this.#isStopped) {
+				return;
+			}
+
+			if (!page.ok) {
+				await this.#pause();
+				continue;
+			}
+
+			await this.#takePage(page.value, prefix);
+			if (page.value.length < SCAN_PAGE_ROWS) {
+				break;
+			}
+
+			after = page.value.at(-1)!.key;
+		}
+
+		this.#isScanning = false;
+		if (isRecovery) {
+			this.#input({kind: 'recoveryComplete'});
+		}
+
+		this.#scanTimer = setTimeout(() => {
+			void this.#scan(false);
+		}, OPEN_JOBS_SCAN_INTERVAL_MS);
+	}
+
+	async #readPage(prefix: string, after: string | undefined): ReturnType<TableStore['scan']> {
+		return this.#store.add(async () => this.#options.tables.scan(OWNER_TABLES.openJobs, {prefix, limit: SCAN_PAGE_ROWS, ...(after !== undefined && {after})}));
+	}
+
+	async #takePage(rows: readonly Row[], prefix: string): Promise<void> {
+		const unknown = rows.map(({key}) => key.slice(prefix.length)).filter(jobId => this.#core.rowOf(jobId) === undefined);
+		await Promise.all(unknown.map(async jobId => this.#readOne(jobId)));
+	}
+
+	async #pause(): Promise<void> {
+		return new Promise(resolve => {
+			setTimeout(resolve, READ_RETRY_DELAY_MS).unref();
+		});
+	}
+
+	async #wait(jobId: string, timeoutMs: number, forCancel: boolean): Promise<OwnedJobRow | undefined> {
+		if (this.#isStopped) {
+			return undefined;
+		}
+
+		this.#waiterCount += 1;
+		const waiterId = String(this.#waiterCount);
+		return new Promise(resolve => {
+			this.#waiters.set(waiterId, resolve);
+			this.#input({
+				kind: 'wait', waiterId, jobId, untilMs: this.#nowMs() + timeoutMs, forCancel,
+			});
+		});
+	}
+}
--- /dev/null
+++ b/packages/owner/tests/core-world.ts
@@ -0,0 +1,246 @@
+import {HEARTBEAT_INTERVAL_MS, OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_VALIDITY_MS, type JobSpec} from '@amaranthsail/core';
+import type {Transaction} from '@amaranthsail/platform';
+import {FakeAgent} from './fake-agent.js';
+import {FirstFitScheduler} from './first-fit-scheduler.js';
+import {MemoryTables} from './memory-tables.js';
+import {OwnerCore, openJobKey, type OwnedJobRow, type OwnerEffect, type OwnerEvent, type WriteResult} from '@amaranthsail/owner';
+
+const STEP_MS = 10;
+
+export const SPEC: JobSpec = {
+	account: 'ledger', service: 'register', operation: 'revaluation', workClass: 'urgent', taskCount: 1,
+	shape: {
+		slots: 1, connections: 1, processors: 1, memoryMb: 100, accelerators: 0,
+	},
+	adjacency: 'failureDomain', repeatable: true, checkpointable: false,
+};
+
+/** An owner core and its store. Its process can be paused. */
+export type TestOwner = {
+	readonly core: OwnerCore; readonly scheduler: FirstFitScheduler; readonly epoch: number; isPaused: boolean; canRenew: boolean;
+	/** Inputs that arrived while the process was paused. */
+	readonly backlog: OwnerEvent[];
+};
+
+/** Runs owner cores, agents and a store on one virtual clock, in steps of 10 ms. */
+export class CoreWorld {
+	nowMs = 1000;
+	readonly tables = new MemoryTables();
+	readonly agents: FakeAgent[] = [];
+	readonly owners: TestOwner[] = [];
+	readonly answers = new Map<string, OwnedJobRow | undefined>();
+	readonly metrics: string[] = [];
+	readonly sent: Array<Extract<OwnerEffect, {readonly kind: 'send'}>> = [];
+	#nextId = 0;
+	/** Drops messages to agents. */
+	dropsToAgent: (effect: Extract<OwnerEffect, {readonly kind: 'send'}>) => boolean = () => false;
+	/** Called with each transaction before it is applied; false drops it without any answer. */
+	acceptsWrite: (transaction: Transaction) => boolean = () => true;
+
+	/** Claims the failure domain for a new owner and lets it recover. */
+	claim(options: {readonly isPreviousGone?: boolean} = {}): TestOwner {
+		const epoch = this.owners.length + 1;
+		const version = this.tables.row('ownership', 'catania')?.version ?? 0;
+		const {fault} = this.tables;
+		this.tables.fault = 'none';
+		this.tables.apply({writeId: `claim-${epoch}`, conditions: [], writes: [{table: 'ownership', key: 'catania', value: {epoch, version}}]});
+		const scheduler = new FirstFitScheduler();
+		const core = new OwnerCore({
+			failureDomain: 'catania', ownerId: `owner-${epoch}`, epoch, ownershipVersion: this.tables.row('ownership', 'catania')!.version,
+			claimedAtMs: this.nowMs, wallOffsetMs: 0, scheduler, revision: 1, newId: () => {
+				this.#nextId += 1;
+				return `w${this.#nextId}`;
+			},
+		});
+		const owner: TestOwner = {
+			core, scheduler, epoch, isPaused: false, canRenew: true, backlog: [],
+		};
+		this.owners.push(owner);
+		this.renew(owner);
+		if (epoch === 1 || options.isPreviousGone) {
+			this.input(owner, {kind: 'previousOwnerGone'});
+		}
+
+		for (const key of this.openJobs()) {
+			this.notify(key.split('/')[1]!, owner);
+		}
+
+		this.input(owner, {kind: 'recoveryComplete'});
+		this.tables.fault = fault;
+		return owner;
+	}
+
+	agent(workerId: string): FakeAgent {
+		const agent = new FakeAgent(workerId);
+		this.agents.push(agent);
+		return agent;
+	}
+
+	/** Accepts a job as an entry does, and notifies the owner. */
+	submit(jobId: string, spec: Partial<JobSpec> = {}): void {
+		const row: OwnedJobRow = {
+			jobId, spec: {...SPEC, ...spec}, bodyDigest: '', failureDomain: 'catania', state: 'waiting', acceptedAtMs: this.nowMs, attempt: 0,
+			members: [], startConsumed: false, failedWorkers: [], cancelRequested: false, answers: [], writeId: `accept-${jobId}`,
+		};
+		this.tables.apply({
+			writeId: row.writeId, conditions: [{table: 'jobs', key: jobId, version: 0}], writes: [
+				{table: 'jobs', key: jobId, value: row}, {table: 'open_jobs', key: openJobKey('catania', jobId), value: {jobId}},
+			],
+		});
+		this.notify(jobId);
+	}
+
+	row(jobId: string): OwnedJobRow {
+		return this.tables.row('jobs', jobId)!.value as unknown as OwnedJobRow;
+	}
+
+	openJobs(): readonly string[] {
+		const keys: string[] = [];
+		for (const {writes} of this.tables.transactions) {
+			keys.push(...writes.filter(({table}) => table === 'open_jobs').map(({key}) => key));
+		}
+
+		return [...new Set(keys)].filter(key => this.tables.row('open_jobs', key) !== undefined);
+	}
+
+	notify(jobId: string, owner = this.owners.at(-1)!): void {
+		const read = this.tables.row('jobs', jobId);
+		this.input(owner, read === undefined
+			? {kind: 'jobAbsent', jobId}
+			: {kind: 'jobRow', row: read.value as unknown as OwnedJobRow, version: read.version});
+	}
+
+	input(owner: TestOwner, event: OwnerEvent): void {
+		if (owner.isPaused) {
+			owner.backlog.push(event);
+			return;
+		}
+
+		this.#carryOut(owner, owner.core.handle(event, this.nowMs));
+	}
+
+	wake(owner: TestOwner): void {
+		owner.isPaused = false;
+		for (const event of owner.backlog.splice(0)) {
+			this.input(owner, event);
+		}
+	}
+
+	renew(owner: TestOwner): void {
+		this.input(owner, {kind: 'ownership', validity: {kind: 'valid', validUntilMs: this.nowMs + OWNERSHIP_VALIDITY_MS, renewedAtMs: this.nowMs}});
+	}
+
+	/** Lets time pass; agents report every second and owners renew while the store is up. */
+	run(forMs: number): void {
+		for (const endMs = this.nowMs + forMs; this.nowMs < endMs;) {
+			this.nowMs += STEP_MS;
+			for (const owner of this.owners) {
+				const isRenewalDue = this.nowMs % OWNERSHIP_RENEWAL_INTERVAL_MS === 0;
+				if (isRenewalDue && owner === this.owners.at(-1) && owner.canRenew && !owner.isPaused && this.tables.fault !== 'down') {
+					this.renew(owner);
+				}
+
+				if (!owner.isPaused) {
+					this.#carryOut(owner, owner.core.tick(this.nowMs));
+				}
+			}
+
+			for (const agent of this.agents) {
+				if (this.nowMs % HEARTBEAT_INTERVAL_MS === 0) {
+					this.report(agent);
+				}
+			}
+		}
+	}
+
+	/** Runs until a condition holds; fails when it does not within the time. */
+	runUntil(condition: () => boolean, withinMs: number): number {
+		const startMs = this.nowMs;
+		while (!condition()) {
+			if (this.nowMs - startMs > withinMs) {
+				throw new Error(`the condition did not hold within ${withinMs} ms`);
+			}
+
+			this.run(STEP_MS);
+		}
+
+		return this.nowMs - startMs;
+	}
+
+	report(agent: FakeAgent, owner = this.owners.at(-1)!): void {
+		if (!agent.isPaused) {
+			this.input(owner, {kind: 'heartbeat', message: agent.heartbeat(this.nowMs), host: agent.facts.workerId});
+		}
+	}
+
+	#carryOut(owner: TestOwner, effects: readonly OwnerEffect[]): void {
+		for (const effect of effects) {
+			switch (effect.kind) {
+				case 'send': {
+					this.#deliver(owner, effect);
+					break;
+				}
+
+				case 'write': {
+					if (this.acceptsWrite(effect.transaction)) {
+						this.input(owner, {kind: 'writeResult', writeId: effect.transaction.writeId, result: this.#write(effect.transaction)});
+					}
+
+					break;
+				}
+
+				case 'read': {
+					for (const jobId of effect.jobIds) {
+						this.notify(jobId, owner);
+					}
+
+					break;
+				}
+
+				case 'answer': {
+					this.answers.set(effect.waiterId, effect.row);
+					break;
+				}
+
+				case 'metric': {
+					this.metrics.push(effect.metric.name);
+					break;
+				}
+
+				case 'ownershipLost': {
+					break;
+				}
+			}
+		}
+	}
+
+	#deliver(owner: TestOwner, effect: Extract<OwnerEffect, {readonly kind: 'send'}>): void {
+		this.sent.push(effect);
+		const agent = this.agents.find(({facts, isPaused}) => facts.workerId === effect.host && !isPaused);
+		if (agent !== undefined && !this.dropsToAgent(effect) && agent.receive(effect.message, this.nowMs)) {
+			this.report(agent, owner);
+		}
+	}
+
+	#write(transaction: Transaction): WriteResult {
+		const result = this.tables.apply(transaction);
+		if (result.ok) {
+			return {kind: 'committed', versions: result.value};
+		}
+
+		switch (result.error.kind) {
+			case 'condition_failed': {
+				return {kind: 'conditionFailed', failed: result.error.failed};
+			}
+
+			case 'outcome_unknown': {
+				return {kind: 'unknown', message: ''};
+			}
+
+			case 'unavailable':
+			case 'rejected': {
+				return {kind: 'unavailable', message: ''};
+			}
+		}
+	}
+}
