Keep accepted jobs that no known worker can run yet

Cause: the quickstart's quote batching was routed to a failure domain whose workers run another service, and its owner refused it as unknown_service. The same refusal hits every job of a new owner whose workers have not reported yet, and drops accepted work. Ruled out: a wrong Service record; the same job runs where a worker of the service is known. The agent logs its address when it is ready. Conclusion: early refusal belongs to the entry, before acceptance.

--- a/packages/agent/src/agent-program.ts
+++ b/packages/agent/src/agent-program.ts
@@ -89,7 +89,7 @@
 	socket.on('error', error => {
 		logger.warn('socket error', {error: error.message});
 	});
-	logger.info('agent started', {workerId, failureDomain, httpPort, datagramPort});
+	logger.info('ready', {address: `${settings.listenAddress.host}:${httpPort}`, datagramPort, workerId, failureDomain});
 	driver.start();
 	return {
 		httpPort,
--- a/packages/owner/src/job-record.ts
+++ b/packages/owner/src/job-record.ts
@@ -89,6 +89,7 @@
 		...(spec.deadlineAtMs !== undefined && {deadlineAtMs: spec.deadlineAtMs - wallOffsetMs}),
 		attempts: job.failedAttempts,
 		failedWorkers: job.failedWorkers,
+		isAccepted: true,
 	};
 }
 
--- a/packages/owner/src/owner-core.ts
+++ b/packages/owner/src/owner-core.ts
@@ -25,6 +25,8 @@
 	readonly workers: number;
 	readonly pendingWrites: number;
 	readonly revision: number;
+	/** Revision that each agent has last reported as in force. */
+	readonly workerRevisions: ReadonlyArray<{readonly workerId: string; readonly revisionInForce: number}>;
 };
 
 /**
@@ -143,6 +145,7 @@
 			workers: [...workers.all()].length,
 			pendingWrites: writes.sentCount,
 			revision,
+			workerRevisions: [...workers.all()].map(({workerId, revisionInForce}) => ({workerId, revisionInForce})),
 		};
 	}
 
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -63,6 +63,11 @@
 		this.#core = new OwnerCore({...options.core, wallOffsetMs: clock.wallMs() - clock.monotonicMs()});
 	}
 
+	/** The failure domain. */
+	get failureDomain(): string {
+		return this.#options.core.failureDomain;
+	}
+
 	/** Epoch under which the failure domain is owned. */
 	get epoch(): number {
 		return this.#options.core.epoch;
--- a/packages/owner/src/owner-host.ts
+++ b/packages/owner/src/owner-host.ts
@@ -136,6 +136,26 @@
 		return this.#held.get(failureDomain)?.driver;
 	}
 
+	/**
+	 * Lists the owners that run in this process.
+	 *
+	 * @returns Their drivers.
+	 */
+	drivers(): readonly OwnerDriver[] {
+		return [...this.#held.values()].map(({driver}) => driver);
+	}
+
+	/**
+	 * Gives a failure domain up, so that another entry can claim it at once.
+	 *
+	 * @param failureDomain - The failure domain; nothing happens when another process owns it.
+	 */
+	async release(failureDomain: string): Promise<void> {
+		await this.#held.get(failureDomain)?.driver.drain();
+		this.#handle({kind: 'release', failureDomain});
+		await this.#inputs.onIdle();
+	}
+
 	/**
 	 * Finds the owner of a failure domain anywhere.
 	 *
--- a/packages/owner/src/ownership-rows.ts
+++ b/packages/owner/src/ownership-rows.ts
@@ -1,15 +1,11 @@
 import type {RowValue} from '@amaranthsail/platform';
+import type {SchedulerLoad} from '@amaranthsail/scheduler';
 
 /** Where a process takes connections or datagrams. */
 export type Address = {readonly host: string; readonly port: number};
 
 /** Load of a failure domain, for routing. */
-export type LoadSummary = {
-	readonly waitingJobs: number;
-	readonly idleAccelerators: number;
-	readonly totalAccelerators: number;
-	readonly largestFreeBlock: number;
-};
+export type LoadSummary = SchedulerLoad;
 
 /** The row `ownership/{failureDomain}`; its version changes only with a change of owner. */
 export type OwnershipRow = {
--- a/packages/owner/src/worker-table.ts
+++ b/packages/owner/src/worker-table.ts
@@ -24,6 +24,8 @@
 	heardAtMs: number;
 	leaving: boolean;
 	usable: boolean;
+	/** Configuration revision that the agent last reported as in force. */
+	revisionInForce: number;
 	readonly incarnations: Map<string, Incarnation>;
 };
 
@@ -131,6 +133,7 @@
 		sender.sequence = heartbeat.sequence;
 		worker.host = host;
 		worker.port = heartbeat.replyPort;
+		worker.revisionInForce = heartbeat.revisionInForce;
 		worker.heardAtMs = nowMs;
 		worker.leaving = heartbeat.leaving;
 		worker.facts = heartbeat.facts ?? worker.facts;
@@ -188,7 +191,7 @@
 	#add(heartbeat: Heartbeat, host: string, nowMs: number): WorkerRecord {
 		const worker: WorkerRecord = {
 			workerId: heartbeat.workerId, host, port: heartbeat.replyPort, incarnation: heartbeat.incarnation, facts: undefined,
-			heardAtMs: nowMs, leaving: heartbeat.leaving, usable: false, incarnations: new Map(),
+			heardAtMs: nowMs, leaving: heartbeat.leaving, usable: false, revisionInForce: heartbeat.revisionInForce, incarnations: new Map(),
 		};
 		this.#workers.set(worker.workerId, worker);
 		return worker;
--- a/packages/scheduler/src/cluster-scheduler.ts
+++ b/packages/scheduler/src/cluster-scheduler.ts
@@ -5,7 +5,7 @@
 import {placeGang} from './gang-placement.js';
 import {newJobEntry, totalAccelerators, type JobEntry} from './job-entry.js';
 import type {
-	AttemptEnd, Decision, Explanation, GuaranteeAlarm, PlacedTask, Refusal, Scheduler, SchedulerConfig, SchedulerJob,
+	AttemptEnd, Decision, Explanation, GuaranteeAlarm, PlacedTask, Refusal, Scheduler, SchedulerConfig, SchedulerJob, SchedulerLoad,
 } from './scheduler.js';
 import {SchedulerState} from './scheduler-state.js';
 
@@ -57,7 +57,8 @@
 			return {admitted: true};
 		}
 
-		const refusal = this.#refusalOf(job, nowMs);
+		// The workers known now may be a part of those that there are, for example after a change of owner.
+		const refusal = job.isAccepted ? undefined : this.#refusalOf(job, nowMs);
 		if (refusal) {
 			return {admitted: false, refusal};
 		}
@@ -171,16 +172,27 @@
 		return this.#state.guard.alarms();
 	}
 
-	load(): {readonly waitingJobs: number; readonly idleAccelerators: number; readonly totalAccelerators: number; readonly largestFreeBlock: number} {
+	load(): SchedulerLoad {
 		const idle = this.#state.cluster.idle();
 		return {
 			waitingJobs: this.#state.waiting.size + this.#state.reclaiming.size,
+			waitingByAccount: this.#waitingByAccount(),
+			services: this.#state.cluster.openServices(),
 			idleAccelerators: idle.accelerators,
 			totalAccelerators: this.#state.cluster.capacity().accelerators,
 			largestFreeBlock: idle.largestBlock,
 		};
 	}
 
+	#waitingByAccount(): Readonly<Record<string, number>> {
+		const counts: Record<string, number> = {};
+		for (const {job} of [...this.#state.waiting.values(), ...this.#state.reclaiming.values()]) {
+			counts[job.spec.account] = (counts[job.spec.account] ?? 0) + 1;
+		}
+
+		return counts;
+	}
+
 	#explainWaiting(entry: JobEntry, nowMs: number): Explanation {
 		const {jobId} = entry.job;
 		const {cluster, health, ordering, waiting} = this.#state;
--- a/packages/scheduler/src/cluster-state.ts
+++ b/packages/scheduler/src/cluster-state.ts
@@ -170,6 +170,16 @@
 		}));
 	}
 
+	/**
+	 * Lists the services that take new work.
+	 *
+	 * @returns Services with an endpoint that is not leaving on a usable worker, in order.
+	 */
+	openServices(): readonly string[] {
+		const endpoints = [...this.workers.values()].filter(worker => worker.usable).flatMap(worker => worker.facts.endpoints);
+		return [...new Set(endpoints.filter(endpoint => !endpoint.leaving).map(endpoint => endpoint.service))].toSorted();
+	}
+
 	/**
 	 * Marks a worker as usable or not.
 	 *
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -61,6 +61,8 @@
 	/** Number of attempts so far. */
 	readonly attempts: number;
 	readonly failedWorkers: readonly string[];
+	/** The job is durably accepted: it waits for as long as it takes and is not refused any more. */
+	readonly isAccepted?: boolean;
 };
 
 /** Where one task goes. */
@@ -112,6 +114,17 @@
 /** How an attempt ended for the scheduler. */
 export type AttemptEnd = 'completed' | 'failed' | 'stopped' | 'lost';
 
+/** Load of a failure domain, for routing and early refusal. */
+export type SchedulerLoad = {
+	readonly waitingJobs: number;
+	readonly waitingByAccount: Readonly<Record<string, number>>;
+	readonly idleAccelerators: number;
+	readonly totalAccelerators: number;
+	readonly largestFreeBlock: number;
+	/** Services with an endpoint that takes new work. */
+	readonly services: readonly string[];
+};
+
 /** Decides placement, order, reclaim and admission for one failure domain. No I/O; times are passed in. */
 export interface Scheduler {
 	configure(config: SchedulerConfig, nowMs: number): void;
@@ -153,5 +166,5 @@
 	alarms(): readonly GuaranteeAlarm[];
 
 	/** Load for routing between failure domains. */
-	load(): {readonly waitingJobs: number; readonly idleAccelerators: number; readonly totalAccelerators: number; readonly largestFreeBlock: number};
+	load(): SchedulerLoad;
 }
