--- a/packages/platform/src/http-service.ts
+++ b/packages/platform/src/http-service.ts
@@ -7,6 +7,9 @@
 	DEFAULT_CALL_TIMEOUT_MS, type HttpServiceOptions, type ServiceAnswer, type ServiceCaller, type ServiceRequest,
 } from './service-call.js';
 
+/** A call with less than this share of its time left is not sent: an answer in time is unlikely, and an unsent request has a certain outcome. */
+const MIN_SHARE_LEFT = 0.1;
+
 /** Sends requests to one address over a pool of connections; 32 calls at once unless the settings say otherwise. */
 export class HttpService implements ServiceCaller {
 	readonly #pool: Pool;
@@ -43,17 +46,23 @@
 			return {kind: 'not_sent', message: `${this.#maxWaitingCalls} calls are waiting`};
 		}
 
+		const waitMessage = `no free connection within ${this.#timeoutMs} ms`;
 		const signal = AbortSignal.timeout(this.#timeoutMs);
+		const latestStartMs = performance.now() + (this.#timeoutMs * (1 - MIN_SHARE_LEFT));
 		let started = false;
 		try {
 			return await this.#queue.add(async () => {
+				if (performance.now() > latestStartMs) {
+					return {kind: 'not_sent', message: waitMessage};
+				}
+
 				started = true;
 				return this.#send(request, signal);
 			}, {signal});
 		} catch {
 			return started
 				? {kind: 'no_answer', message: `no answer within ${this.#timeoutMs} ms`}
-				: {kind: 'not_sent', message: `no free connection within ${this.#timeoutMs} ms`};
+				: {kind: 'not_sent', message: waitMessage};
 		}
 	}
 
