Test the worker runtime and the stand-in program by contract

Cause: the worker runtime, the endpoints, the StatsD sink and the program itself had no tests, and no fault let a change take effect after its caller had given up.

--- a/packages/platform/src/fault-plan.ts
+++ b/packages/platform/src/fault-plan.ts
@@ -1,9 +1,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Result} from '@amaranthsail/core';
 
-/** What can go wrong with one operation. */
+/**
+ * What can go wrong with one operation. `lost_before_effect`, `lost_after_effect` and `late` give no answer;
+ * a `late` change takes effect when {@link FaultPlan.landLate} is called. `stale_read` and `truncated` apply to reads, `duplicated` to changes.
+ */
 export const FAULT_KINDS = [
-	'none', 'unavailable', 'lost_before_effect', 'lost_after_effect', 'stale_read', 'truncated', 'duplicated',
+	'none', 'unavailable', 'lost_before_effect', 'lost_after_effect', 'late', 'stale_read', 'truncated', 'duplicated',
 ] as const;
 
 /** One of {@link FAULT_KINDS}. */
@@ -51,6 +54,7 @@
 export class FaultPlan {
 	#choose: ChooseFault;
 	#sequence = 0;
+	#late: Array<() => void> = [];
 	readonly #wait: (delayMs: number) => Promise<void>;
 
 	/**
@@ -76,11 +80,26 @@
 		this.#choose = chooseNone;
 	}
 
+	/**
+	 * Lets late changes take effect, in the order in which they were sent. Nobody learns their results.
+	 *
+	 * @returns The number of late changes.
+	 */
+	landLate(): number {
+		const late = this.#late;
+		this.#late = [];
+		for (const effect of late) {
+			effect();
+		}
+
+		return late.length;
+	}
+
 	/**
 	 * Runs an operation under the fault that is due for it. Without a delay the effect happens before the call returns its promise.
 	 *
 	 * @param operation - The operation, without its sequence number.
-	 * @param effect - Does the operation at once; called never or once, twice for a duplicate.
+	 * @param effect - Does the operation at once; called never, once, or twice for a duplicate.
 	 * @returns The result of the effect, or the error that the fault causes. A lost read is `unavailable`, as it has no effect.
 	 */
 	async run<Value, Failure>(
@@ -101,6 +120,13 @@
 			return lost(operation, 'the request was lost');
 		}
 
+		if (fault.kind === 'late') {
+			this.#late.push(() => {
+				effect(fault);
+			});
+			return lost(operation, 'the request is still under way');
+		}
+
 		if (fault.kind === 'duplicated' && operation.hasEffect) {
 			effect(fault);
 		}
--- /dev/null
+++ b/packages/standin/tests/start-worker.test.ts
@@ -0,0 +1,91 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {SystemClock, type EndpointReport, type TaskAssignment} from '@amaranthsail/core';
+import {valueOf} from './contracts/table-store-cases.js';
+import {CAPACITY} from './contracts/worker-runtime-cases.js';
+import {fetchJson} from './fetch-json.js';
+import {waitUntil} from './wait-until.js';
+import {startWorker, type RunningWorker} from '@amaranthsail/standin';
+
+type Announcement = {readonly path: string; readonly endpoint: EndpointReport; readonly atMs: number};
+
+const task: TaskAssignment = {
+	account: 'account-1', service: 'register', operation: 'revaluation', endpointId: 'endpoint-1', shape: CAPACITY, accelerators: [0], taskCount: 1,
+	repeatable: true, checkpointable: false, inlineInput: '{"runMs":60000}',
+};
+
+async function withAgent(run: (worker: RunningWorker, announcements: Announcement[]) => Promise<void>): Promise<void> {
+	const announcements: Announcement[] = [];
+	const agent = createServer((request, response) => {
+		const chunks: Uint8Array[] = [];
+		request.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+		});
+		request.on('end', () => {
+			announcements.push({path: request.url ?? '', endpoint: JSON.parse(Buffer.concat(chunks).toString()) as EndpointReport, atMs: performance.now()});
+			response.end('{}');
+		});
+	});
+	agent.listen(0, '127.0.0.1');
+	await once(agent, 'listening');
+	const {port} = agent.address() as AddressInfo;
+	const worker = await startWorker({agentAddress: {host: '127.0.0.1', port}, endpointId: 'vm-1', services: ['register', 'repairs']});
+	try {
+		await run(worker, announcements);
+	} finally {
+		await worker.close();
+		agent.close();
+		agent.closeAllConnections();
+	}
+}
+
+describe('startWorker', () => {
+	// Guards against an endpoint that its agent takes for gone between two announcements.
+	it('announces each endpoint every second', async () => {
+		await withAgent(async (_, announcements) => {
+			await waitUntil(() => announcements.length >= 6);
+			const register = announcements.filter(({endpoint}) => endpoint.service === 'register');
+			expect(register[0]).to.deep.include({path: '/v1/announcements', endpoint: {endpointId: 'vm-1-register', service: 'register', leaving: false}});
+			expect(register[2]!.atMs - register[0]!.atMs).to.be.greaterThan(1500);
+		});
+	});
+
+	// Guards against tests of leaving endpoints that never leave.
+	it('announces leaving at once, and nothing while silent', async () => {
+		await withAgent(async (worker, announcements) => {
+			await waitUntil(() => announcements.length === 2);
+			await fetchJson(worker.address, 'PUT', '/v1/endpoints', {leaving: true});
+			expect(announcements.slice(2).map(({endpoint}) => endpoint.leaving)).to.deep.equal([true, true]);
+			const before = announcements.length;
+			await fetchJson(worker.address, 'PUT', '/v1/endpoints', {silent: true, leaving: false});
+			expect(announcements).to.have.length(before);
+		});
+	});
+
+	// Guards against a task that outlives its lease when nobody asks for it.
+	it('ends a task at its lease without a call', async () => {
+		const worker = await startWorker({capacity: CAPACITY});
+		try {
+			const startMs = Math.floor(new SystemClock().monotonicMs());
+			valueOf(await worker.runtime.start({jobId: 'j', attempt: 1, taskIndex: 0}, task, startMs + 150));
+			await waitUntil(() => worker.runtime.executions()[0]!.endMs !== undefined);
+			expect(worker.runtime.executions()[0]!.endMs).to.equal(startMs + 150);
+		} finally {
+			await worker.close();
+		}
+	});
+
+	// Guards against a worker that is meant to fail everything and succeeds.
+	it('fails every task on request', async () => {
+		const worker = await startWorker({capacity: CAPACITY, failEverything: true});
+		try {
+			const started = await worker.runtime.start({jobId: 'j', attempt: 1, taskIndex: 0}, task, Number.MAX_SAFE_INTEGER);
+			expect(valueOf(started)).to.include({state: 'failed', reason: 'worker_failed'});
+		} finally {
+			await worker.close();
+		}
+	});
+});
