Add the decision bench

Cause: policies could not be compared. The scheduler skips a round when nothing has changed, and caches what a job's kind and a worker's room are, to keep the bench to minutes.

--- /dev/null
+++ b/packages/bench/src/bin.ts
@@ -0,0 +1,43 @@
+#!/usr/bin/env node
+import {mkdirSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {EXIT_INVALID_SETTINGS, readSettings} from '@amaranthsail/core';
+import {BENCH_SETTINGS, FIRST_SEED} from './bench-settings.js';
+import {DIVISIONS} from './division.js';
+import {comparePolicies, formatFigures, HEADS, type PolicyFigures} from './policy-report.js';
+import {SCENARIOS} from './scenario.js';
+
+const RESULTS_DIRECTORY = 'bench-results';
+
+function writeResults(name: string, content: unknown): void {
+	mkdirSync(RESULTS_DIRECTORY, {recursive: true});
+	writeFileSync(`${RESULTS_DIRECTORY}/${name}.json`, `${JSON.stringify(content, undefined, '\t')}\n`);
+}
+
+const outcome = readSettings('amaranthsail-bench', BENCH_SETTINGS, process.argv.slice(2), process.env);
+if (!outcome.ok) {
+	for (const {setting, message} of outcome.error.problems) {
+		console.error(`${setting}: ${message}`);
+	}
+
+	process.exitCode = EXIT_INVALID_SETTINGS;
+} else if (outcome.value.kind === 'help') {
+	console.log(outcome.value.text);
+} else if (outcome.value.kind === 'version') {
+	console.log('0.1.0');
+} else {
+	const {settings} = outcome.value;
+	const seeds = Array.from({length: settings.seedCount}, (_, index) => FIRST_SEED[settings.seeds] + index);
+	const all: PolicyFigures[] = [];
+	console.log(HEADS);
+	for (const division of DIVISIONS.filter(({name}) => settings.division === 'all' || name === settings.division)) {
+		for (const scenario of SCENARIOS.filter(({name}) => settings.scenario === 'all' || name === settings.scenario)) {
+			for (const figures of comparePolicies(division, scenario, seeds)) {
+				console.log(formatFigures(figures));
+				all.push(figures);
+			}
+		}
+	}
+
+	writeResults(`policies-${settings.seeds}`, {seeds, figures: all});
+}
--- a/packages/scheduler/src/balanced-policy.ts
+++ b/packages/scheduler/src/balanced-policy.ts
@@ -24,6 +24,10 @@
 		return true;
 	}
 
+	get blocksBehindHead(): boolean {
+		return false;
+	}
+
 	order(queue: readonly QueuedJob[], nowMs: number): readonly QueuedJob[] {
 		const scores = new Map(queue.map(job => [job.jobId, this.#score(job, nowMs)]));
 		return queue.toSorted((left, right) => scores.get(left.jobId)! - scores.get(right.jobId)! || left.submittedAtMs - right.submittedAtMs);
--- a/packages/scheduler/src/cluster-scheduler.ts
+++ b/packages/scheduler/src/cluster-scheduler.ts
@@ -4,6 +4,7 @@
 import {summarize, workerRefusals} from './explanation.js';
 import {placeGang} from './gang-placement.js';
 import {newJobEntry, totalAccelerators, type JobEntry} from './job-entry.js';
+import type {OrderingPolicy} from './ordering-policy.js';
 import type {
 	AttemptEnd, Decision, Explanation, GuaranteeAlarm, PlacedTask, Refusal, Scheduler, SchedulerConfig, SchedulerJob,
 } from './scheduler.js';
@@ -15,22 +16,29 @@
 	readonly failureDomain?: string;
 	/** Waiting jobs of all accounts beyond which new ones are refused. */
 	readonly maxWaitingJobs?: number;
+	/** An ordering to use instead of the one that the policy record names, for comparisons. */
+	readonly ordering?: OrderingPolicy;
 };
 
 /** Keeps the queue within the memory of an entry; 1,000 waiting jobs take about 1 MB. */
 const DEFAULT_MAX_WAITING_JOBS = 10_000;
 
+/** How often a round is made although nothing has changed. */
+const IDLE_ROUND_INTERVAL_MS = 1000;
+
 /** The decision core of one failure domain. */
 export class ClusterScheduler implements Scheduler {
 	readonly #state: SchedulerState;
 	readonly #maxWaitingJobs: number;
+	#decidedVersion = -1;
+	#decidedAtMs = 0;
 
 	/**
 	 * @param config - The configuration in force.
 	 * @param options - Further settings.
 	 */
 	constructor(config: SchedulerConfig, options: SchedulerOptions = {}) {
-		this.#state = new SchedulerState(config, options.failureDomain);
+		this.#state = new SchedulerState(config, options.failureDomain, options.ordering);
 		this.#maxWaitingJobs = options.maxWaitingJobs ?? DEFAULT_MAX_WAITING_JOBS;
 	}
 
@@ -41,14 +49,17 @@
 	upsertWorker(facts: WorkerFacts): void {
 		this.#state.learnFailureDomain(facts.failureDomain);
 		this.#state.cluster.upsert(facts);
+		this.#state.version++;
 	}
 
 	setWorkerUsable(workerId: string, usable: boolean): void {
 		this.#state.cluster.setUsable(workerId, usable);
+		this.#state.version++;
 	}
 
 	removeWorker(workerId: string): void {
 		this.#state.cluster.remove(workerId);
+		this.#state.version++;
 		this.#state.health.forget(workerId);
 	}
 
@@ -143,10 +154,18 @@
 		const entry = this.#state.placed.get(usage.jobId);
 		if (entry) {
 			this.#state.cluster.correct(entry, usage);
+			this.#state.version++;
 		}
 	}
 
 	decide(nowMs: number): readonly Decision[] {
+		// Without a change nothing fits that did not fit before; probes, reservations and stragglers depend on time alone.
+		if (this.#decidedVersion === this.#state.version && nowMs - this.#decidedAtMs < IDLE_ROUND_INTERVAL_MS) {
+			return [];
+		}
+
+		this.#decidedVersion = this.#state.version;
+		this.#decidedAtMs = nowMs;
 		return new DecisionRound(this.#state, nowMs).run();
 	}
 
--- a/packages/scheduler/src/decision-round.ts
+++ b/packages/scheduler/src/decision-round.ts
@@ -1,7 +1,7 @@
 import {MAX_ATTEMPTS} from '@amaranthsail/core';
 import {reserve, withoutReserved, type ExpectedEnd, type Reservation} from './backfill-reservation.js';
 import {DUPLICATE} from './cluster-state.js';
-import {totalAccelerators, type JobEntry} from './job-entry.js';
+import type {JobEntry} from './job-entry.js';
 import type {QueuedJob} from './ordering-policy.js';
 import type {Decision, PlacedTask} from './scheduler.js';
 import type {SchedulerState} from './scheduler-state.js';
@@ -19,8 +19,9 @@
 	readonly #nowMs: number;
 	readonly #decisions: Decision[] = [];
 	readonly #reservations: Reservation[] = [];
-	/** Kinds of jobs that did not fit; nothing is freed within a round. */
-	readonly #unplaceable = new Set<string>();
+	/** Kinds of jobs that did not fit, with the shortest estimate that did not; nothing is freed within a round. */
+	readonly #unplaceable = new Map<string, number>();
+	readonly #unreclaimable = new Set<string>();
 	readonly #outside = new Set<string>();
 	#ends: readonly ExpectedEnd[] | undefined;
 
@@ -42,7 +43,8 @@
 		this.#finishReclaims();
 		this.#giveUp();
 		const queue = [...this.#state.waiting.values()].map(entry => this.#state.queued(entry, this.#nowMs));
-		const ordered = this.#state.ordering.order(queue, this.#nowMs);
+		const {ordering} = this.#state;
+		const ordered = ordering.order(queue, this.#nowMs);
 		// What accounts were promised comes before any ordering.
 		for (const job of ordered) {
 			const entry = this.#state.waiting.get(job.jobId)!;
@@ -53,8 +55,13 @@
 
 		for (const job of ordered) {
 			const entry = this.#state.waiting.get(job.jobId);
-			if (entry) {
-				this.#placeOutside(entry, job);
+			if (!entry) {
+				continue;
+			}
+
+			this.#placeOutside(entry, job);
+			if (ordering.blocksBehindHead && this.#state.waiting.has(job.jobId)) {
+				break;
 			}
 		}
 
@@ -107,8 +114,8 @@
 	}
 
 	#placeInside(entry: JobEntry, job: QueuedJob): void {
-		const key = `${kindOf(entry)}/inside`;
-		if (this.#unplaceable.has(key)) {
+		const key = kindOf(entry);
+		if (this.#unreclaimable.has(key)) {
 			return;
 		}
 
@@ -122,7 +129,7 @@
 
 		const plan = planner.plan(entry.spec, accepts, jobId => this.#state.reclaiming.has(jobId), ordering.fit);
 		if (!plan) {
-			this.#unplaceable.add(key);
+			this.#unreclaimable.add(key);
 			return;
 		}
 
@@ -154,8 +161,8 @@
 	}
 
 	#placeOutside(entry: JobEntry, job: QueuedJob): void {
-		const key = `${kindOf(entry)}/${job.estimateMs}`;
-		if (this.#unplaceable.has(key) || this.#state.isOverAccountLimit(entry.spec) || this.#state.isOutOfLane(entry.spec)) {
+		const key = kindOf(entry);
+		if ((this.#unplaceable.get(key) ?? Infinity) <= job.estimateMs || this.#state.isOverAccountLimit(entry.spec) || this.#state.isOutOfLane(entry.spec)) {
 			return;
 		}
 
@@ -167,7 +174,7 @@
 			return;
 		}
 
-		this.#unplaceable.add(key);
+		this.#unplaceable.set(key, this.#reservations.length === 0 ? 0 : job.estimateMs);
 		if (this.#reservations.length < MAX_RESERVATIONS && ordering.wantsReservation(job, this.#nowMs)) {
 			const reservation = reserve(entry, cluster, this.#expectedEnds(), {accepts: this.#accepts(entry), fit: ordering.fit});
 			if (reservation) {
@@ -219,7 +226,7 @@
 		for (const entry of this.#state.placed.values()) {
 			const estimate = this.#state.estimates.estimate(entry.spec);
 			if (entry.duplicates.length > 0) {
-				budget -= totalAccelerators(entry.spec);
+				budget -= entry.accelerators;
 			} else if (entry.spec.repeatable && !entry.isPreempted && entry.startedAtMs !== undefined
 				&& estimate.learned && this.#elapsedMs(entry) > estimate.typicalMs * stragglerFactor) {
 				stragglers.push(entry);
@@ -227,8 +234,8 @@
 		}
 
 		for (const entry of stragglers) {
-			if (totalAccelerators(entry.spec) <= budget && this.#duplicate(entry)) {
-				budget -= totalAccelerators(entry.spec);
+			if (entry.accelerators <= budget && this.#duplicate(entry)) {
+				budget -= entry.accelerators;
 			}
 		}
 	}
@@ -250,20 +257,7 @@
 	}
 }
 
-/** Jobs of one kind fit or fail alike. */
-function kindOf({spec, job, avoided}: JobEntry): string {
-	const {shape} = spec;
-	return [
-		spec.account,
-		spec.service,
-		spec.taskCount,
-		spec.adjacency,
-		spec.repeatable,
-		shape.slots,
-		shape.connections,
-		shape.processors,
-		shape.memoryMb,
-		shape.accelerators,
-		avoided.size > 0 ? job.jobId : '',
-	].join('/');
+/** A job that keeps away from workers is a kind of its own. */
+function kindOf(entry: JobEntry): string {
+	return entry.avoided.size > 0 ? `${entry.kind}/${entry.job.jobId}` : entry.kind;
 }
--- a/packages/scheduler/src/first-fit-policy.ts
+++ b/packages/scheduler/src/first-fit-policy.ts
@@ -11,6 +11,10 @@
 		return false;
 	}
 
+	get blocksBehindHead(): boolean {
+		return false;
+	}
+
 	order(queue: readonly QueuedJob[]): readonly QueuedJob[] {
 		return queue.toSorted((left, right) => left.submittedAtMs - right.submittedAtMs);
 	}
--- a/packages/scheduler/src/gang-placement.ts
+++ b/packages/scheduler/src/gang-placement.ts
@@ -24,9 +24,17 @@
 	readonly surrounding: number;
 };
 
-function candidateOf(view: PlacementView, size: number, wanted: readonly number[], fit: Fit): Candidate {
-	const starts = size === 0 ? [] : freeBlocks(view.free, size);
+function candidateOf(view: PlacementView, size: number, wanted: readonly number[], fit: Fit): Candidate | undefined {
 	const byRoom = timesWithin(wanted, view.room);
+	if (byRoom === 0) {
+		return undefined;
+	}
+
+	const starts = size === 0 ? [] : freeBlocks(view.free, size);
+	if (size > 0 && starts.length === 0) {
+		return undefined;
+	}
+
 	const freeCount = view.free.filter(Boolean).length;
 	const widths = new Map(starts.map(start => [start, surroundingBlock(view.free, start, size)]));
 	if (fit === 'best') {
@@ -102,7 +110,11 @@
 export function placeGang(spec: JobSpec, views: readonly PlacementView[], fit: Fit): readonly PlacedTask[] | undefined {
 	const size = blockSizeOf(spec.shape.accelerators);
 	const wanted = limitsOf(spec.shape);
-	const candidates = views.map(view => candidateOf(view, size, wanted, fit)).filter(candidate => candidate.taskCount > 0);
+	const candidates = views.map(view => candidateOf(view, size, wanted, fit)).filter(candidate => candidate !== undefined);
+	if (capacityOf(candidates) < spec.taskCount) {
+		return undefined;
+	}
+
 	const groups = groupsOf(spec, candidates)
 		.filter(group => capacityOf(group) >= spec.taskCount);
 	const group = fit === 'first' || groups.length < 2
--- a/packages/scheduler/src/job-entry.ts
+++ b/packages/scheduler/src/job-entry.ts
@@ -9,6 +9,10 @@
 export type JobEntry = {
 	readonly job: SchedulerJob;
 	readonly spec: JobSpec;
+	/** Jobs of one kind fit or fail alike. */
+	readonly kind: string;
+	/** Accelerators of all tasks. */
+	readonly accelerators: number;
 	phase: JobPhase;
 	/** When it last entered the queue. */
 	queuedAtMs: number;
@@ -39,6 +43,8 @@
 	return {
 		job,
 		spec: job.spec,
+		kind: kindOf(job.spec),
+		accelerators: totalAccelerators(job.spec),
 		phase: 'waiting',
 		queuedAtMs: nowMs,
 		failedWorkers: new Set(job.failedWorkers),
@@ -53,6 +59,22 @@
 	};
 }
 
+function kindOf(spec: JobSpec): string {
+	const {shape} = spec;
+	return [
+		spec.account,
+		spec.service,
+		spec.taskCount,
+		spec.adjacency,
+		spec.repeatable,
+		shape.slots,
+		shape.connections,
+		shape.processors,
+		shape.memoryMb,
+		shape.accelerators,
+	].join('/');
+}
+
 /**
  * Counts the accelerators that a job takes.
  *
--- a/packages/scheduler/src/least-attained-policy.ts
+++ b/packages/scheduler/src/least-attained-policy.ts
@@ -11,6 +11,10 @@
 		return false;
 	}
 
+	get blocksBehindHead(): boolean {
+		return false;
+	}
+
 	order(queue: readonly QueuedJob[]): readonly QueuedJob[] {
 		return queue.toSorted((left, right) => left.attainedService - right.attainedService || left.submittedAtMs - right.submittedAtMs);
 	}
--- a/packages/scheduler/src/ordering-policy.ts
+++ b/packages/scheduler/src/ordering-policy.ts
@@ -26,6 +26,9 @@
 	/** Whether the policy keeps lanes for short work and makes reservations and second attempts. */
 	readonly usesEstimates: boolean;
 
+	/** Whether nothing starts before a job that is ahead of it, apart from work inside guarantees. */
+	readonly blocksBehindHead: boolean;
+
 	/**
 	 * Sorts the queue.
 	 *
--- a/packages/scheduler/src/reclaim-planner.ts
+++ b/packages/scheduler/src/reclaim-planner.ts
@@ -77,7 +77,7 @@
 			const here = tasks.filter(task => task.workerId === workerId);
 			const wanted = limitsOf(spec.shape).map(amount => amount * here.length);
 			const accelerators = new Set(here.flatMap(task => task.accelerators));
-			const {room} = worker;
+			const room = [...worker.room];
 			for (const grant of worker.grants.values()) {
 				if (victims.has(grant.jobId) || (!keeps(grant) && grant.accelerators.some(number => accelerators.has(number)))) {
 					victims.add(grant.jobId);
--- a/packages/scheduler/src/run-time-estimates.ts
+++ b/packages/scheduler/src/run-time-estimates.ts
@@ -25,6 +25,7 @@
 export class RunTimeEstimates {
 	readonly #samples = new Map<string, number[]>();
 	readonly #cache = new Map<string, RunTimeEstimate>();
+	readonly #keys = new WeakMap<JobSpec, readonly string[]>();
 
 	/**
 	 * Learns from a finished run.
@@ -33,7 +34,7 @@
 	 * @param runMs - How long it ran.
 	 */
 	learn(spec: JobSpec, runMs: number): void {
-		for (const key of keysOf(spec)) {
+		for (const key of this.#keysOf(spec)) {
 			const samples = this.#samples.get(key) ?? [];
 			samples.push(runMs);
 			if (samples.length > SAMPLE_COUNT) {
@@ -52,7 +53,7 @@
 	 * @returns The estimate for its kind of work, or for a wider kind as long as few runs were seen.
 	 */
 	estimate(spec: JobSpec): RunTimeEstimate {
-		for (const key of keysOf(spec)) {
+		for (const key of this.#keysOf(spec)) {
 			const cached = this.#cache.get(key);
 			if (cached) {
 				return cached;
@@ -80,6 +81,16 @@
 	remainingMs(spec: JobSpec, elapsedMs: number): number {
 		return Math.max(this.estimate(spec).typicalMs - elapsedMs, elapsedMs / 2);
 	}
+
+	#keysOf(spec: JobSpec): readonly string[] {
+		let keys = this.#keys.get(spec);
+		if (!keys) {
+			keys = keysOf(spec);
+			this.#keys.set(spec, keys);
+		}
+
+		return keys;
+	}
 }
 
 function keysOf(spec: JobSpec): readonly string[] {
--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -39,7 +39,10 @@
 	readonly reclaiming = new Map<string, JobEntry>();
 	readonly placed = new Map<string, JobEntry>();
 	ordering: OrderingPolicy;
+	/** Grows with each change that may make a waiting job fit. */
+	version = 0;
 	#config: SchedulerConfig;
+	readonly #fixedOrdering: OrderingPolicy | undefined;
 	#failureDomain: string | undefined;
 	readonly #insideJobs = new Map<string, Set<JobEntry>>();
 	readonly #weights = new Map<string, number>();
@@ -52,11 +55,13 @@
 	/**
 	 * @param config - The configuration in force.
 	 * @param failureDomain - The failure domain; without it, that of the first worker counts.
+	 * @param fixedOrdering - An ordering to use instead of the one that the policy record names.
 	 */
-	constructor(config: SchedulerConfig, failureDomain: string | undefined) {
+	constructor(config: SchedulerConfig, failureDomain: string | undefined, fixedOrdering?: OrderingPolicy) {
 		this.#config = config;
 		this.#failureDomain = failureDomain;
-		this.ordering = POLICIES[config.policy.ordering](config.policy);
+		this.#fixedOrdering = fixedOrdering;
+		this.ordering = fixedOrdering ?? POLICIES[config.policy.ordering](config.policy);
 		this.configure(config);
 	}
 
@@ -70,8 +75,9 @@
 	 * @param config - The configuration in force.
 	 */
 	configure(config: SchedulerConfig): void {
+		this.version++;
 		this.#config = config;
-		this.ordering = POLICIES[config.policy.ordering](config.policy);
+		this.ordering = this.#fixedOrdering ?? POLICIES[config.policy.ordering](config.policy);
 		this.#weights.clear();
 		this.#maxAccelerators.clear();
 		for (const {account, weight, maxAccelerators} of config.accounts) {
@@ -141,6 +147,7 @@
 	 * @param nowMs - The present time.
 	 */
 	release(entry: JobEntry, nowMs: number): void {
+		this.version++;
 		this.cluster.release(entry);
 		this.ledger.end(entry, nowMs);
 		this.#insideJobs.get(entry.spec.account)?.delete(entry);
@@ -162,6 +169,7 @@
 	 * @param entry - The job.
 	 */
 	enqueue(entry: JobEntry): void {
+		this.version++;
 		const isPossible = entry.failedWorkers.size === 0 || this.empty().refuses(entry.spec, entry.failedWorkers) === undefined;
 		entry.avoided = isPossible ? entry.failedWorkers : new Set();
 		entry.phase = 'waiting';
@@ -274,7 +282,7 @@
 			submittedAtMs: entry.job.submittedAtMs,
 			queuedAtMs: entry.queuedAtMs,
 			deadlineAtMs: entry.job.deadlineAtMs,
-			accelerators: totalAccelerators(entry.spec),
+			accelerators: entry.accelerators,
 			estimateMs: this.estimates.estimate(entry.spec).typicalMs,
 			attainedService: this.ledger.attained(account, nowMs) / weight,
 			dominantShare: this.ledger.dominantShare(account, this.cluster.capacity()) / weight,
--- a/packages/scheduler/src/worker-state.ts
+++ b/packages/scheduler/src/worker-state.ts
@@ -30,7 +30,7 @@
 	readonly grants = new Map<string, Grant>();
 	/** For each accelerator, the number of grants on it; 2 while a reclaim waits for its victim. */
 	#holders: number[];
-	#used: Limits = [0, 0, 0, 0];
+	#room: readonly number[];
 	#free: boolean[];
 
 	/**
@@ -40,6 +40,7 @@
 		this.facts = facts;
 		this.#holders = Array.from({length: facts.capacity.accelerators}, () => 0);
 		this.#free = this.#holders.map(() => true);
+		this.#room = limitsOf(facts.capacity);
 	}
 
 	get workerId(): string {
@@ -51,11 +52,9 @@
 		return this.#free;
 	}
 
-	/** Amounts that no grant holds; negative while a reclaim waits for its victim. */
-	get room(): Limits {
-		const room = limitsOf(this.facts.capacity);
-		addTo(room, this.#used, -1);
-		return room;
+	/** Amounts that no grant holds; negative while a reclaim waits for its victim. Not to be changed by callers. */
+	get room(): readonly number[] {
+		return this.#room;
 	}
 
 	/**
@@ -132,7 +131,9 @@
 		}
 
 		this.#holders = holders;
-		this.#used = used;
+		const room = limitsOf(this.facts.capacity);
+		addTo(room, used, -1);
+		this.#room = room;
 		this.#free = holders.map(count => count === 0);
 	}
 }
