Add the amaranthsail command line

Cause: operators and callers need one tool that keeps to the API's outcomes when entries fail under it.

Change: twelve oclif commands in an explicit table, a client that tries one entry after another, exit codes by outcome, JSON output everywhere, and the reference page. A refusal that follows a try which may have taken effect is shown as an unknown outcome. A fault of the program itself also ends as unknown, not as refused.

Conclusion: usable against the API as documented; it has not been run against a real entry yet.

--- /dev/null
+++ b/packages/cli/src/commands/cancel.ts
@@ -0,0 +1,35 @@
+import {Args} from '@oclif/core';
+import {ApiCommand} from '../api-command.js';
+import {jobPath} from '../api-paths.js';
+import {resultOf, type CommandResult} from '../command-result.js';
+import {EXIT_CODES, worstExitCode} from '../exit-code.js';
+
+/** Cancels jobs. */
+export class CancelCommand extends ApiCommand {
+	static override description = 'Cancels jobs; running ones are stopped first.';
+	static override strict = false;
+	static override args = {ids: Args.string({description: 'Ids of jobs.', required: true})};
+
+	async run(): Promise<unknown> {
+		const {argv, flags} = await this.parse(CancelCommand);
+		return this.withClient(flags, async client => {
+			const results: Array<{readonly jobId: string} & CommandResult> = [];
+			for (const jobId of argv as string[]) {
+				const answer = await client.send({method: 'DELETE', path: jobPath(jobId), readOnly: false});
+				results.push({jobId, ...resultOf(answer, body => showCancelled(body))});
+			}
+
+			return {
+				exitCode: worstExitCode(results.map(result => result.exitCode)),
+				json: {results: results.map(({jobId, exitCode, json}) => ({jobId, exitCode, answer: json}))},
+				lines: results.flatMap(({jobId, lines}) => lines.map((line, index) => index === 0 ? `${jobId}: ${line}` : line)),
+			};
+		});
+	}
+}
+
+/** Shows the state that the service reports; a job that runs is cancelled only once it has stopped. */
+function showCancelled(body: unknown): CommandResult {
+	const {state} = (body ?? {}) as {state?: string};
+	return {exitCode: EXIT_CODES.done, json: body ?? null, lines: [state === undefined ? 'cancel accepted' : `cancel accepted, state ${state}`]};
+}
--- /dev/null
+++ b/packages/cli/src/commands/diff.ts
@@ -0,0 +1,46 @@
+import {formatRecordId, type RecordDiff} from '@amaranthsail/records';
+import {Args} from '@oclif/core';
+import {ApiCommand} from '../api-command.js';
+import {exitCodeOf, refusalLines, objectResultOf, valueText, type CommandResult} from '../command-result.js';
+import {EXIT_CODES, worstExitCode} from '../exit-code.js';
+import {readRecords} from '../read-records.js';
+
+const CONFLICT_STATUS = 409;
+const REFUSED_STATUS = 422;
+
+/** Shows what applying files would change or conflict with. */
+export class DiffCommand extends ApiCommand {
+	static override description = 'Shows what applying files would change or conflict with; changes nothing.';
+	static override strict = false;
+	static override args = {files: Args.string({description: 'YAML or JSON files of records.', required: true})};
+
+	async run(): Promise<unknown> {
+		const {argv, flags} = await this.parse(DiffCommand);
+		const records = await readRecords(argv as string[]);
+		if (!records.ok) {
+			this.usageError(records.error);
+		}
+
+		return this.withClient(flags, async client => {
+			const answer = await client.send({
+				method: 'POST', path: '/v1/records/diff', body: {records: records.value}, readOnly: true,
+			});
+			return objectResultOf(answer, showDiffs);
+		});
+	}
+}
+
+function showDiffs(body: Record<string, unknown>): CommandResult {
+	const {diffs = []} = body as {diffs?: readonly RecordDiff[]};
+	const codes = diffs.flatMap(({refusal}) => refusal
+		? [exitCodeOf(refusal.code === 'field_conflict' ? CONFLICT_STATUS : REFUSED_STATUS, refusal.outcome)]
+		: []);
+	return {exitCode: worstExitCode([EXIT_CODES.done, ...codes]), json: body, lines: diffs.flatMap(diff => linesOf(diff))};
+}
+
+function linesOf(diff: RecordDiff): readonly string[] {
+	const title = diff.record ? formatRecordId(diff.record) : `document ${diff.index + 1}`;
+	const changes = diff.changes.map(({field, from, to}) => `  ${field}: ${valueText(from)} -> ${valueText(to)}`);
+	const refusal = diff.refusal ? refusalLines(diff.refusal).map(line => `  ${line}`) : [];
+	return [`${title}: ${diff.action}`, ...changes, ...refusal];
+}
--- /dev/null
+++ b/packages/cli/src/commands/jobs.ts
@@ -0,0 +1,13 @@
+import {ApiCommand} from '../api-command.js';
+import {objectResultOf} from '../command-result.js';
+import {showJobs} from '../job-view.js';
+
+/** Lists the jobs of the caller's account. */
+export class JobsCommand extends ApiCommand {
+	static override description = 'Lists the jobs of the account.';
+
+	async run(): Promise<unknown> {
+		const {flags} = await this.parse(JobsCommand);
+		return this.withClient(flags, async client => objectResultOf(await client.send({method: 'GET', path: '/v1/jobs', readOnly: true}), showJobs));
+	}
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,4 @@
-/** Name of the package. */
-export const PACKAGE_NAME = '@amaranthsail/cli';
+export * from './command-table.js';
+export * from './command-result.js';
+export * from './entry-client.js';
+export * from './exit-code.js';
