Forget ended tasks on the worker at once

Cause: the worker lists an ended task with its whole answer, so every poll carried it for ten seconds or longer. The calls that watch the worker move to a class of their own. Conclusion: a delayed start call still meets a worker that remembers the task.

--- a/packages/agent/src/agent-core.ts
+++ b/packages/agent/src/agent-core.ts
@@ -2,18 +2,14 @@
 	type Address,
 	CHECKPOINT_GRACE_MS,
 	type Command,
-	type EndpointReport,
 	HEARTBEAT_INTERVAL_MS,
 	type HeartbeatAck,
-	type Result,
 	TASK_STOP_MS,
-	type TaskKey,
-	type TaskReport,
 	type WorkerFacts,
 } from '@amaranthsail/core';
-import type {RuntimeError, RuntimeFacts, RuntimeTask} from '@amaranthsail/platform';
 import {AGENT_EXIT_CODES, type AgentEffect} from './agent-effect.js';
 import type {AgentEvent, OwnerAnswer} from './agent-event.js';
+import type {AgentCoreOptions, AgentStatus} from './agent-options.js';
 import {EndpointRegistry} from './endpoint-registry.js';
 import {splitHeartbeat} from './heartbeat-parts.js';
 import {isOnWorker} from './held-task.js';
@@ -21,55 +17,17 @@
 import {applyCommand, beginCheckpoint} from './task-commands.js';
 import {TaskProgress} from './task-progress.js';
 import {TaskTable} from './task-table.js';
+import {WorkerWatch} from './worker-watch.js';
 
 /** Shortest time between two heartbeats; changes within it share one. */
 export const HEARTBEAT_SPACING_MS = 20;
 
-/** How often the worker is asked for the state of running tasks. */
-export const LIST_INTERVAL_MS = 250;
-
-/** How often the worker is asked for its tasks while none should run. */
-export const IDLE_LIST_INTERVAL_MS = 5000;
-
-/** How often the worker is asked before the agent has announced itself. */
-export const RECOVERY_INTERVAL_MS = 200;
-
 /** Every n-th heartbeat interval brings the facts of the worker. */
 export const FACTS_EVERY_BEATS = 10;
 
 /** Longest time from the second signal to the exit: a checkpoint, a stop and half a second for the last reports. */
 export const FORCED_EXIT_MS = CHECKPOINT_GRACE_MS + TASK_STOP_MS + 500;
 
-/** What an agent is made with. */
-export type AgentCoreOptions = {
-	readonly workerId: string;
-	readonly failureDomain: string;
-	/** Replaces the rack that the worker runtime names. */
-	readonly rack?: string;
-	/** Unique id of this run of the agent. */
-	readonly incarnation: string;
-	readonly entryAddresses: readonly Address[];
-	/** UDP port on which the agent takes commands. */
-	readonly replyPort: number;
-	/** Numbers from 0 up to 1 for jitter. */
-	readonly random: () => number;
-};
-
-/** What `GET /v1/status` shows of the state machine. */
-export type AgentStatus = {
-	readonly workerId: string;
-	readonly failureDomain: string;
-	readonly incarnation: string;
-	readonly ready: boolean;
-	readonly leaving: boolean;
-	readonly epoch: number;
-	readonly ownerId: string | undefined;
-	readonly degraded: boolean;
-	readonly revisionInForce: number;
-	readonly endpoints: readonly EndpointReport[];
-	readonly tasks: readonly TaskReport[];
-};
-
 /** The agent's state machine. It does no I/O and reads no clock; a driver performs its effects in order. */
 export class AgentCore {
 	readonly #options: AgentCoreOptions;
@@ -77,12 +35,7 @@
 	readonly #table = new TaskTable();
 	readonly #progress: TaskProgress;
 	readonly #owner: OwnerLink;
-	#facts: RuntimeFacts | undefined;
-	#factsAtMs: number | undefined = Number.NEGATIVE_INFINITY;
-	#isRecovered = false;
-	/** Monotonic time of the list call under way. */
-	#listAskedAtMs: number | undefined;
-	#listAtMs = Number.NEGATIVE_INFINITY;
+	readonly #worker = new WorkerWatch();
 	#beatAtMs = Number.NEGATIVE_INFINITY;
 	#sentAtMs = Number.NEGATIVE_INFINITY;
 	#beats = 0;
@@ -137,11 +90,10 @@
 	 */
 	nextTickAtMs(nowMs: number): number {
 		return Math.min(
-			this.#factsAtMs ?? Number.POSITIVE_INFINITY,
-			this.#listAskedAtMs === undefined ? this.#listDueAtMs() : Number.POSITIVE_INFINITY,
+			this.#worker.nextDueAtMs(this.#isBusy),
 			this.#beatAtMs + HEARTBEAT_INTERVAL_MS,
 			this.#isDirty ? this.#sentAtMs + HEARTBEAT_SPACING_MS : Number.POSITIVE_INFINITY,
-			this.#isReady ? this.#owner.discoverAtMs() : Number.POSITIVE_INFINITY,
+			this.#worker.isReady ? this.#owner.discoverAtMs() : Number.POSITIVE_INFINITY,
 			this.#progress.nextDueAtMs(),
 			this.#table.nextLapseAtMs(),
 			this.#endpoints.nextChangeAtMs(nowMs),
@@ -161,7 +113,7 @@
 			workerId,
 			failureDomain,
 			incarnation,
-			ready: this.#isReady && this.#owner.address !== undefined && this.#signals === 0,
+			ready: this.#worker.isReady && this.#owner.address !== undefined && this.#signals === 0,
 			leaving: this.#signals > 0,
 			epoch: this.#owner.epoch,
 			ownerId: this.#owner.ownerId,
@@ -172,8 +124,8 @@
 		};
 	}
 
-	get #isReady(): boolean {
-		return this.#isRecovered && this.#facts !== undefined;
+	get #isBusy(): boolean {
+		return [...this.#table.tasks].some(task => isOnWorker(task));
 	}
 
 	#apply(event: AgentEvent, nowMs: number): readonly AgentEffect[] {
@@ -188,12 +140,13 @@
 			}
 
 			case 'factsAnswered': {
-				this.#takeFacts(event.result, nowMs);
+				this.#worker.takeFacts(event.result, nowMs);
 				return [];
 			}
 
 			case 'listAnswered': {
-				return this.#takeList(event.result, nowMs);
+				const listed = this.#worker.takeList(event.result);
+				return listed === undefined ? [] : this.#progress.listed(listed.tasks, listed.askedAtMs, nowMs);
 			}
 
 			case 'startAnswered': {
@@ -220,7 +173,7 @@
 
 			case 'ownerAnswered': {
 				this.#owner.recordAnswered();
-				return event.owner === undefined || !this.#isReady ? [] : this.#fence(event.owner).effects;
+				return event.owner === undefined || !this.#worker.isReady ? [] : this.#fence(event.owner).effects;
 			}
 
 			case 'shutdownRequested': {
@@ -232,7 +185,7 @@
 	#receive(message: HeartbeatAck | Command, from: Address, nowMs: number): readonly AgentEffect[] {
 		const {workerId, incarnation} = this.#options;
 		const isOther = message.type === 'command' && (message.workerId !== workerId || message.incarnation !== incarnation);
-		if (!this.#isReady || isOther) {
+		if (!this.#worker.isReady || isOther) {
 			return [];
 		}
 
@@ -277,39 +230,16 @@
 	}
 
 	#command(command: Command, nowMs: number): readonly AgentEffect[] {
-		if (this.#facts === undefined) {
-			return [];
-		}
-
-		return applyCommand(this.#table, command, {
-			nowMs,
-			capacity: this.#facts.capacity,
-			isLeaving: this.#signals > 0,
-			leaseUntilMs: this.#owner.leaseUntilMs,
-			endpointRefusal: (endpointId, service) => this.#endpoints.refusal(endpointId, service, nowMs),
-		});
-	}
-
-	#takeFacts(result: Result<RuntimeFacts, RuntimeError>, nowMs: number): void {
-		if (result.ok) {
-			this.#facts = result.value;
-			this.#factsAtMs = undefined;
-			return;
-		}
-
-		this.#factsAtMs = nowMs + RECOVERY_INTERVAL_MS;
-	}
-
-	#takeList(result: Result<readonly RuntimeTask[], RuntimeError>, nowMs: number): readonly AgentEffect[] {
-		const askedAtMs = this.#listAskedAtMs;
-		this.#listAskedAtMs = undefined;
-		if (askedAtMs === undefined || !result.ok) {
-			return [];
-		}
-
-		this.#isRecovered ||= result.value.every(({state}) => state !== 'running' && state !== 'checkpointing');
-
-		return this.#progress.listed(result.value, askedAtMs, nowMs);
+		const {facts} = this.#worker;
+		return facts === undefined
+			? []
+			: applyCommand(this.#table, command, {
+				nowMs,
+				capacity: facts.capacity,
+				isLeaving: this.#signals > 0,
+				leaseUntilMs: this.#owner.leaseUntilMs,
+				endpointRefusal: (endpointId, service) => this.#endpoints.refusal(endpointId, service, nowMs),
+			});
 	}
 
 	#shutDown(nowMs: number): readonly AgentEffect[] {
@@ -332,19 +262,8 @@
 	}
 
 	#settle(nowMs: number): readonly AgentEffect[] {
-		const effects: AgentEffect[] = [...this.#progress.tick(nowMs)];
-		if (this.#factsAtMs !== undefined && nowMs >= this.#factsAtMs) {
-			this.#factsAtMs = Number.POSITIVE_INFINITY;
-			effects.push({kind: 'readFacts'});
-		}
-
-		if (this.#listAskedAtMs === undefined && nowMs >= this.#listDueAtMs()) {
-			this.#listAskedAtMs = nowMs;
-			this.#listAtMs = nowMs;
-			effects.push({kind: 'list'});
-		}
-
-		const entry = this.#isReady ? this.#owner.takeDiscovery(nowMs) : undefined;
+		const effects: AgentEffect[] = [...this.#progress.tick(nowMs), ...this.#worker.tick(nowMs, this.#isBusy)];
+		const entry = this.#worker.isReady ? this.#owner.takeDiscovery(nowMs) : undefined;
 		if (entry !== undefined) {
 			effects.push({kind: 'discover', entry});
 		}
@@ -353,15 +272,6 @@
 		return effects;
 	}
 
-	#listDueAtMs(): number {
-		if (!this.#isRecovered) {
-			return this.#listAtMs + RECOVERY_INTERVAL_MS;
-		}
-
-		const isBusy = [...this.#table.tasks].some(task => isOnWorker(task));
-		return this.#listAtMs + (isBusy ? LIST_INTERVAL_MS : IDLE_LIST_INTERVAL_MS);
-	}
-
 	#beat(nowMs: number): readonly AgentEffect[] {
 		if (this.#endpoints.takeChange(nowMs)) {
 			this.#factsDue = true;
@@ -371,7 +281,7 @@
 		this.#isDirty = this.#table.takeChange() || this.#isDirty;
 		const {address} = this.#owner;
 		const isRegular = nowMs - this.#beatAtMs >= HEARTBEAT_INTERVAL_MS;
-		if (!this.#isReady || address === undefined) {
+		if (!this.#worker.isReady || address === undefined) {
 			this.#isDirty = false;
 			this.#beatAtMs = isRegular ? nowMs : this.#beatAtMs;
 			return [];
@@ -417,10 +327,11 @@
 
 	#workerFacts(nowMs: number): WorkerFacts | undefined {
 		const {workerId, failureDomain, rack} = this.#options;
-		return this.#facts === undefined
+		const {facts} = this.#worker;
+		return facts === undefined
 			? undefined
 			: {
-				workerId, failureDomain, rack: rack ?? this.#facts.rack, capacity: this.#facts.capacity, endpoints: this.#endpoints.reports(nowMs),
+				workerId, failureDomain, rack: rack ?? facts.rack, capacity: facts.capacity, endpoints: this.#endpoints.reports(nowMs),
 			};
 	}
 
--- a/packages/agent/src/agent-http.ts
+++ b/packages/agent/src/agent-http.ts
@@ -1,5 +1,5 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {AgentStatus} from './agent-core.js';
+import type {AgentStatus} from './agent-options.js';
 import type {Announcement} from './agent-event.js';
 import {readMemoryUse} from './memory-use.js';
 
--- a/packages/agent/src/held-task.ts
+++ b/packages/agent/src/held-task.ts
@@ -23,6 +23,8 @@
 	leaseUntilMs?: number;
 	/** Monotonic lease given with the start call. */
 	startLeaseUntilMs?: number;
+	/** Whether the worker confirmed the start, so that no start call is under way. */
+	isStartAnswered?: boolean;
 	/** Monotonic time from which a list that does not name the task means that the worker lost it. */
 	listedFromMs?: number;
 	/** Whether a stop call is under way. */
--- a/packages/agent/src/task-progress.ts
+++ b/packages/agent/src/task-progress.ts
@@ -47,6 +47,7 @@
 		}
 
 		if (result.ok) {
+			task.isStartAnswered = true;
 			task.listedFromMs = nowMs;
 			return this.#absorb(task, result.value);
 		}
@@ -164,7 +165,7 @@
 		}
 
 		this.#table.move(task, 'stopped');
-		return [];
+		return forgetEnded(task);
 	}
 
 	/**
@@ -245,17 +246,17 @@
 				task.content = content;
 				task.answer = {lengthBytes: content.length, sha256: sha256Of(content)};
 				this.#table.move(task, 'storing');
-				return put(task);
+				return [...put(task), ...forgetEnded(task)];
 			}
 
 			case 'failed': {
 				this.#table.move(task, 'failed', runtimeTask.reason ?? 'task_failed');
-				return [];
+				return forgetEnded(task);
 			}
 
 			case 'stopped': {
 				this.#table.move(task, 'stopped', task.phase === 'running' || task.phase === 'starting' ? runtimeTask.reason ?? 'stopped_by_worker' : undefined);
-				return [];
+				return forgetEnded(task);
 			}
 
 			case 'running':
@@ -287,6 +288,14 @@
 		: [];
 }
 
+/**
+ * Clears an ended task on the worker, so that its answer does not travel with every list. While the answer of the start call
+ * is missing, the call may still reach the worker, which must then remember the task.
+ */
+function forgetEnded(task: HeldTask): readonly AgentEffect[] {
+	return task.isStartAnswered ? [{kind: 'forget', key: task.key}] : [];
+}
+
 function put(task: HeldTask): readonly AgentEffect[] {
 	if (task.content === undefined) {
 		return [];
