--- a/packages/agent/src/agent-driver.ts
+++ b/packages/agent/src/agent-driver.ts
@@ -10,9 +10,7 @@
 import type {AgentEffect, AgentExitCode} from './agent-effect.js';
 import type {AgentEvent, OwnerAnswer} from './agent-event.js';
 import {isUsableMessage} from './message-guard.js';
-
-/** Calls to the worker runtime at one time; covers one call for each of eight slots. */
-const RUNTIME_CONCURRENCY = 8;
+import {RUNTIME_CONCURRENCY} from './platform-clients.js';
 
 /** Answers that are put at one time. */
 const PUT_CONCURRENCY = 2;
--- a/packages/agent/src/bin.ts
+++ b/packages/agent/src/bin.ts
@@ -39,7 +39,7 @@
 
 async function run(settings: AgentSettings): Promise<AgentExitCode> {
 	const logger = createLogger(PROGRAM, settings.logLevel);
-	const clients = await createPlatformClients(settings.workerAddress, settings.objectStoreAddress);
+	const clients = createPlatformClients(settings.workerAddress, settings.objectStoreAddress);
 	try {
 		const agent = await runAgent(settings, {clock: new SystemClock(), logger, ...clients});
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
