--- a/packages/platform/src/node-http-service.ts
+++ b/packages/platform/src/node-http-service.ts
@@ -49,7 +49,7 @@
 	async #send(request: ServiceRequest): Promise<ServiceAnswer> {
 		const signal = AbortSignal.timeout(this.#timeoutMs);
 		const body = request.body === undefined ? undefined : Buffer.from(request.body);
-		let hasSocket = false;
+		let isConnected = false;
 		try {
 			const response = await new Promise<IncomingMessage>((resolve, reject) => {
 				const outgoing = sendRequest({
@@ -63,8 +63,14 @@
 					},
 					signal,
 				}, resolve);
-				outgoing.once('socket', () => {
-					hasSocket = true;
+				outgoing.once('socket', socket => {
+					isConnected = !socket.connecting;
+					if (socket.connecting) {
+						// Bytes of the request leave only after this event.
+						socket.once('connect', () => {
+							isConnected = true;
+						});
+					}
 				});
 				outgoing.once('error', reject);
 				outgoing.end(body);
@@ -76,7 +82,7 @@
 
 			return {kind: 'answer', status: response.statusCode ?? 0, body: Buffer.concat(chunks)};
 		} catch (error) {
-			return {kind: !hasSocket || isConnectError(error) ? 'not_sent' : 'no_answer', message: describeError(error)};
+			return {kind: isConnected && !isConnectError(error) ? 'no_answer' : 'not_sent', message: describeError(error)};
 		}
 	}
 }
--- a/packages/standin/src/bin.ts
+++ b/packages/standin/src/bin.ts
@@ -20,6 +20,7 @@
 			...settings,
 			address: settings.role === 'all' ? settings.workerAddress : settings.address,
 			agentAddress: settings.agentAddress === 'none' ? undefined : settings.agentAddress,
+			objectStoreAddress: settings.objectStoreAddress === 'none' ? platform?.address : settings.objectStoreAddress,
 		});
 	return {
 		addresses: {
--- a/packages/standin/src/standin-settings.ts
+++ b/packages/standin/src/standin-settings.ts
@@ -17,12 +17,14 @@
 	parse: text => STANDIN_ROLES.find(role => role === text),
 };
 
-const agentAddressSetting: SettingDefinition<Address | 'none'> = {
-	description: 'The agent that the endpoints announce themselves to.',
-	defaultText: 'none',
-	expected: 'host:port or none',
-	parse: text => text === 'none' ? text : parseAddress(text),
-};
+function optionalAddressSetting(description: string): SettingDefinition<Address | 'none'> {
+	return {
+		description,
+		defaultText: 'none',
+		expected: 'host:port or none',
+		parse: text => text === 'none' ? text : parseAddress(text),
+	};
+}
 
 const servicesSetting: SettingDefinition<readonly string[]> = {
 	description: 'The services that have an endpoint on the worker.',
@@ -51,7 +53,8 @@
 	address: addressSetting('Where the platform listens, or the worker in the role worker; port 0 takes a free one.', '127.0.0.1:0'),
 	workerAddress: addressSetting('Where the worker listens in the role all.', '127.0.0.1:0'),
 	statsdAddress: addressSetting('Where the platform takes StatsD datagrams.', '127.0.0.1:0'),
-	agentAddress: agentAddressSetting,
+	agentAddress: optionalAddressSetting('The agent that the endpoints announce themselves to.'),
+	objectStoreAddress: optionalAddressSetting('The object store that takes checkpoints; the one of this process in the role all.'),
 	endpointId: textSetting('Id of the endpoint; with several services each has the id {endpoint-id}-{service}.', 'endpoint-1'),
 	services: servicesSetting,
 	rack: textSetting('The rack of the worker.', 'rack-1'),
--- a/packages/standin/src/start-worker.ts
+++ b/packages/standin/src/start-worker.ts
@@ -1,8 +1,9 @@
 import {
 	SystemClock, type Address, type Clock, type EndpointReport, type Resources,
 } from '@amaranthsail/core';
-import {FaultPlan, MemoryWorkerRuntime} from '@amaranthsail/platform';
+import {FaultPlan, HttpObjectStore, MemoryWorkerRuntime} from '@amaranthsail/platform';
 import {z} from 'zod';
+import {CheckpointMirror} from './checkpoint-mirror.js';
 import {EndpointAnnouncer} from './endpoint-announcer.js';
 import {faultRoutes} from './fault-routes.js';
 import {json, serve, type RunningServer} from './http-app.js';
@@ -40,6 +41,8 @@
 	readonly clock?: Clock;
 	/** Progress by checkpoint key; pass one map to all workers that continue one another's tasks. */
 	readonly checkpoints?: Map<string, number>;
+	/** The object store that takes the checkpoints, for workers in several processes; none by default. */
+	readonly objectStoreAddress?: Address;
 };
 
 /** A worker stand-in that serves requests. */
@@ -58,19 +61,22 @@
  */
 export async function startWorker(options: WorkerOptions = {}): Promise<RunningWorker> {
 	const endpointId = options.endpointId ?? 'endpoint-1';
+	const checkpoints = options.checkpoints ?? new Map<string, number>();
+	const objects = options.objectStoreAddress && new HttpObjectStore({address: options.objectStoreAddress});
+	const mirror = objects && new CheckpointMirror(checkpoints, objects);
 	const runtime = new MemoryWorkerRuntime({
 		clock: options.clock ?? new SystemClock(),
 		workerId: options.workerId ?? endpointId,
 		rack: options.rack ?? 'rack-1',
 		capacity: options.capacity ?? DEFAULT_CAPACITY,
 		failEverything: options.failEverything,
-		checkpoints: options.checkpoints,
+		checkpoints,
 		faults: new FaultPlan(),
 	});
 	const endpoints = endpointsOf(endpointId, options.services ?? []);
 	const announcer = options.agentAddress && new EndpointAnnouncer(options.agentAddress, endpoints);
 	const server = await serve([
-		...workerRoutes(runtime),
+		...workerRoutes(runtime, async key => mirror?.load(key)),
 		...faultRoutes(runtime.faults),
 		['GET', '/v1/endpoints', () => json({endpoints: announcer?.endpoints ?? endpoints})],
 		['PUT', '/v1/endpoints', withBody(z.strictObject({leaving: z.boolean().optional(), silent: z.boolean().optional()}), async change => {
@@ -80,6 +86,7 @@
 	], options.address ?? FREE_ADDRESS);
 	const timer = setInterval(() => {
 		runtime.tick();
+		void mirror?.store();
 	}, LEASE_CHECK_INTERVAL_MS);
 	announcer?.start();
 	return {
@@ -90,7 +97,7 @@
 		},
 		async close() {
 			clearInterval(timer);
-			await Promise.all([server.close(), announcer?.close()]);
+			await Promise.all([server.close(), announcer?.close(), objects?.close()]);
 		},
 	};
 }
--- a/packages/standin/src/worker-routes.ts
+++ b/packages/standin/src/worker-routes.ts
@@ -34,15 +34,22 @@
  * Makes the routes of the worker runtime.
  *
  * @param runtime - Runs the tasks.
+ * @param loadCheckpoint - Fetches a checkpoint before the start of a task that continues from it.
  * @returns The routes.
  */
-export function workerRoutes(runtime: MemoryWorkerRuntime): readonly Route[] {
+export function workerRoutes(runtime: MemoryWorkerRuntime, loadCheckpoint: (key: string) => Promise<void>): readonly Route[] {
 	const value = (result: unknown): Reply => json({value: result ?? {}});
+	const start = withBody(leaseSchema.extend({assignment: assignmentSchema}), async ({key, assignment, leaseUntilMs}) => {
+		if (assignment.checkpointKey !== undefined) {
+			await loadCheckpoint(assignment.checkpointKey);
+		}
+
+		return replyOf(await runtime.start(key, assignment, leaseUntilMs), value);
+	});
 	return [
 		['GET', '/v1/runtime/facts', async () => replyOf(await runtime.facts(), value)],
 		['GET', '/v1/runtime/tasks', async () => replyOf(await runtime.list(), value)],
-		['POST', '/v1/runtime/start', withBody(leaseSchema.extend({assignment: assignmentSchema}), async ({key, assignment, leaseUntilMs}) =>
-			replyOf(await runtime.start(key, assignment, leaseUntilMs), value))],
+		['POST', '/v1/runtime/start', start],
 		['POST', '/v1/runtime/renew', withBody(z.object({leases: z.array(leaseSchema)}), async ({leases}) => replyOf(await runtime.renew(leases), value))],
 		['POST', '/v1/runtime/checkpoint', withBody(keyBodySchema, async ({key}) => replyOf(await runtime.checkpoint(key), value))],
 		['POST', '/v1/runtime/throttle', withBody(keyBodySchema, async ({key}) => replyOf(await runtime.throttle(key), value))],
--- a/packages/standin/tests/start-worker.test.ts
+++ b/packages/standin/tests/start-worker.test.ts
@@ -3,12 +3,13 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {expect} from 'chai';
-import {SystemClock, type EndpointReport, type TaskAssignment} from '@amaranthsail/core';
+import {ManualClock, SystemClock, type EndpointReport, type TaskAssignment} from '@amaranthsail/core';
+import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
 import {valueOf} from './contracts/table-store-cases.js';
 import {CAPACITY} from './contracts/worker-runtime-cases.js';
 import {fetchJson} from './fetch-json.js';
 import {waitUntil} from './wait-until.js';
-import {startWorker, type RunningWorker} from '@amaranthsail/standin';
+import {startPlatform, startWorker, type RunningWorker} from '@amaranthsail/standin';
 
 type Announcement = {readonly path: string; readonly endpoint: EndpointReport; readonly atMs: number};
 
@@ -78,6 +79,30 @@
 		}
 	});
 
+	// Guards against a restart on another VM that loses the progress of its checkpoint.
+	it('continues from a checkpoint that another worker left in the object store', async () => {
+		const platform = await startPlatform();
+		const clock = new ManualClock();
+		const options = {capacity: CAPACITY, clock, objectStoreAddress: platform.address};
+		const [first, second] = [await startWorker(options), await startWorker(options)];
+		const client = new HttpWorkerRuntime({address: second.address});
+		try {
+			const key = {jobId: 'j', attempt: 1, taskIndex: 0};
+			valueOf(await first.runtime.start(key, {...task, checkpointable: true}, Number.MAX_SAFE_INTEGER));
+			clock.advance(59_000);
+			valueOf(await first.runtime.checkpoint(key));
+			clock.advance(50);
+			const {checkpointKey} = valueOf(await first.runtime.stop(key));
+			await waitUntil(async () => valueOf(await platform.objects.get(checkpointKey!)) !== undefined);
+			valueOf(await client.start({...key, attempt: 2}, {...task, checkpointKey}, Number.MAX_SAFE_INTEGER));
+			clock.advance(1000);
+			expect(valueOf(await client.list())[0]?.state).to.equal('finished');
+		} finally {
+			await client.close();
+			await Promise.all([first.close(), second.close(), platform.close()]);
+		}
+	});
+
 	// Guards against a worker that is meant to fail everything and succeeds.
 	it('fails every task on request', async () => {
 		const worker = await startWorker({capacity: CAPACITY, failEverything: true});
