Report start failures of the stand-in and name services in fault switches

Cause: a taken port ended the stand-in with a stack trace; a fault on `get` hit tables and objects alike; a scan cut a limit above 1,000 silently, so that a caller could take a full page for the last one; a key of two dots was resolved as a path. Change: a log line and exit code 1; the switch `services`; no hidden limit of a scan; paths are taken as they come. The case of the key of two dots failed on the stand-in without the change.

--- a/packages/platform/src/fault-switches.ts
+++ b/packages/platform/src/fault-switches.ts
@@ -16,6 +16,8 @@
 	readonly truncateObjects?: boolean;
 	/** Delay before each effect in milliseconds. */
 	readonly latencyMs?: number;
+	/** Services that the faults apply to; all when absent. */
+	readonly services?: ReadonlyArray<FaultOperation['service']>;
 	/** Operations that the faults apply to, by method name; all when absent. */
 	readonly operations?: readonly string[];
 	/** Number of operations that pass before the faults start; 0 when absent. */
@@ -35,7 +37,8 @@
 	const end = first + (switches.count ?? Number.POSITIVE_INFINITY);
 	let matched = 0;
 	return operation => {
-		if (switches.operations && !switches.operations.includes(operation.operation)) {
+		const {services, operations} = switches;
+		if (services?.includes(operation.service) === false || operations?.includes(operation.operation) === false) {
 			return {kind: 'none'};
 		}
 
--- a/packages/platform/src/memory-table-store.ts
+++ b/packages/platform/src/memory-table-store.ts
@@ -11,9 +11,6 @@
 /** Most conditions, and most writes, of one transaction. */
 export const MAX_TRANSACTION_ROWS = 100;
 
-/** Most rows that one scan returns; a larger limit is cut to it. */
-export const MAX_SCAN_ROWS = 1000;
-
 type Content = {readonly text: string; readonly version: number};
 
 type StoredRow = {
@@ -60,7 +57,7 @@
 	 * Reads rows in the order of their keys' UTF-16 code units.
 	 *
 	 * @param table - The table.
-	 * @param options - Key prefix, the key after which to start, and the largest number of rows up to {@link MAX_SCAN_ROWS}.
+	 * @param options - Key prefix, the key after which to start, and the largest number of rows.
 	 * @returns The rows.
 	 */
 	async scan(
@@ -96,9 +93,8 @@
 			firstKey = prefix;
 		}
 
-		const limit = Math.min(options.limit, MAX_SCAN_ROWS);
 		const rows: Row[] = [];
-		for (let index = lowerBound(stored.sortedKeys, firstKey); index < stored.sortedKeys.length && rows.length < limit; index += 1) {
+		for (let index = lowerBound(stored.sortedKeys, firstKey); index < stored.sortedKeys.length && rows.length < options.limit; index += 1) {
 			const key = stored.sortedKeys[index]!;
 			if (!key.startsWith(prefix)) {
 				// Keys with the prefix are adjacent; a start after all of them, or a key past them, ends the scan.
--- a/packages/platform/tests/fault-plan.test.ts
+++ b/packages/platform/tests/fault-plan.test.ts
@@ -23,6 +23,9 @@
 		operations: [write, read, write, write],
 		expected: ['none', 'none', 'lost_after_effect', 'none'],
 	},
+	{
+		title: 'applies only to the services it names', switches: {unavailable: true, services: ['objects']}, operations: [read, readObject], expected: ['none', 'unavailable'],
+	},
 	{
 		title: 'duplicates only changes', switches: {duplicateRequests: true}, operations: [write, read], expected: ['duplicated', 'none'],
 	},
--- a/packages/standin/src/bin.ts
+++ b/packages/standin/src/bin.ts
@@ -36,7 +36,15 @@
 
 async function run(settings: SettingsOf<typeof standinSettings>): Promise<void> {
 	const logger = createLogger('standin');
-	const started = await start(settings);
+	let started: Started;
+	try {
+		started = await start(settings);
+	} catch (error) {
+		logger.error('cannot start', {error: String(error)});
+		// One role may be listening already.
+		process.exit(1);
+	}
+
 	const stop = (): void => {
 		logger.info('closing');
 		void started.close();
--- a/packages/standin/src/fault-routes.ts
+++ b/packages/standin/src/fault-routes.ts
@@ -14,6 +14,7 @@
 	staleReads: z.boolean().optional(),
 	truncateObjects: z.boolean().optional(),
 	latencyMs: z.number().min(0).max(MAX_LATENCY_MS).optional(),
+	services: z.array(z.enum(['tables', 'objects', 'worker'])).optional(),
 	operations: z.array(z.string()).optional(),
 	skip: z.int().min(0).optional(),
 	count: z.int().min(0).optional(),
--- a/packages/standin/src/http-app.ts
+++ b/packages/standin/src/http-app.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {formatAddress, type Address} from '@amaranthsail/core';
+import type {Address} from '@amaranthsail/core';
 import polka from 'polka';
 
 /** Longest request body. */
@@ -90,10 +90,11 @@
 
 async function answer(handler: Handler, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	try {
-		const url = new URL(request.url ?? '/', `http://${formatAddress({host: 'localhost', port: 80})}`);
+		// Not parsed as a URL, which would resolve a key of two dots.
+		const [path, query] = request.url!.split('?', 2);
 		const body = await readBody(request);
 		send(response, body
-			? await handler({path: url.pathname, query: url.searchParams, body})
+			? await handler({path: path!, query: new URLSearchParams(query), body})
 			: json({kind: 'rejected', message: `a body has at most ${MAX_BODY_BYTES} bytes`}, 400));
 	} catch (error) {
 		// A body that was cut off has no reader; any other error is a fault of the stand-in.
--- a/packages/standin/src/start-platform.ts
+++ b/packages/standin/src/start-platform.ts
@@ -2,9 +2,11 @@
 import {FaultPlan, MemoryObjectStore, MemoryTableStore} from '@amaranthsail/platform';
 import {newCounters, type Counters} from './counters.js';
 import {faultRoutes} from './fault-routes.js';
-import {json, serve, type RunningServer} from './http-app.js';
+import {
+	json, serve, type Route, type RunningServer,
+} from './http-app.js';
 import {objectRoutes} from './object-routes.js';
-import {startStatsdSink} from './statsd-sink.js';
+import {startStatsdSink, type StatsdSink} from './statsd-sink.js';
 import {tableRoutes} from './table-routes.js';
 
 /** Settings of the platform stand-in. */
@@ -41,14 +43,15 @@
 	const objects = new MemoryObjectStore(faults);
 	const counters = newCounters();
 	const sink = await startStatsdSink(options.statsdAddress ?? FREE_ADDRESS);
-	const server = await serve([
+	const routes: readonly Route[] = [
 		...tableRoutes(tables, counters),
 		...objectRoutes(objects, counters),
 		...faultRoutes(faults),
 		['GET', '/v1/counters', () => json(counters)],
 		['DELETE', '/v1/counters', () => json(Object.assign(counters, newCounters()))],
 		['GET', '/v1/metrics', () => json({metrics: Object.fromEntries(sink.metrics)})],
-	], options.address ?? FREE_ADDRESS);
+	];
+	const server = await serveOrClose(routes, options.address ?? FREE_ADDRESS, sink);
 	return {
 		address: server.address,
 		statsdAddress: sink.address,
@@ -61,3 +64,12 @@
 		},
 	};
 }
+
+async function serveOrClose(routes: readonly Route[], address: Address, sink: StatsdSink): Promise<RunningServer> {
+	try {
+		return await serve(routes, address);
+	} catch (error) {
+		await sink.close();
+		throw error;
+	}
+}
--- a/packages/standin/tests/bin.test.ts
+++ b/packages/standin/tests/bin.test.ts
@@ -3,9 +3,12 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {expect} from 'chai';
-import {parseAddress} from '@amaranthsail/core';
+import {formatAddress, parseAddress} from '@amaranthsail/core';
+import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {assignment} from './contracts/worker-runtime-cases.js';
 import {fetchJson} from './fetch-json.js';
 import {waitUntil} from './wait-until.js';
+import {startPlatform} from '@amaranthsail/standin';
 
 const BIN = fileURLToPath(import.meta.resolve('@amaranthsail/standin/bin.js'));
 const LIMIT_MS = 10_000;
@@ -51,6 +54,32 @@
 		});
 	}
 
+	// Guards against a program that stays without serving when its port is taken.
+	it('exits 1 with a log line when it cannot listen', async () => {
+		const other = await startPlatform();
+		const program = startProgram('--role', 'worker', '--address', formatAddress(other.address));
+		const [exitCode] = await program.exit;
+		await other.close();
+		expect(exitCode).to.equal(1);
+		expect(JSON.parse(program.stderr)).to.include({level: 'error', message: 'cannot start'});
+	});
+
+	// Guards against a flag without a value that is read as absent.
+	it('takes --fail-everything without a value', async () => {
+		const program = startProgram('--role', 'worker', '--fail-everything', '--rack', 'rack-7');
+		try {
+			const line = await readyLine(program);
+			const runtime = new HttpWorkerRuntime({address: parseAddress(line.address!)!});
+			const started = await runtime.start({jobId: 'j', attempt: 1, taskIndex: 0}, assignment({}), Number.MAX_SAFE_INTEGER);
+			await runtime.close();
+			expect(started.ok && started.value.reason).to.equal('worker_failed');
+		} finally {
+			program.child.kill('SIGTERM');
+		}
+
+		await program.exit;
+	});
+
 	// Guards against settings that are read differently from what the help says.
 	for (const {title, flags, code, output} of [
 		{title: 'prints its help', flags: ['--help'], code: 0, output: /--fail-everything/v},
--- a/packages/standin/tests/contracts/table-store-cases.ts
+++ b/packages/standin/tests/contracts/table-store-cases.ts
@@ -56,7 +56,7 @@
 		// A key with separators or other scripts that reaches another row.
 		title: 'keeps rows apart whose keys differ only in separators',
 		async run({store}) {
-			const keys = ['a/b', 'a%2Fb', 'a b', 'a?b#c', 'ä/..', 'a//b'];
+			const keys = ['a/b', 'a%2Fb', 'a b', 'a?b#c', 'ä/..', 'a//b', '..', 'a/'];
 			for (const key of keys) {
 				expect(valueOf(await store.transact(writeRow(key, 0, {key})))).to.deep.equal([1]);
 			}
--- a/packages/standin/tests/contracts/worker-runtime-cases.ts
+++ b/packages/standin/tests/contracts/worker-runtime-cases.ts
@@ -32,7 +32,14 @@
 const jobA = keyOf('a');
 const jobB = keyOf('b');
 
-function assignment(input: Readonly<Record<string, unknown>>, change: Partial<TaskAssignment> = {}): TaskAssignment {
+/**
+ * Makes an assignment with the smallest shape.
+ *
+ * @param input - The input, sent as JSON text.
+ * @param change - Fields that differ.
+ * @returns The assignment.
+ */
+export function assignment(input: Readonly<Record<string, unknown>>, change: Partial<TaskAssignment> = {}): TaskAssignment {
 	return {
 		account: 'account-1',
 		service: 'register',
