Let gangs probe quarantined workers, and end quarantines that cannot be probed

Three jobs with wrong data quarantined all workers, and only a repeatable single task may probe, so nothing that waits may ever run. Ruled out: adjacency, which explain names, because the same gang is placed before the quarantine. Conclusion: bounded waiting needs a way out of every quarantine.

--- a/packages/scheduler/src/cluster-scheduler.ts
+++ b/packages/scheduler/src/cluster-scheduler.ts
@@ -160,6 +160,7 @@
 	}
 
 	decide(nowMs: number): readonly Decision[] {
+		this.#state.health.expire(nowMs);
 		// Without a change nothing fits that did not fit before; probes, reservations and stragglers depend on time alone.
 		if (this.#decidedVersion === this.#state.version && nowMs - this.#decidedAtMs < IDLE_ROUND_INTERVAL_MS) {
 			return [];
--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -214,7 +214,7 @@
 		}
 
 		return !this.health.isQuarantined(worker.workerId)
-			|| (entry.spec.repeatable && entry.spec.taskCount === 1 && this.health.mayTake(worker.workerId, nowMs));
+			|| (entry.spec.repeatable && this.health.mayTake(worker.workerId, nowMs));
 	}
 
 	/**
--- a/packages/scheduler/src/worker-health.ts
+++ b/packages/scheduler/src/worker-health.ts
@@ -6,6 +6,7 @@
 	quarantined: boolean;
 	probeDelayMs: number;
 	probeAtMs: number;
+	lastFailureAtMs: number;
 	probeJobId?: string;
 };
 
@@ -26,6 +27,7 @@
 	failed(workerId: string, jobId: string, nowMs: number): void {
 		const health = this.#of(workerId);
 		health.failedJobs.add(jobId);
+		health.lastFailureAtMs = nowMs;
 		if (health.quarantined) {
 			health.probeJobId = undefined;
 			health.probeDelayMs = Math.min(health.probeDelayMs * 2, QUARANTINE_PROBE_MAX_MS);
@@ -75,6 +77,20 @@
 		}
 	}
 
+	/**
+	 * Ends quarantines without a failure for long. Without this, workers stay idle when all the work that waits
+	 * must not be used as a probe.
+	 *
+	 * @param nowMs - The present time.
+	 */
+	expire(nowMs: number): void {
+		for (const [workerId, health] of this.#workers) {
+			if (health.quarantined && health.probeJobId === undefined && nowMs - health.lastFailureAtMs >= QUARANTINE_PROBE_MAX_MS) {
+				this.#workers.delete(workerId);
+			}
+		}
+	}
+
 	/**
 	 * Tells whether a worker is quarantined.
 	 *
@@ -143,7 +159,7 @@
 		let health = this.#workers.get(workerId);
 		if (!health) {
 			health = {
-				failedJobs: new Set(), quarantined: false, probeDelayMs: QUARANTINE_PROBE_MS, probeAtMs: 0,
+				failedJobs: new Set(), quarantined: false, probeDelayMs: QUARANTINE_PROBE_MS, probeAtMs: 0, lastFailureAtMs: 0,
 			};
 			this.#workers.set(workerId, health);
 		}
