Place stoppable work on guaranteed blocks first

Cause: best-fit packing put stoppable gangs on the surplus, so that short work that cannot be stopped found only guaranteed blocks and waited for a reclaim. Change: with best fit, repeatable work takes the blocks of guarantees first.

--- a/packages/scheduler/src/job-placer.ts
+++ b/packages/scheduler/src/job-placer.ts
@@ -31,7 +31,9 @@
 	 */
 	place(spec: JobSpec, views: readonly PlacementView[], fit: Fit, packing?: Packing): readonly PlacedTask[] | undefined {
 		if (spec.repeatable) {
-			return placeGang(spec, views, fit);
+			// Work that can be stopped fills the blocks of guarantees first, which leaves the surplus to work that cannot.
+			return (fit === 'best' ? placeGang(spec, this.#restrict(views, this.#guard.packing(), () => true), fit) : undefined)
+				?? placeGang(spec, views, fit);
 		}
 
 		// Without any place at all, the more expensive choices below cannot succeed either.
@@ -59,7 +61,11 @@
 	 * @returns The views with only those accelerators.
 	 */
 	ownBlocks(account: string, views: readonly PlacementView[], packing: Packing): readonly PlacementView[] {
-		const own = this.#blocksBy(packing, holder => holder === account);
+		return this.#restrict(views, packing, holder => holder === account);
+	}
+
+	#restrict(views: readonly PlacementView[], packing: Packing, accepts: (account: string) => boolean): readonly PlacementView[] {
+		const own = this.#blocksBy(packing, accepts);
 		return views.flatMap(view => {
 			const accelerators = own.get(view.workerId);
 			return accelerators ? [{...view, free: view.free.map((free, index) => free && accelerators.has(index))}] : [];
