Order the balanced queue by estimated work, with slower aging

Cause: run time alone let large gangs pass before small ones that need a fraction of the accelerators. Change: the score is estimated run time times accelerators, halved after a wait of 20 estimates; the dominant share no longer enters it. Conclusion: kept; reclaim waits of short work in the register remain.

--- a/packages/scheduler/src/balanced-policy.ts
+++ b/packages/scheduler/src/balanced-policy.ts
@@ -5,6 +5,9 @@
 /** A gang that has waited this long gets a reservation. */
 const RESERVATION_AFTER_MS = 60_000;
 
+/** A job that has waited this many times its estimate counts as half as large. */
+const AGING_FACTOR = 20;
+
 /** Short learned work first, aged by its wait, so that a job of twice the run time passes after twice the wait. */
 export class BalancedPolicy implements OrderingPolicy {
 	readonly #weights: SchedulingPolicy['weights'];
@@ -40,6 +43,7 @@
 	#score(job: QueuedJob, nowMs: number): number {
 		const waitedMs = nowMs - job.queuedAtMs;
 		const urgency = job.spec.workClass === 'urgent' ? 0.01 : 1;
-		return urgency * job.estimateMs * (1 + job.dominantShare) / (1 + (waitedMs / job.estimateMs));
+		const workMs = job.estimateMs * Math.max(1, job.accelerators);
+		return urgency * workMs / (1 + (waitedMs / (AGING_FACTOR * job.estimateMs)));
 	}
 }
