Switch the short lanes of the bench divisions off

Cause: the lane was suspected of keeping accelerators idle. Change: shortLaneShare is 0 in both divisions' bench policies.

--- a/packages/bench/src/division.ts
+++ b/packages/bench/src/division.ts
@@ -77,7 +77,7 @@
 			operation: 'disposal', weight: 40, workClass: 'short', repeatable: false, meanRunMs: 8000, runSigma: 0.5, forms: SINGLE,
 		},
 	],
-	policy: {...POLICY, weights: {completion: 3, fragmentation: 3, peak: 1, shortWork: 1}, shortLaneShare: 0.1},
+	policy: {...POLICY, weights: {completion: 3, fragmentation: 3, peak: 1, shortWork: 1}, shortLaneShare: 0},
 };
 
 const COOPERATIVE: Division = {
@@ -103,7 +103,7 @@
 			operation: 'dispatch', weight: 40, workClass: 'urgent', repeatable: false, meanRunMs: 3000, runSigma: 0.5, forms: SINGLE,
 		},
 	],
-	policy: {...POLICY, weights: {completion: 1, fragmentation: 1, peak: 3, shortWork: 3}, shortLaneShare: 0.2},
+	policy: {...POLICY, weights: {completion: 1, fragmentation: 1, peak: 3, shortWork: 3}, shortLaneShare: 0},
 };
 
 /** The divisions, by name. */
