--- a/packages/scheduler/src/balanced-policy.ts
+++ b/packages/scheduler/src/balanced-policy.ts
@@ -36,6 +36,10 @@
 		return queue.toSorted((left, right) => scores.get(left.jobId)! - scores.get(right.jobId)! || left.submittedAtMs - right.submittedAtMs);
 	}
 
+	wantsMigration(job: QueuedJob): boolean {
+		return this.#weights.fragmentation > 0 && job.accelerators > 0;
+	}
+
 	wantsReservation(job: QueuedJob, nowMs: number): boolean {
 		return this.#weights.fragmentation > 0 && job.accelerators > 1 && nowMs - job.queuedAtMs >= RESERVATION_AFTER_MS;
 	}
--- a/packages/scheduler/src/decision-round.ts
+++ b/packages/scheduler/src/decision-round.ts
@@ -3,6 +3,7 @@
 import {DUPLICATE} from './cluster-state.js';
 import type {JobEntry} from './job-entry.js';
 import type {QueuedJob} from './ordering-policy.js';
+import type {ReclaimPlan} from './reclaim-planner.js';
 import type {Decision, PlacedTask} from './scheduler.js';
 import type {SchedulerState} from './scheduler-state.js';
 import type {WorkerState} from './worker-state.js';
@@ -13,6 +14,12 @@
 /** Part of the accelerators that second attempts may use at once. */
 const DUPLICATE_SHARE = 0.1;
 
+/** A job runs at least this long between two moves, ten times what a checkpoint takes. */
+const MIN_RUN_BEFORE_MOVE_MS = 30_000;
+
+/** A job that is expected to end within this time is not moved. */
+const MIN_REMAINING_FOR_MOVE_MS = 20_000;
+
 /** One run of `decide`. */
 export class DecisionRound {
 	readonly #state: SchedulerState;
@@ -133,22 +140,28 @@
 			return;
 		}
 
+		this.#hold(entry, plan, true);
+	}
+
+	/** Books the place of a plan and stops what is on it. */
+	#hold(entry: JobEntry, plan: ReclaimPlan, isInside: boolean): void {
+		const {jobId} = entry.job;
 		this.#state.dequeue(entry);
 		entry.phase = 'reclaiming';
-		this.#state.reclaiming.set(job.jobId, entry);
-		this.#state.book(entry, plan.tasks, true, this.#nowMs);
-		for (const jobId of plan.victims) {
-			entry.victims.add(jobId);
-			this.#preempt(this.#state.jobs.get(jobId)!, job.jobId);
+		this.#state.reclaiming.set(jobId, entry);
+		this.#state.book(entry, plan.tasks, isInside, this.#nowMs);
+		for (const victimId of plan.victims) {
+			entry.victims.add(victimId);
+			this.#preempt(this.#state.jobs.get(victimId)!, jobId, isInside);
 		}
 
 		if (entry.victims.size === 0) {
-			this.#state.reclaiming.delete(job.jobId);
+			this.#state.reclaiming.delete(jobId);
 			this.#announce(entry, plan.tasks);
 		}
 	}
 
-	#preempt(victim: JobEntry, forJobId: string): void {
+	#preempt(victim: JobEntry, forJobId: string, reclaim: boolean): void {
 		if (victim.isPreempted) {
 			return;
 		}
@@ -156,7 +169,7 @@
 		victim.isPreempted = true;
 		const graceMs = victim.spec.checkpointable ? this.#state.config.policy.checkpointGraceMs : 0;
 		this.#decisions.push({
-			kind: 'preempt', jobId: victim.job.jobId, forJobId, graceMs, reclaim: true,
+			kind: 'preempt', jobId: victim.job.jobId, forJobId, graceMs, reclaim,
 		});
 	}
 
@@ -174,6 +187,10 @@
 			return;
 		}
 
+		if (this.#migrateFor(entry, job)) {
+			return;
+		}
+
 		this.#unplaceable.set(key, this.#reservations.length === 0 ? 0 : job.estimateMs);
 		if (this.#reservations.length < MAX_RESERVATIONS && ordering.wantsReservation(job, this.#nowMs)) {
 			const reservation = reserve(entry, cluster, this.#expectedEnds(), {accepts: this.#accepts(entry), fit: ordering.fit});
@@ -183,6 +200,35 @@
 		}
 	}
 
+	/** Moves are made one at a time, because a moved job is without a place until it has stopped. */
+	#migrateFor(entry: JobEntry, job: QueuedJob): boolean {
+		const {reclaiming, migrations, jobs, ordering} = this.#state;
+		if (reclaiming.size > 0 || !ordering.wantsMigration(job, this.#nowMs)) {
+			return false;
+		}
+
+		const plan = migrations.plan(
+			entry,
+			jobs,
+			candidate => this.#mayMove(candidate),
+			(candidate, worker) => this.#state.accepts(candidate, worker, this.#nowMs),
+		);
+		if (!plan) {
+			return false;
+		}
+
+		this.#hold(entry, plan, false);
+		return true;
+	}
+
+	/** A move has to be cheap next to the work that is left, and a job is not moved again soon. */
+	#mayMove(candidate: JobEntry): boolean {
+		return candidate.phase === 'placed' && candidate.spec.checkpointable && candidate.spec.repeatable && !candidate.isPreempted
+			&& candidate.duplicates.length === 0
+			&& this.#elapsedMs(candidate) >= MIN_RUN_BEFORE_MOVE_MS
+			&& this.#state.estimates.remainingMs(candidate.spec, this.#elapsedMs(candidate)) >= MIN_REMAINING_FOR_MOVE_MS;
+	}
+
 	#place(entry: JobEntry, tasks: readonly PlacedTask[], isInside: boolean): void {
 		this.#state.dequeue(entry);
 		this.#state.book(entry, tasks, isInside, this.#nowMs);
--- a/packages/scheduler/src/first-fit-policy.ts
+++ b/packages/scheduler/src/first-fit-policy.ts
@@ -19,6 +19,10 @@
 		return queue.toSorted((left, right) => left.submittedAtMs - right.submittedAtMs);
 	}
 
+	wantsMigration(): boolean {
+		return false;
+	}
+
 	wantsReservation(): boolean {
 		return false;
 	}
--- a/packages/scheduler/src/least-attained-policy.ts
+++ b/packages/scheduler/src/least-attained-policy.ts
@@ -19,6 +19,10 @@
 		return queue.toSorted((left, right) => left.attainedService - right.attainedService || left.submittedAtMs - right.submittedAtMs);
 	}
 
+	wantsMigration(): boolean {
+		return false;
+	}
+
 	wantsReservation(): boolean {
 		return false;
 	}
--- a/packages/scheduler/src/ordering-policy.ts
+++ b/packages/scheduler/src/ordering-policy.ts
@@ -38,6 +38,15 @@
 	 */
 	order(queue: readonly QueuedJob[], nowMs: number): readonly QueuedJob[];
 
+	/**
+	 * Decides whether running jobs may be moved so that a job fits.
+	 *
+	 * @param job - The job.
+	 * @param nowMs - The present time.
+	 * @returns Whether to look for moves.
+	 */
+	wantsMigration(job: QueuedJob, nowMs: number): boolean;
+
 	/**
 	 * Decides whether space is kept for a job that does not fit now.
 	 *
--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -9,6 +9,7 @@
 import {totalAccelerators, type JobEntry} from './job-entry.js';
 import {JobPlacer} from './job-placer.js';
 import {LeastAttainedPolicy} from './least-attained-policy.js';
+import {MigrationPlanner} from './migration-planner.js';
 import type {OrderingPolicy, OrderingPolicyFactory, QueuedJob} from './ordering-policy.js';
 import {ReclaimPlanner} from './reclaim-planner.js';
 import {RunTimeEstimates} from './run-time-estimates.js';
@@ -31,6 +32,7 @@
 	readonly guard = new GuaranteeGuard(this.cluster);
 	readonly placer = new JobPlacer(this.cluster, this.guard);
 	readonly planner = new ReclaimPlanner(this.cluster, this.guard, this.placer);
+	readonly migrations = new MigrationPlanner(this.cluster, this.placer);
 	readonly ledger = new AccountLedger();
 	readonly health = new WorkerHealth();
 	readonly estimates = new RunTimeEstimates();
