Put large gangs first in the balanced queue

Cause: with small gangs first, only gangs that need whole workers of one rack remained, and these leave the rest of their racks idle. Change: among gangs the score falls with their accelerators, so that small ones fill what large ones leave.

--- a/packages/scheduler/src/balanced-policy.ts
+++ b/packages/scheduler/src/balanced-policy.ts
@@ -47,7 +47,7 @@
 	#score(job: QueuedJob, nowMs: number): number {
 		const waitedMs = nowMs - job.queuedAtMs;
 		const urgency = job.spec.workClass === 'urgent' ? 0.01 : 1;
-		const workMs = job.estimateMs * Math.max(1, job.accelerators);
+		const workMs = job.accelerators > 1 ? job.estimateMs * 8 / job.accelerators : job.estimateMs;
 		return urgency * workMs / (1 + (waitedMs / (AGING_FACTOR * job.estimateMs)));
 	}
 }
