--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -18,7 +18,7 @@
 import type {WorkerState} from './worker-state.js';
 
 /** Learned run time from which on work counts as long, whatever its declared class. */
-const LONG_RUN_MS = 60_000;
+const LONG_RUN_MS = 30_000;
 
 const POLICIES: Readonly<Record<Ordering, OrderingPolicyFactory>> = {
 	firstFit: () => new FirstFitPolicy(),
