--- a/packages/owner/src/attempt.ts
+++ b/packages/owner/src/attempt.ts
@@ -57,8 +57,19 @@
 };
 const FINAL_TASK_STATES: ReadonlySet<string> = new Set(['refused', 'finished', 'failed', 'stopped']);
 
-/** Refusals that say nothing about the job; they do not count against its attempts. */
-export const TRANSIENT_REFUSALS: ReadonlySet<string> = new Set(['leaving', 'no_capacity', 'capacity', 'busy', 'not_ready', 'lease_expired', 'hold_expired', 'gave_up']);
+/** Refusals that pass by themselves: resources in use, or a shutdown. They count neither against the job nor against the worker. */
+const TRANSIENT_REFUSAL = /^(?:no_(?:slots|connections|processors|memoryMb|accelerators)|accelerator_taken|already_ended|agent_leaving|endpoint_leaving|unknown_endpoint)$/v;
+
+/** Stops that nobody asked for and that a start on the same worker would probably meet again. */
+const COUNTED_STOPS: ReadonlySet<string> = new Set(['start_refused', 'worker_unavailable', 'lost_by_worker', 'stopped_by_worker']);
+
+function countsAsFailure({state, reason}: Member): boolean {
+	if (state === 'refused') {
+		return !TRANSIENT_REFUSAL.test(reason ?? '');
+	}
+
+	return state === 'failed' || (state === 'stopped' && COUNTED_STOPS.has(reason ?? ''));
+}
 
 /**
  * Tells whether a task in this state no longer runs.
@@ -170,11 +181,11 @@
  * Names the workers whose failure counts against the job.
  *
  * @param attempt - The attempt.
- * @returns Ids of workers with a failed or refused task.
+ * @returns Ids of workers on which a task failed, was refused for good, or stopped by itself.
  */
 export function failedWorkersOf(attempt: Attempt): readonly string[] {
 	return attempt.members
-		.filter(({state, reason}) => state === 'failed' || (state === 'refused' && !TRANSIENT_REFUSALS.has(reason ?? '')))
+		.filter(member => countsAsFailure(member))
 		.map(member => member.place.workerId);
 }
 
--- a/packages/owner/src/heartbeats.ts
+++ b/packages/owner/src/heartbeats.ts
@@ -3,6 +3,7 @@
 import type {CoreContext} from './core-context.js';
 import {driveJob} from './job-driver.js';
 import type {JobRecord} from './job-record.js';
+import type {JobResults} from './job-results.js';
 import type {WorkerRecord} from './worker-table.js';
 
 /** Renewed tasks in one acknowledgement; more are split, so that each fits one datagram. */
@@ -22,8 +23,10 @@
 	}
 }
 
-function applyReports(context: CoreContext, worker: WorkerRecord, heartbeat: Heartbeat, nowMs: number): ReadonlySet<JobRecord> {
+function applyReports(context: CoreContext, results: JobResults, worker: WorkerRecord, input: {readonly heartbeat: Heartbeat; readonly nowMs: number}): ReadonlySet<JobRecord> {
+	const {heartbeat, nowMs} = input;
 	const affected = new Set<JobRecord>();
+	const unknown = new Set<string>();
 	for (const report of heartbeat.reports) {
 		const job = context.jobs.get(report.jobId);
 		if (job !== undefined) {
@@ -39,8 +42,10 @@
 			continue;
 		}
 
-		// Before recovery is complete, an unknown task may belong to a row that was not read yet.
-		if (context.gate.isRecovered) {
+		// A row that was not read yet, or missing from an out-of-date scan, may name the task; only a known job makes it superfluous.
+		if (job === undefined && !results.isEnded(report.jobId)) {
+			unknown.add(report.jobId);
+		} else if (context.gate.isRecovered) {
 			const {jobId, attempt, taskIndex} = report;
 			context.sendCommand(worker, {
 				kind: isFinalTaskState(report.state) ? 'forget' : 'stop', incarnation: heartbeat.incarnation, task: {jobId, attempt, taskIndex},
@@ -48,6 +53,10 @@
 		}
 	}
 
+	if (unknown.size > 0 && context.gate.isRecovered) {
+		context.emit({kind: 'read', jobIds: [...unknown]});
+	}
+
 	return affected;
 }
 
@@ -81,15 +90,16 @@
 	return affected;
 }
 
-function renewedTasks(context: CoreContext, worker: WorkerRecord, heartbeat: Heartbeat): readonly TaskKey[] {
+function renewedTasks(context: CoreContext, results: JobResults, worker: WorkerRecord, heartbeat: Heartbeat): readonly TaskKey[] {
 	return heartbeat.reports
 		.filter(report => !isFinalTaskState(report.state))
 		.filter(report => {
-			if (!context.gate.isRecovered) {
+			const job = context.jobs.get(report.jobId);
+			if (!context.gate.isRecovered || (job === undefined && !results.isEnded(report.jobId))) {
 				return true;
 			}
 
-			const attempt = context.jobs.get(report.jobId)?.attempt;
+			const attempt = job?.attempt;
 			return attempt?.number === report.attempt && attempt.stopCause === undefined && attempt.members.some(({place, end}) =>
 				end === undefined && place.taskIndex === report.taskIndex && place.workerId === worker.workerId && place.incarnation === heartbeat.incarnation);
 		})
@@ -120,11 +130,12 @@
  * Takes a heartbeat: updates the worker and the members it reports, drives their jobs, and acknowledges it.
  *
  * @param context - The core's state.
- * @param heartbeat - The heartbeat.
- * @param host - The sender's address.
+ * @param results - Knows the jobs that have ended.
+ * @param input - The heartbeat and the sender's address.
  * @param nowMs - Time of receipt in monotonic milliseconds.
  */
-export function handleHeartbeat(context: CoreContext, heartbeat: Heartbeat, host: string, nowMs: number): void {
+export function handleHeartbeat(context: CoreContext, results: JobResults, input: {readonly message: Heartbeat; readonly host: string}, nowMs: number): void {
+	const {message: heartbeat, host} = input;
 	if (heartbeat.epoch > context.options.epoch) {
 		// The agent already follows a newer owner.
 		context.measure('owner.newer_epoch_seen', {count: 1});
@@ -142,7 +153,7 @@
 		return;
 	}
 
-	const affected = new Set(applyReports(context, worker, heartbeat, nowMs));
+	const affected = new Set(applyReports(context, results, worker, {heartbeat, nowMs}));
 	if (standing === 'current') {
 		syncWorker(context, worker, heartbeat, nowMs);
 		for (const job of [...applyAbsence(context, worker, heartbeat), ...context.jobsOn(worker.workerId)]) {
@@ -160,6 +171,6 @@
 
 	// A reordered heartbeat may be older than the last one by more than the fence margin, so it renews nothing.
 	if (standing === 'current') {
-		acknowledge(context, worker, heartbeat, {host, renewed: renewedTasks(context, worker, heartbeat), nowMs});
+		acknowledge(context, worker, heartbeat, {host, renewed: renewedTasks(context, results, worker, heartbeat), nowMs});
 	}
 }
--- a/packages/owner/src/job-driver.ts
+++ b/packages/owner/src/job-driver.ts
@@ -12,9 +12,12 @@
 /** An attempt whose members are not all prepared by then is given up. */
 export const PREPARE_TIMEOUT_MS = 3000;
 
-/** Delay before a job whose undecided attempt was given up is queued again, so that a refusing worker is not asked in a tight loop. */
+/** First delay before a job whose undecided attempt was given up is queued again, so that a refusing worker is not asked in a tight loop; it doubles. */
 export const REQUEUE_DELAY_MS = 250;
 
+/** Longest delay between two such attempts. */
+export const MAX_REQUEUE_DELAY_MS = 4000;
+
 const RUNNING_STATES: ReadonlySet<string> = new Set(['running', 'checkpointing', 'finished']);
 
 function isReplaced(context: CoreContext, {place}: Member): boolean {
@@ -56,25 +59,27 @@
 	}
 
 	const isGraceOver = nowMs >= preempt.untilMs || attempt.decision === 'none' || !job.row.spec.checkpointable;
-	// A task that stops by itself after its checkpoint has done what was asked.
-	const hasStopped = attempt.members.some(member => member.state === 'stopped' && member.end === 'reported');
-	return isGraceOver || hasStopped || isCheckpointed(attempt)
+	return isGraceOver || isCheckpointed(attempt)
 		? {kind: 'preempted', message: 'The job gave its place to another one.'}
 		: undefined;
 }
 
-function findStopCause(context: CoreContext, job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
-	if (job.cancelRequested) {
-		return {kind: 'cancelled', message: 'The job was cancelled.'};
-	}
+function chosenCause(job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
+	return job.cancelRequested
+		? {kind: 'cancelled', message: 'The job was cancelled.'}
+		: preemptionCause(job, attempt, nowMs);
+}
 
-	const preempted = preemptionCause(job, attempt, nowMs);
-	if (preempted !== undefined) {
-		return preempted;
+function findStopCause(context: CoreContext, job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
+	// Nothing is stopped by choice while another process may own the job: it would not know why and start it again.
+	const chosen = context.gate.canWrite(nowMs) ? chosenCause(job, attempt, nowMs) : undefined;
+	if (chosen !== undefined) {
+		return chosen;
 	}
 
 	const trouble = memberTrouble(attempt);
-	if (trouble !== undefined) {
+	// During a reclaim, a task that stops by itself after its checkpoint has done what was asked.
+	if (trouble !== undefined && (attempt.preempt === undefined || trouble.kind === 'member_lost')) {
 		return trouble;
 	}
 
@@ -128,7 +133,8 @@
 	context.detach(job);
 	context.measure('owner.attempt_given_up', {count: 1}, {cause: attempt.stopCause?.kind ?? 'none'});
 	if (!job.cancelRequested && job.refusal === undefined) {
-		job.requeueAtMs = nowMs + REQUEUE_DELAY_MS;
+		job.requeueAtMs = nowMs + Math.min(MAX_REQUEUE_DELAY_MS, REQUEUE_DELAY_MS * (2 ** job.undecidedAttempts));
+		job.undecidedAttempts += 1;
 	}
 }
 
--- a/packages/owner/src/job-intake.ts
+++ b/packages/owner/src/job-intake.ts
@@ -1,14 +1,25 @@
 import {FINAL_JOB_STATES} from '@amaranthsail/core';
-import {createAttempt, placedTasksOf} from './attempt.js';
+import type {Refusal} from '@amaranthsail/scheduler';
 import type {CoreContext} from './core-context.js';
 import {driveJob} from './job-driver.js';
 import {createJobRecord, toSchedulerJob, type JobRecord} from './job-record.js';
 import type {JobResults} from './job-results.js';
 import type {OwnedJobRow} from './owned-job-row.js';
+import {restoreAttempt} from './recovery.js';
 
 /** Delay before a job that the scheduler refused for the moment is submitted again. */
 export const RESUBMIT_DELAY_MS = 1000;
 
+/** Time after a claim in which most agents have not reported, so that a job that does not fit is not refused for good. */
+export const SETTLE_AFTER_CLAIM_MS = 15_000;
+
+function isTemporary(context: CoreContext, job: JobRecord, refusal: Refusal, nowMs: number): boolean {
+	const isUnsettled = nowMs < context.options.claimedAtMs + SETTLE_AFTER_CLAIM_MS;
+	const isAboutWorkers = refusal.code === 'never_fits' || refusal.code === 'unknown_service';
+	// A takeover submits many jobs at once; they were admitted before and are not refused for load.
+	return (isUnsettled && isAboutWorkers) || (job.isRecovered && refusal.retryable);
+}
+
 function submit(context: CoreContext, job: JobRecord, nowMs: number): void {
 	const answer = context.scheduler.submit(toSchedulerJob(job, context.options.wallOffsetMs), nowMs);
 	if (answer.admitted) {
@@ -17,8 +28,7 @@
 		return;
 	}
 
-	// A takeover submits many jobs at once; those were admitted before and are not refused for load.
-	if (answer.refusal.retryable && !context.gate.isRecovered) {
+	if (isTemporary(context, job, answer.refusal, nowMs)) {
 		job.resubmitAtMs = nowMs + RESUBMIT_DELAY_MS;
 		return;
 	}
@@ -27,41 +37,17 @@
 }
 
 /**
- * Submits jobs again that the scheduler refused during a takeover.
+ * Submits a job again that the scheduler refused for the moment, once its time has come.
  *
  * @param context - The core's state.
  * @param job - The job.
  * @param nowMs - Monotonic milliseconds.
  */
 export function resubmitDue(context: CoreContext, job: JobRecord, nowMs: number): void {
-	if (job.resubmitAtMs === undefined || nowMs < job.resubmitAtMs || job.cancelRequested) {
-		return;
-	}
-
-	job.resubmitAtMs = undefined;
-	const answer = context.scheduler.submit(toSchedulerJob(job, context.options.wallOffsetMs), nowMs);
-	if (answer.admitted) {
-		job.queued = true;
-		context.needsDecide = true;
-		return;
-	}
-
-	if (answer.refusal.retryable) {
-		job.resubmitAtMs = nowMs + RESUBMIT_DELAY_MS;
-		return;
+	if (job.resubmitAtMs !== undefined && nowMs >= job.resubmitAtMs) {
+		job.resubmitAtMs = undefined;
+		submit(context, job, nowMs);
 	}
-
-	job.refusal = answer.refusal;
-}
-
-/** Restores a decided or running attempt from its row. Its members count as unreported until their agents are heard. */
-function restore(context: CoreContext, job: JobRecord, nowMs: number): void {
-	const {row} = job;
-	const attempt = createAttempt(row.attempt, row.members, {recovered: true, nowMs});
-	context.attach(job, attempt);
-	job.placed = true;
-	const startedAtMs = row.startedAtMs === undefined ? nowMs : row.startedAtMs - context.options.wallOffsetMs;
-	context.scheduler.restore(toSchedulerJob(job, context.options.wallOffsetMs), placedTasksOf(attempt), startedAtMs, nowMs);
 }
 
 /**
@@ -84,6 +70,7 @@
 	}
 
 	if (FINAL_JOB_STATES.has(row.state)) {
+		results.noteEnded(row.jobId, version);
 		context.answer(context.waiters.answer(row.jobId, row));
 		return;
 	}
@@ -92,14 +79,14 @@
 		return;
 	}
 
-	const job = createJobRecord(row, version);
+	const job = createJobRecord(row, version, !context.gate.isRecovered);
 	context.jobs.set(row.jobId, job);
 	if (row.state === 'waiting') {
 		if (!job.cancelRequested) {
 			submit(context, job, nowMs);
 		}
 	} else {
-		restore(context, job, nowMs);
+		restoreAttempt(context, job, nowMs);
 	}
 
 	driveJob(context, job, nowMs);
--- /dev/null
+++ b/packages/owner/src/job-reader.ts
@@ -0,0 +1,119 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {FINAL_JOB_STATES, newId} from '@amaranthsail/core';
+import type {TableStore} from '@amaranthsail/platform';
+import {OWNER_TABLES, type OwnedJobRow} from './owned-job-row.js';
+import type {OwnerEvent} from './owner-events.js';
+
+/** Delay before a read that failed is repeated. */
+export const READ_RETRY_DELAY_MS = 250;
+
+/** Conditions in one transaction of the table service. */
+const MAX_CONDITIONS = 100;
+
+/** Index rows per page of a scan. */
+const SCAN_PAGE_ROWS = 500;
+
+/** What a job reader is made of. */
+export type JobReaderOptions = {
+	readonly tables: TableStore;
+	readonly failureDomain: string;
+	/** Runs a call to the store, to bound how many are under way. */
+	readonly run: <Value>(call: () => Promise<Value>) => Promise<Value>;
+	readonly onRow: (event: Extract<OwnerEvent, {readonly kind: 'jobRow' | 'jobAbsent'}>) => void;
+};
+
+/**
+ * Reads job rows and the index of open jobs, and repeats each read until the store answers. A row that is not final is
+ * taken only when a transaction without writes confirms its version: an out-of-date read could hide a decided attempt.
+ */
+export class JobReader {
+	readonly #options: JobReaderOptions;
+	#isStopped = false;
+
+	/**
+	 * @param options - The store and the receiver of rows.
+	 */
+	constructor(options: JobReaderOptions) {
+		this.#options = options;
+	}
+
+	/** Ends all reads; no row is given on any more. */
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	/**
+	 * Reads job rows and gives each on.
+	 *
+	 * @param jobIds - The jobs.
+	 */
+	async readJobs(jobIds: readonly string[]): Promise<void> {
+		for (let start = 0; start < jobIds.length; start += MAX_CONDITIONS) {
+			let remaining: readonly string[] = jobIds.slice(start, start + MAX_CONDITIONS);
+			while (remaining.length > 0 && !this.#isStopped) {
+				remaining = await this.#readOnce(remaining);
+			}
+		}
+	}
+
+	/**
+	 * Reads the index of open jobs, and the rows of those that are wanted.
+	 *
+	 * @param isWanted - Tells whether the row of a job is to be read.
+	 */
+	async readOpenJobs(isWanted: (jobId: string) => boolean): Promise<void> {
+		const prefix = `${this.#options.failureDomain}/`;
+		let after: string | undefined;
+		while (!this.#isStopped) {
+			const page = await this.#readPage(prefix, after);
+			if (!page.ok) {
+				await delay(READ_RETRY_DELAY_MS, undefined, {ref: false});
+				continue;
+			}
+
+			await this.readJobs(page.value.map(({key}) => key.slice(prefix.length)).filter(jobId => isWanted(jobId)));
+			if (page.value.length < SCAN_PAGE_ROWS) {
+				return;
+			}
+
+			after = page.value.at(-1)!.key;
+		}
+	}
+
+	async #readPage(prefix: string, after: string | undefined): ReturnType<TableStore['scan']> {
+		const {tables, run} = this.#options;
+		return run(async () => tables.scan(OWNER_TABLES.openJobs, {prefix, limit: SCAN_PAGE_ROWS, ...(after !== undefined && {after})}));
+	}
+
+	/** Returns the jobs that have to be read again. */
+	async #readOnce(jobIds: readonly string[]): Promise<readonly string[]> {
+		const {tables, run, onRow} = this.#options;
+		const reads = await Promise.all(jobIds.map(async jobId => {
+			const result = await run(async () => tables.get(OWNER_TABLES.jobs, jobId));
+			return {jobId, row: result.ok ? result.value : undefined, isRead: result.ok};
+		}));
+		const failed = new Set(reads.filter(({isRead}) => !isRead).map(({jobId}) => jobId));
+		const conditions = reads
+			.filter(({isRead, row}) => isRead && !FINAL_JOB_STATES.has((row?.value as OwnedJobRow | undefined)?.state ?? 'waiting'))
+			.map(({jobId, row}) => ({table: OWNER_TABLES.jobs, key: jobId, version: row?.version ?? 0}));
+		if (conditions.length > 0) {
+			const confirmation = await run(async () => tables.transact({writeId: newId(), conditions, writes: []}));
+			const refuted = confirmation.ok ? [] : (confirmation.error.kind === 'condition_failed' ? confirmation.error.failed : conditions);
+			for (const {key} of refuted) {
+				failed.add(key);
+			}
+		}
+
+		for (const {jobId, row} of reads.filter(read => !failed.has(read.jobId) && !this.#isStopped)) {
+			onRow(row === undefined
+				? {kind: 'jobAbsent', jobId}
+				: {kind: 'jobRow', row: row.value as unknown as OwnedJobRow, version: row.version});
+		}
+
+		if (failed.size > 0) {
+			await delay(READ_RETRY_DELAY_MS, undefined, {ref: false});
+		}
+
+		return [...failed];
+	}
+}
--- a/packages/owner/src/job-record.ts
+++ b/packages/owner/src/job-record.ts
@@ -23,6 +23,8 @@
 	write: JobWrite | undefined;
 	/** A read of the row is under way since then; no new write is made before its result. */
 	readingSinceMs: number | undefined;
+	/** A row read back with a lower version is out of date. */
+	minimumVersion: number;
 	/** No write before this time, after the store refused one. */
 	retryAtMs: number;
 	cancelRequested: boolean;
@@ -30,6 +32,8 @@
 	queued: boolean;
 	/** The job goes back to the scheduler's queue at this time. */
 	requeueAtMs: number | undefined;
+	/** Read in a recovery: it was admitted before, under an earlier owner. */
+	readonly isRecovered: boolean;
 	/** The job is submitted to the scheduler again at this time. */
 	resubmitAtMs: number | undefined;
 	/** The scheduler has given resources to the job. */
@@ -40,6 +44,8 @@
 	failedAttempts: number;
 	ranBefore: boolean;
 	checkpointAttempt: number | undefined;
+	/** Attempts given up before their decision since the last one that was decided. */
+	undecidedAttempts: number;
 	/** Highest attempt number used or seen in a report. */
 	lastAttempt: number;
 };
@@ -49,20 +55,24 @@
  *
  * @param row - The row as read.
  * @param version - Its version.
+ * @param isRecovered - Whether it is read in a recovery.
  * @returns A record without an attempt.
  */
-export function createJobRecord(row: OwnedJobRow, version: number): JobRecord {
+export function createJobRecord(row: OwnedJobRow, version: number, isRecovered: boolean): JobRecord {
 	return {
 		row,
 		version,
 		attempt: undefined,
 		write: undefined,
 		readingSinceMs: undefined,
+		minimumVersion: version,
 		retryAtMs: Number.NEGATIVE_INFINITY,
 		cancelRequested: row.cancelRequested,
 		queued: false,
 		requeueAtMs: undefined,
+		isRecovered,
 		resubmitAtMs: undefined,
+		undecidedAttempts: 0,
 		placed: false,
 		refusal: undefined,
 		failedWorkers: row.failedWorkers,
--- a/packages/owner/src/job-results.ts
+++ b/packages/owner/src/job-results.ts
@@ -4,6 +4,7 @@
 	driveJob, endKindOf, endPlacement,
 } from './job-driver.js';
 import type {JobRecord} from './job-record.js';
+import {restoreAttempt} from './recovery.js';
 import {sendForgets} from './member-commands.js';
 import type {OwnedJobRow} from './owned-job-row.js';
 import type {WriteResult} from './owner-events.js';
@@ -35,6 +36,30 @@
 		return version < (this.#ended.get(jobId) ?? 0);
 	}
 
+	/**
+	 * Remembers that a job is final.
+	 *
+	 * @param jobId - The job.
+	 * @param version - Version of the final row.
+	 */
+	noteEnded(jobId: string, version: number): void {
+		this.#ended.delete(jobId);
+		this.#ended.set(jobId, version);
+		if (this.#ended.size > MAX_ENDED_JOBS) {
+			this.#ended.delete(this.#ended.keys().next().value!);
+		}
+	}
+
+	/**
+	 * Tells whether a job is known to be final.
+	 *
+	 * @param jobId - The job.
+	 * @returns True when its final row was written or read a short time ago.
+	 */
+	isEnded(jobId: string): boolean {
+		return this.#ended.has(jobId);
+	}
+
 	/**
 	 * Takes the result of a transaction.
 	 *
@@ -73,11 +98,12 @@
 			}
 
 			case 'readBack': {
-				for (const job of settled.jobs) {
+				for (const {job, isChanged} of settled.jobs) {
 					job.readingSinceMs = nowMs;
+					job.minimumVersion = job.version + (isChanged ? 1 : 0);
 				}
 
-				this.#context.emit({kind: 'read', jobIds: settled.jobs.map(({row}) => row.jobId)});
+				this.#context.emit({kind: 'read', jobIds: settled.jobs.map(({job}) => job.row.jobId)});
 			}
 		}
 	}
@@ -91,6 +117,11 @@
 	 * @param nowMs - Monotonic milliseconds.
 	 */
 	readBack(job: JobRecord, row: OwnedJobRow, version: number, nowMs: number): void {
+		if (version < job.minimumVersion) {
+			// An out-of-date read; the sweep asks again.
+			return;
+		}
+
 		job.readingSinceMs = undefined;
 		if (job.write?.writeId !== undefined && row.writeId === job.write.writeId) {
 			this.#committed(job, version, nowMs);
@@ -105,6 +136,12 @@
 			return;
 		}
 
+		if (row.state !== 'waiting' && job.attempt?.number !== row.attempt) {
+			// The row was out of date when the job was taken over: an attempt is decided already. Its tasks may run.
+			this.#giveUpUndecided(job, nowMs);
+			restoreAttempt(this.#context, job, nowMs);
+		}
+
 		driveJob(this.#context, job, nowMs);
 	}
 
@@ -118,6 +155,15 @@
 		this.#end(job, nowMs);
 	}
 
+	#giveUpUndecided(job: JobRecord, nowMs: number): void {
+		endPlacement(this.#context, job, 'stopped', nowMs);
+		this.#context.detach(job);
+		this.#context.scheduler.withdraw(job.row.jobId);
+		job.queued = false;
+		job.requeueAtMs = undefined;
+		job.resubmitAtMs = undefined;
+	}
+
 	#dropped(job: JobRecord, retryAtMs: number): void {
 		if (job.write?.kind === 'decision' && job.attempt?.decision === 'sent') {
 			job.attempt.decision = 'none';
@@ -145,6 +191,7 @@
 
 			case 'decision': {
 				job.attempt!.decision = 'durable';
+				job.undecidedAttempts = 0;
 				this.#context.measure('owner.accepted_to_decided', {valueMs: this.#context.wallMs(nowMs) - job.row.acceptedAtMs}, {workClass: job.row.spec.workClass});
 				break;
 			}
@@ -193,10 +240,7 @@
 
 		this.#context.writes.forget(job);
 		this.#context.jobs.delete(jobId);
-		this.#ended.set(jobId, job.version);
-		if (this.#ended.size > MAX_ENDED_JOBS) {
-			this.#ended.delete(this.#ended.keys().next().value!);
-		}
+		this.noteEnded(jobId, job.version);
 
 		this.#context.measure('owner.job_ended', {count: 1, valueMs: this.#context.wallMs(nowMs) - acceptedAtMs}, {state, workClass: spec.workClass});
 		this.#context.answer(this.#context.waiters.answer(jobId, FINAL_JOB_STATES.has(state) ? job.row : undefined));
--- a/packages/owner/src/member-commands.ts
+++ b/packages/owner/src/member-commands.ts
@@ -49,6 +49,7 @@
 		repeatable: spec.repeatable,
 		checkpointable: spec.checkpointable,
 		...(spec.inlineInput !== undefined && {inlineInput: spec.inlineInput}),
+		...(spec.inputKey !== undefined && {inputKey: spec.inputKey}),
 		...(job.checkpointAttempt !== undefined && {checkpointKey: checkpointObjectKey(jobId, job.checkpointAttempt, taskIndex)}),
 	};
 }
--- a/packages/owner/src/owner-core.ts
+++ b/packages/owner/src/owner-core.ts
@@ -149,7 +149,7 @@
 	#apply(event: OwnerEvent, nowMs: number): void {
 		switch (event.kind) {
 			case 'heartbeat': {
-				handleHeartbeat(this.#context, event.message, event.host, nowMs);
+				handleHeartbeat(this.#context, this.#results, event, nowMs);
 				return;
 			}
 
@@ -215,7 +215,10 @@
 			return;
 		}
 
-		this.#context.answer(this.#context.waiters.answer(jobId, undefined));
+		if (job === undefined) {
+			this.#results.noteEnded(jobId, 0);
+			this.#context.answer(this.#context.waiters.answer(jobId, undefined));
+		}
 	}
 
 	#wait(event: Extract<OwnerEvent, {readonly kind: 'wait'}>): void {
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -1,26 +1,22 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import PQueue from 'p-queue';
 import {
 	OPEN_JOBS_SCAN_INTERVAL_MS, type Clock, type ControlMessage, type Logger,
 } from '@amaranthsail/core';
-import type {Row, TableStore} from '@amaranthsail/platform';
+import type {TableStore} from '@amaranthsail/platform';
 import type {Explanation, SchedulerConfig} from '@amaranthsail/scheduler';
 import type {OwnerCoreOptions} from './core-context.js';
 import type {DurableWriter} from './durable-writer.js';
-import {OWNER_TABLES, type OwnedJobRow} from './owned-job-row.js';
+import {JobReader} from './job-reader.js';
+import type {OwnedJobRow} from './owned-job-row.js';
 import {OwnerCore, type OwnerCoreStatus} from './owner-core.js';
 import type {
 	OwnerEffect, OwnerEvent, OwnerMetric, OwnershipValidity,
 } from './owner-events.js';
 
-/** Delay before a read that failed is repeated. */
-export const READ_RETRY_DELAY_MS = 250;
-
 /** Reads and writes of one failure domain that may be under way at once. */
 const STORE_CONCURRENCY = 8;
 
-/** Index rows per page of a scan. */
-const SCAN_PAGE_ROWS = 500;
-
 /** Shortest delay between two timer-driven steps. */
 const MIN_TICK_DELAY_MS = 5;
 
@@ -47,12 +43,12 @@
 	readonly #core: OwnerCore;
 	readonly #inputs = new PQueue({concurrency: 1});
 	readonly #store = new PQueue({concurrency: STORE_CONCURRENCY});
+	readonly #reader: JobReader;
 	readonly #waiters = new Map<string, (row: OwnedJobRow | undefined) => void>();
 	#waiterCount = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#scanTimer: NodeJS.Timeout | undefined;
 	#isStopped = false;
-	#isScanning = false;
 
 	/**
 	 * @param options - Identity, collaborators and callbacks.
@@ -61,6 +57,14 @@
 		this.#options = options;
 		const {clock} = options;
 		this.#core = new OwnerCore({...options.core, wallOffsetMs: clock.wallMs() - clock.monotonicMs()});
+		this.#reader = new JobReader({
+			tables: options.tables,
+			failureDomain: options.core.failureDomain,
+			run: async call => this.#store.add(call),
+			onRow: event => {
+				this.#input(event);
+			},
+		});
 	}
 
 	/** Epoch under which the failure domain is owned. */
@@ -80,7 +84,7 @@
 	 * @param jobIds - The jobs.
 	 */
 	notify(jobIds: readonly string[]): void {
-		this.#read(jobIds);
+		void this.#reader.readJobs(jobIds);
 	}
 
 	/**
@@ -104,7 +108,7 @@
 	async cancel(jobIds: readonly string[], timeoutMs = 5000): Promise<ReadonlyArray<OwnedJobRow | undefined>> {
 		// A job that was accepted a moment ago may not have been read yet.
 		const unknown = jobIds.filter(jobId => this.#core.rowOf(jobId) === undefined);
-		await Promise.all(unknown.map(async jobId => this.#readOne(jobId)));
+		await Promise.race([this.#reader.readJobs(unknown), delay(timeoutMs, undefined, {ref: false})]);
 		const answers = jobIds.map(async jobId => this.#wait(jobId, timeoutMs, true));
 		this.#input({kind: 'cancel', jobIds});
 		return Promise.all(answers);
@@ -171,9 +175,7 @@
 		await this.#inputs.onIdle();
 		await Promise.race([
 			this.#store.onIdle(),
-			new Promise(resolve => {
-				setTimeout(resolve, STOP_TIMEOUT_MS).unref();
-			}),
+			delay(STOP_TIMEOUT_MS, undefined, {ref: false}),
 		]);
 	}
 
@@ -185,6 +187,7 @@
 
 		this.#input({kind: 'ownership', validity: {kind: 'lost'}});
 		this.#isStopped = true;
+		this.#reader.stop();
 		clearTimeout(this.#timer);
 		clearTimeout(this.#scanTimer);
 		this.#store.clear();
@@ -241,7 +244,7 @@
 				}
 
 				case 'read': {
-					this.#read(effect.jobIds);
+					void this.#reader.readJobs(effect.jobIds);
 					break;
 				}
 
@@ -276,60 +279,13 @@
 		});
 	}
 
-	#read(jobIds: readonly string[]): void {
-		for (const jobId of jobIds) {
-			void this.#readOne(jobId);
-		}
-	}
-
-	/** Reads a job row until the store answers, and gives it to the core. */
-	async #readOne(jobId: string): Promise<void> {
-		for (;;) {
-			if (this.#isStopped) {
-				return;
-			}
-
-			const result = await this.#store.add(async () => this.#options.tables.get(OWNER_TABLES.jobs, jobId));
-			if (result.ok) {
-				this.#input(result.value === undefined
-					? {kind: 'jobAbsent', jobId}
-					: {kind: 'jobRow', row: result.value.value as unknown as OwnedJobRow, version: result.value.version});
-				return;
-			}
-
-			await this.#pause();
-		}
-	}
-
 	/** Reads the index and every job of it that is not held. The first complete pass ends recovery. */
 	async #scan(isRecovery: boolean): Promise<void> {
-		if (this.#isStopped || this.#isScanning) {
+		await this.#reader.readOpenJobs(jobId => this.#core.rowOf(jobId) === undefined);
+		if (this.#isStopped) {
 			return;
 		}
 
-		this.#isScanning = true;
-		const prefix = `${this.#options.core.failureDomain}/`;
-		let after: string | undefined;
-		for (;;) {
-			const page = await this.#readPage(prefix, after);
-			if (this.#isStopped) {
-				return;
-			}
-
-			if (!page.ok) {
-				await this.#pause();
-				continue;
-			}
-
-			await this.#takePage(page.value, prefix);
-			if (page.value.length < SCAN_PAGE_ROWS) {
-				break;
-			}
-
-			after = page.value.at(-1)!.key;
-		}
-
-		this.#isScanning = false;
 		if (isRecovery) {
 			this.#input({kind: 'recoveryComplete'});
 		}
@@ -339,21 +295,6 @@
 		}, OPEN_JOBS_SCAN_INTERVAL_MS);
 	}
 
-	async #readPage(prefix: string, after: string | undefined): ReturnType<TableStore['scan']> {
-		return this.#store.add(async () => this.#options.tables.scan(OWNER_TABLES.openJobs, {prefix, limit: SCAN_PAGE_ROWS, ...(after !== undefined && {after})}));
-	}
-
-	async #takePage(rows: readonly Row[], prefix: string): Promise<void> {
-		const unknown = rows.map(({key}) => key.slice(prefix.length)).filter(jobId => this.#core.rowOf(jobId) === undefined);
-		await Promise.all(unknown.map(async jobId => this.#readOne(jobId)));
-	}
-
-	async #pause(): Promise<void> {
-		return new Promise(resolve => {
-			setTimeout(resolve, READ_RETRY_DELAY_MS).unref();
-		});
-	}
-
 	async #wait(jobId: string, timeoutMs: number, forCancel: boolean): Promise<OwnedJobRow | undefined> {
 		if (this.#isStopped) {
 			return undefined;
--- a/packages/owner/src/owner-host.ts
+++ b/packages/owner/src/owner-host.ts
@@ -1,6 +1,7 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import PQueue from 'p-queue';
 import {
-	newId, type Clock, type ControlMessage, type Logger, type MessageCodec,
+	newId, type Clock, type ControlMessage, type Heartbeat, type Logger, type MessageCodec,
 } from '@amaranthsail/core';
 import type {Row, TableStore, Transaction} from '@amaranthsail/platform';
 import type {Scheduler, SchedulerConfig} from '@amaranthsail/scheduler';
@@ -105,9 +106,7 @@
 		clearInterval(this.#timer);
 		await Promise.race([
 			Promise.all(this.#writesUnderWay),
-			new Promise(resolve => {
-				setTimeout(resolve, RELEASE_TIMEOUT_MS).unref();
-			}),
+			delay(RELEASE_TIMEOUT_MS, undefined, {ref: false}),
 		]);
 	}
 
@@ -190,12 +189,21 @@
 			this.#domainOfWorker.set(message.workerId, message.facts.failureDomain);
 		}
 
-		this.#driverOfWorker(message.workerId)?.handleDatagram(message, remote);
+		this.#driverOf(message)?.handleDatagram(message, remote);
 	}
 
-	#driverOfWorker(workerId: string): OwnerDriver | undefined {
+	/**
+	 * Finds the owner for a heartbeat. The first heartbeat, which names the failure domain, may have been lost; the agent
+	 * has then learned the epoch from an entry, and an epoch that only one failure domain held here has tells which it is.
+	 */
+	#driverOf({workerId, epoch}: Heartbeat): OwnerDriver | undefined {
 		const failureDomain = this.#domainOfWorker.get(workerId);
-		return failureDomain === undefined ? undefined : this.#held.get(failureDomain)?.driver;
+		if (failureDomain !== undefined) {
+			return this.#held.get(failureDomain)?.driver;
+		}
+
+		const matching = [...this.#held.values()].filter(held => held.epoch === epoch);
+		return matching.length === 1 ? matching[0]!.driver : undefined;
 	}
 
 	#nowMs(): number {
@@ -344,9 +352,7 @@
 				logger.debug('the previous owner did not answer', {failureDomain, error: String(error)});
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, CONFIRM_RETRY_MS).unref();
-			});
+			await delay(CONFIRM_RETRY_MS, undefined, {ref: false});
 		}
 	}
 
--- a/packages/owner/src/ownership-events.ts
+++ b/packages/owner/src/ownership-events.ts
@@ -1,6 +1,6 @@
 import type {Row, Transaction} from '@amaranthsail/platform';
 import type {OwnershipValidity, WriteResult} from './owner-events.js';
-import type {LoadSummary, OwnershipRow} from './ownership-rows.js';
+import type {Address, LoadSummary, OwnershipRow} from './ownership-rows.js';
 
 /** A failure domain that the configuration names. */
 export type DomainPlacement = {readonly failureDomain: string; readonly region: string};
@@ -33,3 +33,15 @@
 			readonly claimedAtMs: number; readonly previous: OwnershipRow | undefined;
 		}
 		| {readonly kind: 'validity'; readonly failureDomain: string; readonly epoch: number; readonly validity: OwnershipValidity};
+
+/** What an ownership manager needs to know of its process. */
+export type OwnershipManagerOptions = {
+	readonly processId: string;
+	readonly region: string;
+	/** Failure domain of this process. */
+	readonly failureDomain: string;
+	readonly datagramAddress: Address;
+	readonly controlAddress: Address;
+	/** Makes ids of writes. */
+	readonly newId: () => string;
+};
--- a/packages/owner/src/ownership-manager.ts
+++ b/packages/owner/src/ownership-manager.ts
@@ -1,11 +1,14 @@
 import {OWNERSHIP_CLAIM_AFTER_MS, OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_VALIDITY_MS} from '@amaranthsail/core';
 import {claimDelayMs} from './claim-preference.js';
-import {OWNER_TABLES} from './owned-job-row.js';
+import {createDomainState, observe, restartObservation, type DomainState, type Holding, type Observation} from './domain-state.js';
 import type {WriteResult} from './owner-events.js';
-import type {DomainPlacement, OwnershipEffect, OwnershipEvent} from './ownership-events.js';
+import type {
+	DomainPlacement, OwnershipEffect, OwnershipEvent, OwnershipManagerOptions,
+} from './ownership-events.js';
 import {
-	parseOwnershipRow, type Address, type LoadSummary, type OwnerAddress, type OwnershipRow, type RenewalRow,
+	ownerAddressOf, type Address, type LoadSummary, type OwnerAddress, type OwnershipRow, type RenewalRow,
 } from './ownership-rows.js';
+import {claimTransaction, releaseTransaction, renewTransaction} from './ownership-transactions.js';
 
 /** How often the ownership tables are read. */
 export const OWNERSHIP_SCAN_INTERVAL_MS = 500;
@@ -19,51 +22,6 @@
 /** Renewals of one failure domain that may be without an answer. */
 const MAX_RENEWALS_IN_FLIGHT = 4;
 
-/** What an ownership manager needs to know of its process. */
-export type OwnershipManagerOptions = {
-	readonly processId: string;
-	readonly region: string;
-	/** Failure domain of this process. */
-	readonly failureDomain: string;
-	readonly datagramAddress: Address;
-	readonly controlAddress: Address;
-	/** Makes ids of writes. */
-	readonly newId: () => string;
-};
-
-/** What was last read of a failure domain. */
-type Observation = {
-	readonly owner: OwnershipRow | undefined;
-	readonly ownershipVersion: number;
-	readonly renewal: RenewalRow | undefined;
-	readonly renewalVersion: number;
-	/** When this state was first read. */
-	readonly sinceMs: number;
-};
-
-/** A failure domain that this process owns. */
-type Holding = {
-	readonly epoch: number;
-	readonly ownershipVersion: number;
-	sequence: number;
-	renewSentAtMs: number;
-	/** Send times of renewals without an answer, by write id. */
-	readonly renewals: Map<string, number>;
-};
-
-type DomainState = {
-	readonly placement: DomainPlacement;
-	observation: Observation | undefined;
-	holding: Holding | undefined;
-	claim: {readonly writeId: string; readonly epoch: number; readonly sentAtMs: number} | undefined;
-	/** Row that the claim replaces. */
-	previous: OwnershipRow | undefined;
-	/** Highest epoch that this process has held; it never holds one twice. */
-	lastEpoch: number;
-	load: LoadSummary | undefined;
-	revision: number;
-};
-
 /** Watches, claims, renews and releases the ownership of failure domains. It does no I/O; times are monotonic milliseconds. */
 export class OwnershipManager {
 	readonly #options: OwnershipManagerOptions;
@@ -173,19 +131,14 @@
 	ownerOf(failureDomain: string): OwnerAddress | undefined {
 		const domain = this.#domains.get(failureDomain);
 		if (domain?.holding !== undefined) {
-			const {processId, datagramAddress, controlAddress} = this.#options;
-			return {
-				ownerId: processId, epoch: domain.holding.epoch, ...datagramAddress, control: controlAddress,
-			};
+			return ownerAddressOf(this.#ownershipRow(domain.holding.epoch, '', false));
 		}
 
 		const owner = domain?.observation?.owner;
 		// A row of this process that it does not hold is one that it has given up.
 		return owner === undefined || owner.released || owner.ownerId === this.#options.processId
 			? undefined
-			: {
-				ownerId: owner.ownerId, epoch: owner.epoch, ...owner.datagram, control: owner.control,
-			};
+			: ownerAddressOf(owner);
 	}
 
 	/**
@@ -214,11 +167,7 @@
 		const named = new Set(domains.map(({failureDomain}) => failureDomain));
 		for (const placement of domains) {
 			const known = this.#domains.get(placement.failureDomain);
-			this.#domains.set(placement.failureDomain, known === undefined
-				? {
-					placement, observation: undefined, holding: undefined, claim: undefined, previous: undefined, lastEpoch: 0, load: undefined, revision: 0,
-				}
-				: {...known, placement});
+			this.#domains.set(placement.failureDomain, known === undefined ? createDomainState(placement) : {...known, placement});
 		}
 
 		for (const [failureDomain, {holding, claim}] of this.#domains) {
@@ -235,18 +184,8 @@
 		const ownership = new Map(event.ownership.map(row => [row.key, row]));
 		const renewals = new Map(event.renewals.map(row => [row.key, row]));
 		for (const [failureDomain, domain] of this.#domains) {
-			const ownerRow = ownership.get(failureDomain);
-			const renewalRow = renewals.get(failureDomain);
-			const seen = domain.observation;
-			const isSame = seen !== undefined && !isAfterGap
-				&& seen.ownershipVersion === (ownerRow?.version ?? 0) && seen.renewalVersion === (renewalRow?.version ?? 0);
-			domain.observation = {
-				owner: parseOwnershipRow(ownerRow?.value),
-				ownershipVersion: ownerRow?.version ?? 0,
-				renewal: renewalRow?.value as RenewalRow | undefined,
-				renewalVersion: renewalRow?.version ?? 0,
-				sinceMs: isSame ? seen.sinceMs : nowMs,
-			};
+			const seen = isAfterGap ? undefined : domain.observation;
+			domain.observation = observe(seen, {ownership: ownership.get(failureDomain), renewal: renewals.get(failureDomain)}, nowMs);
 			this.#compareWithHolding(domain, domain.observation, event.sentAtMs);
 		}
 	}
@@ -281,7 +220,7 @@
 
 		const {holding, claim} = domain;
 		if (claim?.writeId === event.writeId) {
-			this.#claimResult(domain, claim, event.result);
+			this.#claimResult(domain, claim, event.result, nowMs);
 			return;
 		}
 
@@ -295,11 +234,11 @@
 			this.#validate(domain, holding, sentAtMs);
 		} else if (event.result.kind === 'conditionFailed') {
 			this.#drop(domain);
-			domain.observation = domain.observation === undefined ? undefined : {...domain.observation, sinceMs: nowMs};
+			restartObservation(domain, nowMs);
 		}
 	}
 
-	#claimResult(domain: DomainState, claim: NonNullable<DomainState['claim']>, result: WriteResult): void {
+	#claimResult(domain: DomainState, claim: NonNullable<DomainState['claim']>, result: WriteResult, nowMs: number): void {
 		if (result.kind === 'committed') {
 			this.#hold(domain, claim.epoch, result.versions[0] ?? 0, {claimedAtMs: claim.sentAtMs, isSendTimeKnown: true});
 			return;
@@ -308,6 +247,8 @@
 		// After an unknown result the next scans show whether the claim took effect.
 		if (result.kind !== 'unknown') {
 			domain.claim = undefined;
+			// The observation was out of date; another claim on the strength of it would fail as well.
+			restartObservation(domain, nowMs);
 		}
 	}
 
@@ -369,11 +310,8 @@
 			this.#drop(domain);
 			const writeId = this.#options.newId();
 			this.#effects.push({
-				kind: 'write', purpose: 'release', failureDomain: placement.failureDomain, transaction: {
-					writeId,
-					conditions: [{table: OWNER_TABLES.ownership, key: placement.failureDomain, version: holding.ownershipVersion}],
-					writes: [{table: OWNER_TABLES.ownership, key: placement.failureDomain, value: this.#ownershipRow(holding.epoch, writeId, true)}],
-				},
+				kind: 'write', purpose: 'release', failureDomain: placement.failureDomain,
+				transaction: releaseTransaction(placement.failureDomain, holding.ownershipVersion, this.#ownershipRow(holding.epoch, writeId, true)),
 			});
 		}
 	}
@@ -403,11 +341,7 @@
 			ownerId: this.#options.processId, epoch: holding.epoch, sequence: holding.sequence, load: domain.load, revision: domain.revision, writeId,
 		};
 		this.#effects.push({
-			kind: 'write', purpose: 'renew', failureDomain, transaction: {
-				writeId,
-				conditions: [{table: OWNER_TABLES.ownership, key: failureDomain, version: holding.ownershipVersion}],
-				writes: [{table: OWNER_TABLES.renewals, key: failureDomain, value: row}],
-			},
+			kind: 'write', purpose: 'renew', failureDomain, transaction: renewTransaction(failureDomain, holding.ownershipVersion, row),
 		});
 	}
 
@@ -417,14 +351,14 @@
 			return;
 		}
 
-		const {owner, ownershipVersion, renewalVersion, sinceMs} = observation;
+		const {owner, sinceMs} = observation;
 		const isFree = owner === undefined || owner.released;
 		const {processId, region, failureDomain} = this.#options;
 		const delayMs = claimDelayMs({
 			processId, region, failureDomain, ownedCount: this.#ownedCount(),
 		}, placement);
-		// The last scan has to show the row unchanged; time since then is no observation.
-		if (this.#scannedAtMs! - sinceMs < (isFree ? 0 : OWNERSHIP_CLAIM_AFTER_MS) + delayMs) {
+		// A renewal since the last scan makes the claim fail, so the time since then may be counted.
+		if (nowMs - sinceMs < (isFree ? 0 : OWNERSHIP_CLAIM_AFTER_MS) + delayMs) {
 			return;
 		}
 
@@ -435,17 +369,9 @@
 		const renewal: RenewalRow = {
 			ownerId: processId, epoch, sequence: 0, load: domain.load, revision: domain.revision, writeId,
 		};
-		const key = placement.failureDomain;
 		this.#effects.push({
-			kind: 'write', purpose: 'claim', failureDomain: key, transaction: {
-				writeId,
-				// A renewal that arrives in between makes the claim fail.
-				conditions: [{table: OWNER_TABLES.ownership, key, version: ownershipVersion}, {table: OWNER_TABLES.renewals, key, version: renewalVersion}],
-				writes: [
-					{table: OWNER_TABLES.ownership, key, value: this.#ownershipRow(epoch, writeId, false)},
-					{table: OWNER_TABLES.renewals, key, value: renewal},
-				],
-			},
+			kind: 'write', purpose: 'claim', failureDomain: placement.failureDomain,
+			transaction: claimTransaction(placement.failureDomain, observation, this.#ownershipRow(epoch, writeId, false), renewal),
 		});
 	}
 
--- a/packages/owner/src/ownership-rows.ts
+++ b/packages/owner/src/ownership-rows.ts
@@ -46,6 +46,19 @@
 	readonly control: Address;
 };
 
+/**
+ * Gives the address of an owner from its row.
+ *
+ * @param row - The ownership row.
+ * @returns Who owns the failure domain and where it is reached.
+ */
+export function ownerAddressOf(row: OwnershipRow): OwnerAddress {
+	const {ownerId, epoch, datagram, control} = row;
+	return {
+		ownerId, epoch, host: datagram.host, port: datagram.port, control,
+	};
+}
+
 /**
  * Reads an ownership row.
  *
--- /dev/null
+++ b/packages/owner/src/ownership-transactions.ts
@@ -0,0 +1,55 @@
+import type {Transaction} from '@amaranthsail/platform';
+import {OWNER_TABLES} from './owned-job-row.js';
+import type {OwnershipRow, RenewalRow} from './ownership-rows.js';
+
+/**
+ * Claims a failure domain. A renewal that arrives after the observation makes the claim fail.
+ *
+ * @param key - The failure domain.
+ * @param observed - Versions of both rows when they were last read.
+ * @param owner - The new ownership row.
+ * @param renewal - The first renewal.
+ * @returns The transaction; its first write is the ownership row.
+ */
+export function claimTransaction(key: string, observed: {readonly ownershipVersion: number; readonly renewalVersion: number}, owner: OwnershipRow, renewal: RenewalRow): Transaction {
+	return {
+		writeId: owner.writeId,
+		conditions: [
+			{table: OWNER_TABLES.ownership, key, version: observed.ownershipVersion},
+			{table: OWNER_TABLES.renewals, key, version: observed.renewalVersion},
+		],
+		writes: [{table: OWNER_TABLES.ownership, key, value: owner}, {table: OWNER_TABLES.renewals, key, value: renewal}],
+	};
+}
+
+/**
+ * Renews an ownership. The ownership row itself keeps its version, because every transaction of the owner depends on it.
+ *
+ * @param key - The failure domain.
+ * @param ownershipVersion - Version of the ownership row.
+ * @param renewal - The renewal row.
+ * @returns The transaction.
+ */
+export function renewTransaction(key: string, ownershipVersion: number, renewal: RenewalRow): Transaction {
+	return {
+		writeId: renewal.writeId,
+		conditions: [{table: OWNER_TABLES.ownership, key, version: ownershipVersion}],
+		writes: [{table: OWNER_TABLES.renewals, key, value: renewal}],
+	};
+}
+
+/**
+ * Releases a failure domain, so that another entry need not wait for the claim time.
+ *
+ * @param key - The failure domain.
+ * @param ownershipVersion - Version of the ownership row.
+ * @param owner - The ownership row, marked as released.
+ * @returns The transaction.
+ */
+export function releaseTransaction(key: string, ownershipVersion: number, owner: OwnershipRow): Transaction {
+	return {
+		writeId: owner.writeId,
+		conditions: [{table: OWNER_TABLES.ownership, key, version: ownershipVersion}],
+		writes: [{table: OWNER_TABLES.ownership, key, value: owner}],
+	};
+}
--- a/packages/owner/src/write-queue.ts
+++ b/packages/owner/src/write-queue.ts
@@ -4,9 +4,12 @@
 import {OWNER_TABLES, openJobKey} from './owned-job-row.js';
 import type {WriteResult} from './owner-events.js';
 
-/** Largest number of rows in one transaction. */
+/** Largest number of rows that one transaction writes. */
 export const MAX_TRANSACTION_ROWS = 100;
 
+/** Largest number of jobs in one transaction: the table service takes 100 conditions, and one is the ownership row's. */
+const MAX_TRANSACTION_JOBS = 99;
+
 /** Delay before a transaction without a definite result is sent again. */
 export const WRITE_RETRY_MS = 250;
 
@@ -26,7 +29,7 @@
 	/** Nothing was written; the jobs may be written anew later. */
 		| {readonly kind: 'dropped'; readonly jobs: readonly JobRecord[]}
 	/** The rows have to be read to know. */
-		| {readonly kind: 'readBack'; readonly jobs: readonly JobRecord[]}
+		| {readonly kind: 'readBack'; readonly jobs: ReadonlyArray<{readonly job: JobRecord; readonly isChanged: boolean}>}
 		| {readonly kind: 'ownershipLost'}
 	/** Nothing is known yet; the same transaction will be sent again. */
 		| {readonly kind: 'pending'};
@@ -123,7 +126,7 @@
 		let rowCount = 0;
 		for (const job of jobs) {
 			const rows = FINAL_JOB_STATES.has(job.write!.next.state) ? 2 : 1;
-			if (rowCount + rows > MAX_TRANSACTION_ROWS) {
+			if (rowCount + rows > MAX_TRANSACTION_ROWS || batch.length === MAX_TRANSACTION_JOBS) {
 				due.push(this.#send(batch));
 				batch = [];
 				rowCount = 0;
@@ -167,7 +170,12 @@
 		}
 
 		const isOwnershipChanged = result.failed.some(({table}) => table === OWNER_TABLES.ownership);
-		return isOwnershipChanged ? {kind: 'ownershipLost'} : {kind: 'readBack', jobs: sent.jobs};
+		if (isOwnershipChanged) {
+			return {kind: 'ownershipLost'};
+		}
+
+		const changed = new Set(result.failed.filter(({table}) => table === OWNER_TABLES.jobs).map(({key}) => key));
+		return {kind: 'readBack', jobs: sent.jobs.map(job => ({job, isChanged: changed.has(job.row.jobId)}))};
 	}
 
 	#committedVersions(sent: SentWrite, versions: readonly number[]): ReadonlyArray<{readonly job: JobRecord; readonly version: number}> {
--- a/packages/owner/tests/core-world.ts
+++ b/packages/owner/tests/core-world.ts
@@ -190,7 +190,8 @@
 				}
 
 				case 'read': {
-					for (const jobId of effect.jobIds) {
+					// A store that loses writes does not answer reads either; the core has to ask again.
+					for (const jobId of this.tables.fault === 'none' ? effect.jobIds : []) {
 						this.notify(jobId, owner);
 					}
 
