Settle duplicated requests and stale scans in records

Cause: a request that the network delivers twice is answered by the refusal of its second delivery, which ConfigStore took for the change of another operator, and ConfigWatcher for a moved head. A scan answered from older rows could pass as consistent. A document with an empty object, such as `shape: {}`, was valid by itself and refused once merged.

Change: changes are written by commitDurably and settled by the log row. The head carries the sum of the record revisions, which a scan of older rows does not reach. Objects that may be empty have defaults.

--- a/packages/records/src/commit-change.ts
+++ b/packages/records/src/commit-change.ts
@@ -1,59 +1,62 @@
 import {ok, err, type Result} from '@amaranthsail/core';
-import type {TableError, TableStore, Transaction} from '@amaranthsail/platform';
+import {
+	commitDurably, type CommitOptions, type TableError, type TableStore, type Transaction,
+} from '@amaranthsail/platform';
 import {HEAD, LOG_TABLE, logKeyOf, RECORDS_TABLE, type LogRow} from './config-rows.js';
-import type {Head} from './load-config.js';
+import type {Head, RecordRow} from './load-config.js';
 import {formatRecordId} from './record-document.js';
 
-/** Sends and reads of one change while its outcome is unknown. */
-const MAX_COMMIT_ATTEMPTS = 4;
+/** Reads of the log row while the outcome of a change is unknown; more than one, since a read may come from an older copy. */
+const MAX_LOG_READS = 4;
+
+/** What a change was checked against. */
+export type CommitBase = {
+	readonly head: Head;
+	/** The record's row; undefined when there is none. */
+	readonly row: RecordRow | undefined;
+};
 
 /** What became of a change. */
 export type CommitOutcome = 'committed' | 'superseded';
 
-/** Why it is not known, or certain not to have been sent. */
-export type CommitError
-	= | {readonly kind: 'store_unavailable'; readonly message: string}
-		| {readonly kind: 'outcome_unknown'; readonly message: string};
+/** Why a change was not written, or why that is not known. */
+export type CommitError = {readonly kind: 'unavailable' | 'rejected' | 'outcome_unknown'; readonly message: string};
 
 /**
- * Writes head, log row and record in one transaction. After a lost acknowledgement, the log row of the revision
- * settles the question: log rows are never rewritten, so a row with this `writeId` proves the change, and one with
- * another `writeId` proves that it can no longer be accepted. While there is no row, the same transaction is sent again;
- * its conditions let it take effect only once.
+ * Writes head, log row and record in one transaction. Where reading back the rows leaves the outcome unknown, the log row
+ * of the revision settles it: log rows are never rewritten, so a row with this `writeId` proves the change, and one with
+ * another `writeId` proves that it can no longer be accepted.
  *
  * @param store - The table service.
- * @param head - The head that the change was checked against.
- * @param recordVersion - Version of the record's row that it was checked against; 0 for none.
+ * @param base - What the change was checked against.
  * @param entry - The change.
+ * @param options - Clock, randomness and bounds of the retries.
  * @returns Whether the change was accepted, or another one came first.
  */
-export async function commitChange(store: TableStore, head: Head, recordVersion: number, entry: LogRow): Promise<Result<CommitOutcome, CommitError>> {
-	const transaction = transactionOf(head, recordVersion, entry);
-	let mayHaveTakenEffect = false;
-	let lastError: TableError | undefined;
-	for (let attempt = 0; attempt < MAX_COMMIT_ATTEMPTS; attempt++) {
-		const written = await store.transact(transaction);
-		if (written.ok) {
-			return ok('committed');
-		}
+export async function commitChange(store: TableStore, base: CommitBase, entry: LogRow, options: CommitOptions): Promise<Result<CommitOutcome, CommitError>> {
+	const written = await commitDurably(store, transactionOf(base, entry), options);
+	if (written.ok) {
+		return ok('committed');
+	}
 
-		lastError = written.error;
-		if (!mayHaveTakenEffect && lastError.kind === 'condition_failed') {
-			return ok('superseded');
-		}
+	const {error} = written;
+	if (error.kind === 'unavailable' || error.kind === 'rejected') {
+		return err({kind: error.kind, message: messageOfTableError(error)});
+	}
 
-		if (!mayHaveTakenEffect && lastError.kind !== 'outcome_unknown') {
-			return err({kind: 'store_unavailable', message: messageOfTableError(lastError)});
-		}
+	// Without a log row of this revision, another changed row keeps the transaction from ever taking effect.
+	if (error.kind === 'condition_failed' && !error.failed.some(({table}) => table === LOG_TABLE)) {
+		return ok('superseded');
+	}
 
-		mayHaveTakenEffect = true;
+	for (let read = 0; read < MAX_LOG_READS; read++) {
 		const row = await store.get(LOG_TABLE, logKeyOf(entry.revision));
 		if (row.ok && row.value) {
 			return ok((row.value.value as LogRow).writeId === entry.writeId ? 'committed' : 'superseded');
 		}
 	}
 
-	return err({kind: 'outcome_unknown', message: messageOfTableError(lastError!)});
+	return err({kind: 'outcome_unknown', message: messageOfTableError(error)});
 }
 
 /**
@@ -68,19 +71,20 @@
 		: `the table service answered ${error.kind}: ${error.message}`;
 }
 
-function transactionOf(head: Head, recordVersion: number, entry: LogRow): Transaction {
+function transactionOf({head, row}: CommitBase, entry: LogRow): Transaction {
 	const {revision, writeId} = entry;
 	const logKey = logKeyOf(revision);
+	const revisionSum = head.revisionSum + revision - (row?.record.revision ?? 0);
 	const recordKey = formatRecordId(entry.record);
 	return {
 		writeId,
 		conditions: [
 			{...HEAD, version: head.version},
 			{table: LOG_TABLE, key: logKey, version: 0},
-			{table: RECORDS_TABLE, key: recordKey, version: recordVersion},
+			{table: RECORDS_TABLE, key: recordKey, version: row?.version ?? 0},
 		],
 		writes: [
-			{...HEAD, value: {revision, writeId}},
+			{...HEAD, value: {revision, revisionSum, writeId}},
 			{table: LOG_TABLE, key: logKey, value: entry},
 			{table: RECORDS_TABLE, key: recordKey, value: entry.after},
 		],
--- a/packages/records/src/config-rows.ts
+++ b/packages/records/src/config-rows.ts
@@ -17,7 +17,12 @@
 const LOG_KEY_DIGITS = 12;
 
 /** The row `config/head`. */
-export type HeadRow = {readonly revision: number; readonly writeId: string};
+export type HeadRow = {
+	readonly revision: number;
+	/** Sum of the revisions of all records; tells whether a scan saw each record as of this revision. */
+	readonly revisionSum: number;
+	readonly writeId: string;
+};
 
 /** One changed field of a log entry. */
 export type FieldChange = {
--- a/packages/records/src/config-store.ts
+++ b/packages/records/src/config-store.ts
@@ -1,7 +1,8 @@
+import {setTimeout} from 'node:timers/promises';
 import {err, newId, ok, type Clock, type Result} from '@amaranthsail/core';
-import type {TableStore} from '@amaranthsail/platform';
+import type {CommitOptions, TableStore} from '@amaranthsail/platform';
 import PQueue from 'p-queue';
-import {commitChange, messageOfTableError} from './commit-change.js';
+import {commitChange, messageOfTableError, type CommitError} from './commit-change.js';
 import type {ConfigError} from './config-error.js';
 import {RECORDS_TABLE, type LogRow} from './config-rows.js';
 import {checkPlan} from './check-plan.js';
@@ -23,6 +24,10 @@
 	/** Gives the wall-clock time of changes, for display. */
 	readonly clock: Clock;
 	readonly checkGuarantees: GuaranteeCheck;
+	/** Waits for a number of milliseconds between attempts; a real timer when absent. */
+	readonly wait?: (delayMs: number) => Promise<void>;
+	/** Gives a number from 0 up to but not including 1, for the jitter of the waits; `Math.random` when absent. */
+	readonly random?: () => number;
 };
 
 /** A record to submit; `record` is checked here and may be any decoded value. */
@@ -45,6 +50,7 @@
 /** Reads and changes the records. Every change is one transaction on head, log and record. */
 export class ConfigStore {
 	readonly #options: ConfigStoreOptions;
+	readonly #commitOptions: CommitOptions;
 	/** Changes of one process run in turn, so that they do not make one another fail. */
 	readonly #queue = new PQueue({concurrency: 1});
 
@@ -53,6 +59,13 @@
 	 */
 	constructor(options: ConfigStoreOptions) {
 		this.#options = options;
+		this.#commitOptions = {
+			clock: options.clock,
+			wait: options.wait ?? (async delayMs => {
+				await setTimeout(delayMs);
+			}),
+			random: options.random ?? Math.random,
+		};
 	}
 
 	/**
@@ -172,9 +185,9 @@
 			const entry: LogRow = {
 				revision, writeId, operator, atMs: this.#options.clock.wallMs(), action, record: id, changes, after: {...after, writeId},
 			};
-			const committed = await commitChange(this.#options.store, head, row?.version ?? 0, entry);
+			const committed = await commitChange(this.#options.store, {head, row}, entry, this.#commitOptions);
 			if (!committed.ok) {
-				return err({...committed.error, revision, writeId});
+				return err(commitErrorOf(committed.error, revision, writeId));
 			}
 
 			if (committed.value === 'committed') {
@@ -191,3 +204,22 @@
 		? {kind: 'contention', attempts: error.attempts}
 		: {kind: 'store_unavailable', message: messageOfTableError(error)};
 }
+
+function commitErrorOf({kind, message}: CommitError, revision: number, writeId: string): ConfigError {
+	switch (kind) {
+		case 'unavailable': {
+			return {kind: 'store_unavailable', message};
+		}
+
+		case 'rejected': {
+			// The service accepts every transaction of this form unless a row is too long.
+			return {kind: 'invalid_record', problems: [{path: '', expectation: `expected a record that the table service accepts: ${message}`}]};
+		}
+
+		case 'outcome_unknown': {
+			return {
+				kind: 'outcome_unknown', revision, writeId, message,
+			};
+		}
+	}
+}
--- a/packages/records/src/config-watcher.ts
+++ b/packages/records/src/config-watcher.ts
@@ -1,4 +1,4 @@
-import {err, newId, ok, type Result} from '@amaranthsail/core';
+import {newId, ok, type Result} from '@amaranthsail/core';
 import type {RowValue, TableError, TableStore} from '@amaranthsail/platform';
 import {HEAD, LOG_TABLE, logKeyOf, MEMBERS_TABLE, type LogRow} from './config-rows.js';
 import {buildSnapshot, type ConfigSnapshot} from './config-snapshot.js';
@@ -171,22 +171,23 @@
 			return ok(undefined);
 		}
 
-		if (written.error.kind === 'condition_failed') {
-			this.#count('refusedConfirmations');
-			return ok(undefined);
-		}
-
-		if (written.error.kind !== 'outcome_unknown') {
+		if (written.error.kind !== 'outcome_unknown' && written.error.kind !== 'condition_failed') {
 			return written;
 		}
 
-		// The row carries the id only if the transaction took effect, which proves the head.
+		// The row carries the id only if the transaction took effect, which proves the head. A request that the network
+		// delivered twice is refused the second time, so a refused condition is read back too.
 		const readBack = await store.get(MEMBERS_TABLE, processId);
-		if (!readBack.ok || readBack.value?.value.writeId !== writeId) {
-			return err(written.error);
+		if (readBack.ok && readBack.value?.value.writeId === writeId) {
+			this.#confirmed = true;
+			return ok(undefined);
+		}
+
+		if (written.error.kind === 'outcome_unknown') {
+			return written;
 		}
 
-		this.#confirmed = true;
+		this.#count('refusedConfirmations');
 		return ok(undefined);
 	}
 
--- a/packages/records/src/load-config.ts
+++ b/packages/records/src/load-config.ts
@@ -14,6 +14,8 @@
 export type Head = {
 	/** 0 before the first change. */
 	readonly revision: number;
+	/** Sum of the revisions of all records. */
+	readonly revisionSum: number;
 	/** Version of the head's row; 0 while it is absent. */
 	readonly version: number;
 };
@@ -43,13 +45,18 @@
 		return row;
 	}
 
-	return ok(row.value ? {revision: (row.value.value as HeadRow).revision, version: row.value.version} : {revision: 0, version: 0});
+	if (!row.value) {
+		return ok({revision: 0, revisionSum: 0, version: 0});
+	}
+
+	const {revision, revisionSum} = row.value.value as HeadRow;
+	return ok({revision, revisionSum, version: row.value.version});
 }
 
 /**
  * Reads all records at one revision: reads the head, scans, reads the head again and repeats if it moved.
- * Each change writes exactly one record with its revision, so the newest record also has to be of the head's revision;
- * this catches a scan or head that comes from an older copy.
+ * Reads may come from older copies, so the records are compared with the head: none may be newer, and their revisions
+ * have to add up to the head's sum, which an older or missing record would lower.
  *
  * @param store - The table service.
  * @returns The records, or `moving` when no consistent read succeeded.
@@ -71,19 +78,20 @@
 			return after;
 		}
 
-		const newest = Math.max(0, ...scanned.value.map(row => (row.value as StoredRecord).revision));
-		if (before.value.version === after.value.version && newest === after.value.revision) {
-			const rows = scanned.value.map(row => {
-				const record = row.value as StoredRecord;
-				return [formatRecordId(record), {record, version: row.version}] as const;
-			});
-			return ok({head: after.value, rows: new Map(rows)});
+		const rows = scanned.value.map((row): RecordRow => ({record: row.value as StoredRecord, version: row.version}));
+		if (before.value.version === after.value.version && areAsOf(after.value, rows)) {
+			return ok({head: after.value, rows: new Map(rows.map(row => [formatRecordId(row.record), row]))});
 		}
 	}
 
 	return err({kind: 'moving', attempts: MAX_LOAD_ATTEMPTS});
 }
 
+function areAsOf(head: Head, rows: readonly RecordRow[]): boolean {
+	const sum = rows.reduce((total, {record}) => total + record.revision, 0);
+	return sum === head.revisionSum && rows.every(({record}) => record.revision <= head.revision);
+}
+
 async function scanAll(store: TableStore): Promise<Result<readonly Row[], TableError>> {
 	const rows: Row[] = [];
 	for (;;) {
--- a/packages/records/src/schemas/failure-domain.ts
+++ b/packages/records/src/schemas/failure-domain.ts
@@ -14,7 +14,7 @@
 	/** Expected one-way delay to clients; for information. */
 	clientDelayMs: z.number().min(0).optional(),
 	/** Declared racks by name. */
-	racks: z.record(nameSchema, rackSchema),
+	racks: z.record(nameSchema, rackSchema).default({}),
 });
 
 /** A failure domain as the newest readers see it. */
--- a/packages/records/src/schemas/policy.ts
+++ b/packages/records/src/schemas/policy.ts
@@ -23,14 +23,14 @@
 	lanes: z.strictObject({
 		/** Share of accelerators and slots that long work may not take. */
 		shortShare: z.number().min(0).max(1).default(0),
-	}).default({shortShare: 0}),
+	}).prefault({}),
 	limits: z.strictObject({
 		maxWaitingPerAccount: positiveSchema.default(DEFAULT_MAX_WAITING),
-	}).default({maxWaitingPerAccount: DEFAULT_MAX_WAITING}),
+	}).prefault({}),
 	grace: z.strictObject({
 		/** Time a task gets to write a checkpoint before a reclaim stops it. */
 		checkpointMs: countSchema.default(CHECKPOINT_GRACE_MS),
-	}).default({checkpointMs: CHECKPOINT_GRACE_MS}),
+	}).prefault({}),
 	/** Multiple of the learned run time after which a repeatable job gets a second attempt; 0 switches it off. */
 	stragglerFactor: weightSchema.default(DEFAULT_STRAGGLER_FACTOR),
 });
--- a/packages/records/src/schemas/service.ts
+++ b/packages/records/src/schemas/service.ts
@@ -11,7 +11,7 @@
 	repeatable: z.boolean(),
 	checkpointable: z.boolean().default(false),
 	/** What each task takes when the caller does not say. */
-	shape: shapeSchema,
+	shape: shapeSchema.prefault({}),
 	/** How close the tasks of a gang have to be when the caller does not say. */
 	adjacency: z.enum(ADJACENCIES).default('failureDomain'),
 	maxTaskCount: positiveSchema.default(1),
@@ -21,7 +21,7 @@
 		/** Most accelerators of one task; absent means any number that fits. */
 		maxAccelerators: positiveSchema.optional(),
 		maxInputBytes: positiveSchema.default(DEFAULT_MAX_INPUT_BYTES),
-	}).default({maxInputBytes: DEFAULT_MAX_INPUT_BYTES}),
+	}).prefault({}),
 });
 
 /** `Service`, schema version 1. */
--- a/packages/records/tests/config-store.test.ts
+++ b/packages/records/tests/config-store.test.ts
@@ -1,9 +1,12 @@
 import {expect} from 'chai';
+import type {FaultKind} from '@amaranthsail/platform';
 import {
-	ACCOUNT, DOMAIN, GUARANTEE, GUARANTEE_V1, GUARANTEE_V2, POLICY, configStoreOn, documentOf, submitAll,
+	ACCOUNT, DOMAIN, GUARANTEE, GUARANTEE_V1, GUARANTEE_V2, POLICY, WORKER, configStoreOn, documentOf, submitAll,
 } from './support/documents.js';
-import {FaultyTableStore, type TransactFault} from './support/faulty-table-store.js';
-import type {ConfigError, ConfigErrorCode, ConfigStore, RecordDocument, SubmitRequest} from '@amaranthsail/records';
+import {FaultyTableStore} from './support/faulty-table-store.js';
+import {
+	buildSnapshot, type ConfigError, type ConfigErrorCode, type ConfigStore, type RecordDocument, type StoredRecord, type SubmitRequest,
+} from '@amaranthsail/records';
 
 type Step = {
 	readonly by: string;
@@ -138,6 +141,49 @@
 		expect(stored.ok && stored.value.fields.adjacency).to.deep.equal({owner: 'ada', revision: 3});
 	});
 
+	// Guards against an older program that drops or hides what a newer one stored.
+	it('keeps fields of a newer program, and reads the record without them', async () => {
+		const store = new FaultyTableStore();
+		const config = configStoreOn(store);
+		await submitAll(config, [DOMAIN, ACCOUNT, GUARANTEE_V2]);
+		const key = 'Guarantee/assets-catania';
+		const row = await store.get('records', key);
+		const stored = (row.ok ? row.value?.value : undefined) as StoredRecord;
+		const newer = {...stored, schemaVersion: 3, fields: {...stored.fields, priority: {value: 7, owner: 'ada', revision: 3}}};
+		await store.transact({writeId: 'newer', conditions: [], writes: [{table: 'records', key, value: newer}]});
+		await submitAll(config, [documentOf('Guarantee', 'assets-catania', {...GUARANTEE, count: 1}, 2)]);
+		const view = await config.get('Guarantee', 'assets-catania');
+		expect(view.ok && view.value).to.deep.include({schemaVersion: 3, spec: {...GUARANTEE, count: 1, priority: 7}});
+		expect(buildSnapshot(4, [newer]).records.Guarantee.get('assets-catania')).to.deep.equal({...GUARANTEE_V2.spec});
+	});
+
+	// Guards against a document that is valid by itself and loses an empty object when it is stored.
+	it('accepts documents with empty objects', async () => {
+		const operation = {
+			workClass: 'short', repeatable: true, shape: {}, maxRunMs: 1000, limits: {},
+		};
+		await submitAll(configStoreOn(new FaultyTableStore()), [
+			documentOf('Service', 'register', {operations: {first: operation}}),
+			documentOf('FailureDomain', 'catania', {region: 'sicily', racks: {}}),
+			documentOf('Policy', 'closing', {
+				...POLICY.spec, lanes: {}, limits: {}, grace: {},
+			}),
+		]);
+	});
+
+	// Guards against a record that is incomplete after one operator removed only the fields it owns.
+	it('refuses a merged record that lacks required fields', async () => {
+		const config = configStoreOn(new FaultyTableStore());
+		const operation = {
+			workClass: 'short', repeatable: true, shape: {}, maxRunMs: 1000,
+		};
+		const both = documentOf('Service', 'register', {operations: {first: operation, second: operation}});
+		await submitAll(config, [both]);
+		await submitAll(config, [documentOf('Service', 'register', {operations: {first: operation, second: {...operation, maxTaskCount: 4}}})], 'ben');
+		const result = await config.submit({record: documentOf('Service', 'register', {operations: {first: operation}})}, 'ada');
+		expect(!result.ok && result.error.kind === 'invalid_record' && result.error.problems.map(({path}) => path)).to.include('spec.operations.second.workClass');
+	});
+
 	it('keeps records of both versions side by side', async () => {
 		const config = configStoreOn(new FaultyTableStore());
 		await submitAll(config, [DOMAIN, ACCOUNT, GUARANTEE_V1, {...GUARANTEE_V2, name: 'second'}]);
@@ -185,13 +231,16 @@
 		expect(summaryOf(await config.submit({record: smaller}, 'ada'))).to.equal('guarantees_do_not_pack');
 	});
 
-	const faults: ReadonlyArray<readonly [string, readonly TransactFault[], string, number]> = [
-		['an answer lost after the write', ['lost_answer'], 'changed', 1],
-		['a request lost on the way', ['lost_request'], 'changed', 1],
-		['a request and then an answer lost', ['lost_request', 'lost_answer'], 'changed', 1],
-		['a store that refuses', ['unavailable'], 'store_unavailable', 0],
-		['a lost request and then a store that refuses', ['lost_request', 'unavailable'], 'changed', 1],
-		['a store that stays silent', ['lost_request', 'lost_request', 'lost_request', 'lost_request'], 'outcome_unknown', 0],
+	const faults: ReadonlyArray<readonly [string, readonly FaultKind[], string, number]> = [
+		['an answer lost after the write', ['lost_after_effect'], 'changed', 1],
+		['a request lost on the way', ['lost_before_effect'], 'changed', 1],
+		['a request and then an answer lost', ['lost_before_effect', 'lost_after_effect'], 'changed', 1],
+		['a request delivered twice', ['duplicated'], 'changed', 1],
+		['a request lost and then delivered twice', ['lost_before_effect', 'duplicated'], 'changed', 1],
+		['a store that refuses for a while', ['unavailable', 'unavailable'], 'changed', 1],
+		['a store that refuses', Array.from({length: 5}, () => 'unavailable' as const), 'store_unavailable', 0],
+		['a lost request and then a store that refuses', ['lost_before_effect', 'unavailable'], 'changed', 1],
+		['a store that stays silent', Array.from({length: 5}, () => 'lost_before_effect' as const), 'outcome_unknown', 0],
 	];
 	for (const [title, transactFaults, outcome, revision] of faults) {
 		// Guards against a change applied twice or reported wrongly after a lost acknowledgement.
@@ -209,9 +258,9 @@
 		const store = new FaultyTableStore();
 		const config = configStoreOn(store);
 		await submitAll(config, [ACCOUNT]);
-		store.beforeTransact = async () => {
+		store.beforeNextTransact(async () => {
 			await configStoreOn(store).submit({record: account({weight: 7}), takeOwnership: ['weight']}, 'ben');
-		};
+		});
 
 		expect(summaryOf(await config.submit({record: account({weight: 3})}, 'ada'))).to.equal('weight:ben');
 	});
@@ -219,15 +268,29 @@
 	// Guards against taking the revision of another change for one's own when the request was lost.
 	it('does not take another change for its own after a lost request', async () => {
 		const store = new FaultyTableStore();
-		store.transactFaults.push('lost_request');
-		store.beforeTransact = async () => {
+		store.transactFaults.push('lost_before_effect');
+		store.beforeNextTransact(async () => {
 			await configStoreOn(store).submit({record: POLICY}, 'ben');
-		};
+		});
 
 		const result = await configStoreOn(store).submit({record: ACCOUNT}, 'ada');
 		expect(result).to.deep.equal({ok: true, value: {revision: 2, changed: true}});
 	});
 
+	// Guards against an inconsistent set of records when a scan comes from an older copy.
+	it('refuses to decide on stale reads', async () => {
+		const store = new FaultyTableStore();
+		await submitAll(configStoreOn(store), [ACCOUNT, DOMAIN]);
+		store.readFault = 'stale_read';
+		expect(summaryOf(await configStoreOn(store).submit({record: GUARANTEE_V1}, 'ada'))).to.equal('contention');
+	});
+
+	it('reports a record that the table service does not accept', async () => {
+		const racks = Object.fromEntries(Array.from({length: 3000}, (_, index) => [`rack-${index}`, {workers: [WORKER]}]));
+		const result = await configStoreOn(new FaultyTableStore()).submit({record: documentOf('FailureDomain', 'catania', {region: 'sicily', racks})}, 'ada');
+		expect(summaryOf(result)).to.equal('invalid_record');
+	});
+
 	it('accepts concurrent submits of several processes one after another', async () => {
 		const store = new FaultyTableStore();
 		const results = await Promise.all(['a', 'b', 'c', 'd', 'e'].map(async name => configStoreOn(store).submit({record: {...ACCOUNT, name}}, name)));
@@ -240,10 +303,10 @@
 		const race = async (): Promise<void> => {
 			races++;
 			await configStoreOn(store).submit({record: {...ACCOUNT, name: `other-${races}`}}, 'ben');
-			store.beforeTransact = race;
+			store.beforeNextTransact(race);
 		};
 
-		store.beforeTransact = race;
+		store.beforeNextTransact(race);
 		expect(summaryOf(await configStoreOn(store).submit({record: ACCOUNT}, 'ada'))).to.equal('contention');
 		expect(races).to.equal(10);
 	});
--- a/packages/records/tests/config-watcher.test.ts
+++ b/packages/records/tests/config-watcher.test.ts
@@ -41,23 +41,29 @@
 		expect([watcher.confirmed, watcher.snapshot?.revision]).to.deep.equal([true, 0]);
 	});
 
-	// Guards against a new process that puts an older configuration in force from a stale read.
-	it('is not confirmed by a stale read', async () => {
+	// Guards against a new process that puts an older configuration in force.
+	it('is not confirmed when the head moved after its load', async () => {
 		const store = new FaultyTableStore();
 		const config = configStoreOn(store);
 		await submitAll(config, [ACCOUNT]);
-		const copy = store.copy();
-		await submitAll(config, [DOMAIN]);
-		store.readFrom(copy);
+		store.beforeNextTransact(async () => submitAll(config, [DOMAIN]));
 		const {watcher, revisions} = watcherOn(store);
 		await watcher.poll();
 		expect([watcher.confirmed, watcher.counters.refusedConfirmations, revisions]).to.deep.equal([false, 1, []]);
-		store.readFrom(undefined);
 		await watcher.poll();
 		expect([watcher.confirmed, revisions]).to.deep.equal([true, [2]]);
 	});
 
-	for (const [fault, confirmed] of [['lost_answer', true], ['lost_request', false], ['unavailable', false]] as const) {
+	it('does not load from stale reads', async () => {
+		const store = new FaultyTableStore();
+		await submitAll(configStoreOn(store), [ACCOUNT, DOMAIN]);
+		store.readFault = 'stale_read';
+		const {watcher} = watcherOn(store);
+		expect(await watcher.poll()).to.deep.equal({ok: false, error: {kind: 'moving', attempts: 5}});
+		expect(watcher.snapshot).to.equal(undefined);
+	});
+
+	for (const [fault, confirmed] of [['lost_after_effect', true], ['duplicated', true], ['lost_before_effect', false], ['unavailable', false]] as const) {
 		it(`is ${confirmed ? '' : 'not '}confirmed after ${fault}`, async () => {
 			const store = new FaultyTableStore();
 			store.transactFaults.push(fault);
@@ -71,28 +77,25 @@
 
 	it('ignores and counts a head that goes back', async () => {
 		const store = new FaultyTableStore();
-		const config = configStoreOn(store);
-		await submitAll(config, [ACCOUNT]);
-		const copy = store.copy();
-		await submitAll(config, [DOMAIN]);
+		await submitAll(configStoreOn(store), [ACCOUNT, DOMAIN]);
 		const {watcher, revisions} = watcherOn(store);
 		await watcher.poll();
-		store.readFrom(copy);
+		store.readFault = 'stale_read';
 		await watcher.poll();
 		expect([watcher.snapshot?.revision, watcher.counters.staleHeads, revisions]).to.deep.equal([2, 1, [2]]);
 	});
 
 	it('waits at a gap in the log and counts it', async () => {
 		const store = new FaultyTableStore();
-		const config = configStoreOn(store);
 		const {watcher, revisions} = watcherOn(store);
 		await watcher.poll();
-		await submitAll(config, [ACCOUNT, DOMAIN, POLICY]);
-		const complete = store.copy();
-		store.drop('config_log', '000000000002');
+		await submitAll(configStoreOn(store), [ACCOUNT, DOMAIN, POLICY]);
+		const key = '000000000002';
+		const row = await store.get('config_log', key);
+		await store.drop('config_log', key);
 		await watcher.poll();
 		expect([watcher.snapshot?.revision, watcher.counters.gaps]).to.deep.equal([1, 1]);
-		store.readFrom(complete);
+		await store.transact({writeId: 'restore', conditions: [], writes: [{table: 'config_log', key, value: row.ok ? row.value?.value : undefined}]});
 		await watcher.poll();
 		expect(revisions).to.deep.equal([0, 1, 3]);
 	});
--- a/packages/records/tests/examples.test.ts
+++ b/packages/records/tests/examples.test.ts
@@ -1,6 +1,7 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {expect} from 'chai';
+import {checkGuarantees} from '@amaranthsail/scheduler';
 import {configStoreOn, submitAll} from './support/documents.js';
 import {FaultyTableStore} from './support/faulty-table-store.js';
 import {parseRecordDocuments, RECORD_KINDS, type RecordDocument} from '@amaranthsail/records';
@@ -30,7 +31,7 @@
 describe('examples', () => {
 	for (const [division, failureDomains, operations] of divisions) {
 		it(`of the ${division} division are accepted and have its figures`, async () => {
-			const config = configStoreOn(new FaultyTableStore());
+			const config = configStoreOn(new FaultyTableStore(), checkGuarantees);
 			await submitAll(config, inOrder(documentsOf(division)));
 			const listed = await config.list();
 			const records = listed.ok ? listed.value.records : [];
--- a/packages/records/tests/support/documents.ts
+++ b/packages/records/tests/support/documents.ts
@@ -31,7 +31,9 @@
 
 /** Makes a configuration store on a table store. */
 export function configStoreOn(store: TableStore, checkGuarantees: GuaranteeCheck = () => undefined): ConfigStore {
-	return new ConfigStore({store, clock: new ManualClock(), checkGuarantees});
+	return new ConfigStore({
+		store, clock: new ManualClock(), checkGuarantees, wait: async () => undefined, random: () => 0,
+	});
 }
 
 /** Submits documents that have to be accepted. */
