--- a/packages/agent/src/measure-surroundings.ts
+++ b/packages/agent/src/measure-surroundings.ts
@@ -205,6 +205,10 @@
 				return valueOf(await this.#runtime.renew(leases));
 			}
 
+			case 'checkpoint': {
+				return valueOf(await this.#runtime.checkpoint(key));
+			}
+
 			case 'stop': {
 				return valueOf(await this.#runtime.stop(key));
 			}
--- a/packages/agent/src/task-commands.ts
+++ b/packages/agent/src/task-commands.ts
@@ -129,7 +129,8 @@
 		return [];
 	}
 
-	const refusal = context.isLeaving ? 'agent_leaving' : context.endpointRefusal(assignment.endpointId, assignment.service);
+	// An agent that leaves needs no check here: it has given up its prepared tasks and prepares no others.
+	const refusal = context.endpointRefusal(assignment.endpointId, assignment.service);
 	if (refusal !== undefined) {
 		table.move(task, 'stopped', refusal);
 		return [];
