--- a/packages/owner/tests/ownership-manager.test.ts
+++ b/packages/owner/tests/ownership-manager.test.ts
@@ -226,7 +226,7 @@
 		const first = world.add('entry-1', 'palermo', DOMAINS.slice(0, 1));
 		world.run(1000);
 		const load = {
-			waitingJobs: 3, idleAccelerators: 8, totalAccelerators: 16, largestFreeBlock: 4,
+			waitingJobs: 3, idleAccelerators: 8, totalAccelerators: 16, largestFreeBlock: 4, waitingByAccount: {}, services: [],
 		};
 		world.input(first, {
 			kind: 'load', failureDomain: 'catania', load, revision: 7,
