Refuse before acceptance what cannot run or be served

Cause: accepted jobs are not refused any more, so a non-repeatable job that only another account's guarantee could hold waited for ever, and limits of waiting jobs were not enforced. Change: the entry checks a job against the declared racks and guarantees with the scheduler's own packing, against the account's accelerators, and against the load in the owner's last renewal. Before: fixed work in a fully guaranteed failure domain was accepted and waited. Conclusion: the entry no longer has a packing check of its own.

--- a/packages/entry/src/catalog.ts
+++ b/packages/entry/src/catalog.ts
@@ -1,5 +1,5 @@
-import type {Adjacency, Resources, WorkClass} from '@amaranthsail/core';
-import type {DeclaredRack, SchedulerConfig} from '@amaranthsail/scheduler';
+import type {Adjacency, JobSpec, Resources, WorkClass} from '@amaranthsail/core';
+import type {EmptyClusterRefusal, SchedulingPolicy} from '@amaranthsail/scheduler';
 
 /** What a service declares about one of its operations. */
 export type OperationEntry = {
@@ -28,10 +28,14 @@
 
 	failureDomains(): readonly string[];
 
-	racksOf(failureDomain: string): readonly DeclaredRack[];
+	/** What keeps a job off the declared racks of a failure domain, or undefined when it fits. */
+	refusalIn(failureDomain: string, spec: JobSpec): EmptyClusterRefusal | undefined;
 
 	/** Accelerators that the account is guaranteed in a failure domain. */
 	guaranteedAccelerators(account: string, failureDomain: string): number;
 
-	schedulerConfigOf(failureDomain: string): SchedulerConfig;
+	/** Accelerators that the account may hold at once, or undefined for any number. */
+	maxAccelerators(account: string): number | undefined;
+
+	policyOf(failureDomain: string): SchedulingPolicy;
 }
--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -71,9 +71,14 @@
 			return spec;
 		}
 
-		const [failureDomain] = this.#options.router.rank(spec.value, catalog);
+		const {router} = this.#options;
+		const ranked = router.rank(spec.value, catalog);
+		const failureDomain = ranked.find(name => router.loadRefusal(account, name, catalog) === undefined);
 		if (failureDomain === undefined) {
-			return err(apiError('never_fits', 'No failure domain can hold the job.'));
+			const code = router.loadRefusal(account, ranked[0]!, catalog) ?? 'overloaded';
+			return err(apiError(code, code === 'account_limit'
+				? `Account ${account} has as many waiting jobs as it may have.`
+				: 'Too many jobs wait in every failure domain.'));
 		}
 
 		const stored = await this.#storeInput(jobId, checked, spec.value);
--- a/packages/entry/src/job-spec.ts
+++ b/packages/entry/src/job-spec.ts
@@ -1,5 +1,4 @@
-import {err, firstExceeded, ok, type JobSpec, type Resources, type Result} from '@amaranthsail/core';
-import type {DeclaredRack} from '@amaranthsail/scheduler';
+import {err, ok, type JobSpec, type Result} from '@amaranthsail/core';
 import {apiError, type ApiError} from './api-error.js';
 import type {Catalog, OperationEntry} from './catalog.js';
 import {isInlineInput, type CheckedJobRequest, type JobRequest} from './job-request.js';
@@ -100,8 +99,12 @@
  * @returns The names of the failure domains.
  */
 export function fittingFailureDomains(spec: JobSpec, catalog: Catalog): readonly string[] {
-	const allowed = new Set(spec.failureDomains ?? catalog.failureDomains());
-	return catalog.failureDomains().filter(name => allowed.has(name) && fitsRacks(spec, catalog.racksOf(name)));
+	return allowedFailureDomains(spec, catalog).filter(name => catalog.refusalIn(name, spec) === undefined);
+}
+
+function allowedFailureDomains(spec: JobSpec, catalog: Catalog): readonly string[] {
+	const names = catalog.failureDomains();
+	return spec.failureDomains ? names.filter(name => spec.failureDomains!.includes(name)) : names;
 }
 
 function fitProblem(spec: JobSpec, catalog: Catalog): string | undefined {
@@ -110,54 +113,18 @@
 		return `failureDomains: there is no ${unknown.join(', ')}.`;
 	}
 
-	if (fittingFailureDomains(spec, catalog).length > 0) {
-		return undefined;
+	const limit = catalog.maxAccelerators(spec.account) ?? Number.MAX_SAFE_INTEGER;
+	const accelerators = spec.taskCount * spec.shape.accelerators;
+	if (accelerators > limit) {
+		return `The job takes ${accelerators} accelerators; account ${spec.account} may use ${limit}.`;
 	}
 
-	const workers = (spec.failureDomains ?? catalog.failureDomains()).flatMap(name => catalog.racksOf(name)).flatMap(rack => rack.workers);
-	const limits = new Set(workers.map(worker => firstExceeded(spec.shape, worker)));
-	const because = workers.length > 0 && !limits.has(undefined)
-		? `one task exceeds ${[...limits].join(' or ')} of every declared worker`
-		: `${spec.taskCount} tasks do not fit together with adjacency ${spec.adjacency}`;
-	return `The job can never run on the declared racks: ${because}.`;
-}
-
-/** Counts how many tasks of a shape an empty worker holds. */
-function tasksPerWorker(shape: Resources, worker: Resources): number {
-	if (firstExceeded(shape, worker)) {
-		return 0;
+	const refusals = new Set(allowedFailureDomains(spec, catalog).map(name => catalog.refusalIn(name, spec)));
+	if (refusals.has(undefined)) {
+		return undefined;
 	}
 
-	const ratios = [
-		[worker.slots, shape.slots],
-		[worker.connections, shape.connections],
-		[worker.processors, shape.processors],
-		[worker.memoryMb, shape.memoryMb],
-		[worker.accelerators, blockSize(shape.accelerators)],
-	] as const;
-	return Math.min(...ratios.map(([available, wanted]) => wanted === 0 ? Number.MAX_SAFE_INTEGER : Math.floor(available / wanted)));
-}
-
-/** Accelerators are given out in aligned blocks of a power of two. */
-function blockSize(accelerators: number): number {
-	return accelerators === 0 ? 0 : 2 ** Math.ceil(Math.log2(accelerators));
-}
-
-function fitsRacks(spec: JobSpec, racks: readonly DeclaredRack[]): boolean {
-	const perRack = racks.map(rack => rack.workers.map(worker => tasksPerWorker(spec.shape, worker)));
-	const sum = (counts: readonly number[]): number => {
-		let total = 0;
-		for (const count of counts) {
-			total += count;
-		}
-
-		return total;
-	};
-
-	const groups = {
-		worker: () => perRack.flat(),
-		rack: () => perRack.map(counts => sum(counts)),
-		failureDomain: () => [sum(perRack.flat())],
-	}[spec.adjacency]();
-	return groups.some(count => count >= spec.taskCount);
+	return refusals.has('guarantees')
+		? 'The job can never run: it cannot be stopped, and the guarantees of other accounts leave no room for it.'
+		: `The job can never run on the declared racks: ${spec.taskCount} tasks of its shape with adjacency ${spec.adjacency} do not fit even when nothing else runs.`;
 }
--- a/packages/entry/src/record-catalog.ts
+++ b/packages/entry/src/record-catalog.ts
@@ -1,10 +1,12 @@
-import {declaredRacksOf, schedulerConfigOf, type ConfigSnapshot} from '@amaranthsail/records';
-import type {DeclaredRack, SchedulerConfig} from '@amaranthsail/scheduler';
+import type {JobSpec} from '@amaranthsail/core';
+import {declaredRacksOf, guaranteesOf, schedulingPolicyOf, type ConfigSnapshot} from '@amaranthsail/records';
+import {DeclaredCapacity, type EmptyClusterRefusal, type SchedulingPolicy} from '@amaranthsail/scheduler';
 import type {Catalog, ServiceEntry} from './catalog.js';
 
 /** The catalog of one configuration snapshot. */
 export class RecordCatalog implements Catalog {
 	readonly #snapshot: ConfigSnapshot;
+	readonly #capacities = new Map<string, DeclaredCapacity>();
 
 	/**
 	 * @param snapshot - The configuration in force.
@@ -35,8 +37,14 @@
 		return [...this.#snapshot.records.FailureDomain.keys()];
 	}
 
-	racksOf(failureDomain: string): readonly DeclaredRack[] {
-		return declaredRacksOf(this.#snapshot, failureDomain);
+	refusalIn(failureDomain: string, spec: JobSpec): EmptyClusterRefusal | undefined {
+		let capacity = this.#capacities.get(failureDomain);
+		if (!capacity) {
+			capacity = new DeclaredCapacity(declaredRacksOf(this.#snapshot, failureDomain), guaranteesOf(this.#snapshot, failureDomain));
+			this.#capacities.set(failureDomain, capacity);
+		}
+
+		return capacity.refuses(spec);
 	}
 
 	guaranteedAccelerators(account: string, failureDomain: string): number {
@@ -50,7 +58,11 @@
 		return total;
 	}
 
-	schedulerConfigOf(failureDomain: string): SchedulerConfig {
-		return schedulerConfigOf(this.#snapshot, failureDomain);
+	maxAccelerators(account: string): number | undefined {
+		return this.#snapshot.records.ClientAccount.get(account)?.maxAccelerators;
+	}
+
+	policyOf(failureDomain: string): SchedulingPolicy {
+		return schedulingPolicyOf(this.#snapshot, failureDomain);
 	}
 }
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -6,6 +6,12 @@
 /** Load of a failure domain, from the last renewal of its owner. */
 export type DomainLoad = SchedulerLoad & {readonly failureDomain: string};
 
+/** Jobs that may wait in one failure domain for each accelerator, beyond which new ones are refused. */
+const MAX_WAITING_PER_ACCELERATOR = 100;
+
+/** Why no failure domain takes a job at the moment. */
+export type LoadRefusal = 'account_limit' | 'overloaded';
+
 /** Chooses the failure domain that runs a job. */
 export class Router {
 	readonly #loads: () => readonly DomainLoad[];
@@ -44,4 +50,26 @@
 		});
 		return scored.map(({name}) => name);
 	}
+
+	/**
+	 * Tells whether a failure domain is too loaded for one more job of an account. Judged before acceptance,
+	 * since an accepted job is not refused any more.
+	 *
+	 * @param account - The client account.
+	 * @param failureDomain - The failure domain.
+	 * @param catalog - The configuration in force.
+	 * @returns The reason to refuse, or undefined.
+	 */
+	loadRefusal(account: string, failureDomain: string, catalog: Catalog): LoadRefusal | undefined {
+		const load = this.#loads().find(candidate => candidate.failureDomain === failureDomain);
+		if (!load) {
+			return undefined;
+		}
+
+		if ((load.waitingByAccount[account] ?? 0) >= catalog.policyOf(failureDomain).maxWaitingPerAccount) {
+			return 'account_limit';
+		}
+
+		return load.waitingJobs >= MAX_WAITING_PER_ACCELERATOR * Math.max(1, load.totalAccelerators) ? 'overloaded' : undefined;
+	}
 }
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -1,5 +1,5 @@
 import type {JobRow, JobSpec, Resources} from '@amaranthsail/core';
-import type {SchedulerConfig} from '@amaranthsail/scheduler';
+import {DeclaredCapacity, type Guarantee, type SchedulingPolicy} from '@amaranthsail/scheduler';
 import type {Catalog, OperationEntry} from '@amaranthsail/entry/catalog.js';
 
 export const workerCapacity: Resources = {slots: 8, connections: 64, processors: 30, memoryMb: 65_536, accelerators: 8};
@@ -14,31 +14,38 @@
 	limits: {maxInputBytes: 1000},
 };
 
-const schedulerConfig: SchedulerConfig = {
-	policy: {
-		ordering: 'firstFit',
-		weights: {completion: 1, fragmentation: 1, peak: 1, shortWork: 1},
-		shortLaneShare: 0,
-		maxWaitingPerAccount: 100,
-		checkpointGraceMs: 5000,
-		stragglerFactor: 0,
-	},
-	guarantees: [],
-	accounts: [],
+const policy: SchedulingPolicy = {
+	ordering: 'firstFit',
+	weights: {completion: 1, fragmentation: 1, peak: 1, shortWork: 1},
+	shortLaneShare: 0,
+	maxWaitingPerAccount: 100,
+	checkpointGraceMs: 5000,
+	stragglerFactor: 0,
 };
 
-/** Two failure domains: `catania` with a rack of three workers, `palermo` with a rack of one. */
+const guarantees: readonly Guarantee[] = [
+	{name: 'beta', account: 'beta', failureDomain: 'palermo', accelerators: 8, count: 1, adjacency: 'worker', survivesRackLoss: false},
+];
+
+function declared(name: string, workerCount: number): DeclaredCapacity {
+	return new DeclaredCapacity([{rack: `${name}-1`, workers: Array.from({length: workerCount}, () => workerCapacity)}], name === 'palermo' ? guarantees : []);
+}
+
+const capacities: Readonly<Record<string, DeclaredCapacity>> = {catania: declared('catania', 3), palermo: declared('palermo', 1)};
+
+/** Two failure domains: `catania` with a rack of three workers, `palermo` with a rack of one that is guaranteed to `beta`. */
 export const catalog: Catalog = {
 	revision: 1,
 	service: name => name === 'register'
 		? {operations: new Map([['revaluation', operation], ['disposal', {...operation, repeatable: false}]])}
 		: undefined,
-	hasAccount: name => name === 'alpha',
+	hasAccount: name => ['alpha', 'small'].includes(name),
 	mayCall: () => true,
 	failureDomains: () => ['catania', 'palermo'],
-	racksOf: name => [{rack: `${name}-1`, workers: Array.from({length: name === 'catania' ? 3 : 1}, () => workerCapacity)}],
+	refusalIn: (name, job) => capacities[name]!.refuses(job),
+	maxAccelerators: account => account === 'small' ? 4 : undefined,
 	guaranteedAccelerators: (_account, name) => name === 'palermo' ? 8 : 0,
-	schedulerConfigOf: () => schedulerConfig,
+	policyOf: () => policy,
 };
 
 const spec: JobSpec = {
--- a/packages/entry/tests/router.test.ts
+++ b/packages/entry/tests/router.test.ts
@@ -45,3 +45,19 @@
 		});
 	}
 });
+
+describe('Router.loadRefusal', () => {
+	const cases: ReadonlyArray<{readonly name: string; readonly load: Partial<DomainLoad>; readonly expected: string | undefined}> = [
+		{name: 'an account below its limit', load: {waitingByAccount: {alpha: 99}}, expected: undefined},
+		{name: 'an account at its limit', load: {waitingByAccount: {alpha: 100}}, expected: 'account_limit'},
+		{name: 'another account at its limit', load: {waitingByAccount: {beta: 100}}, expected: undefined},
+		{name: 'a failure domain with too long a queue', load: {waitingJobs: 800, totalAccelerators: 8}, expected: 'overloaded'},
+	];
+	for (const {name, load, expected} of cases) {
+		// Guards against accepting at a peak what cannot be served, and against refusing for another account's queue.
+		it(`answers ${String(expected)} to ${name}`, () => {
+			const router = new Router(() => [{failureDomain: 'catania', ...idle, ...load}]);
+			expect(router.loadRefusal('alpha', 'catania', catalog)).to.equal(expected);
+		});
+	}
+});
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -5,3 +5,5 @@
 export {FirstFitPolicy} from './first-fit-policy.js';
 export {LeastAttainedPolicy} from './least-attained-policy.js';
 export {BalancedPolicy} from './balanced-policy.js';
+export {DeclaredCapacity} from './declared-capacity.js';
+export type {EmptyClusterRefusal} from './empty-cluster.js';
