--- a/packages/bench/src/bin.ts
+++ b/packages/bench/src/bin.ts
@@ -2,6 +2,7 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {EXIT_INVALID_SETTINGS, readSettings} from '@amaranthsail/core';
+import {CAPACITY_SIZES, measureCapacity} from './capacity.js';
 import {BENCH_SETTINGS, FIRST_SEED} from './bench-settings.js';
 import {DIVISIONS} from './division.js';
 import {comparePolicies, formatFigures, HEADS, type PolicyFigures} from './policy-report.js';
@@ -25,6 +26,14 @@
 	console.log(outcome.value.text);
 } else if (outcome.value.kind === 'version') {
 	console.log('0.1.0');
+} else if (outcome.value.settings.mode === 'capacity') {
+	const all = CAPACITY_SIZES.map(workers => {
+		const figures = measureCapacity(workers);
+		console.log(`${workers} workers, ${figures.runningTasks} running tasks, ${figures.waitingJobs} waiting jobs: `
+			+ `decide mean ${figures.decideMeanMs.toFixed(2)} ms, p99 ${figures.decideP99Ms.toFixed(2)} ms, max ${figures.decideMaxMs.toFixed(2)} ms; heap ${figures.heapMb.toFixed(1)} MB`);
+		return figures;
+	});
+	writeResults('capacity', all);
 } else {
 	const {settings} = outcome.value;
 	const seeds = Array.from({length: settings.seedCount}, (_, index) => FIRST_SEED[settings.seeds] + index);
--- a/packages/scheduler/src/cluster-state.ts
+++ b/packages/scheduler/src/cluster-state.ts
@@ -30,6 +30,8 @@
 	readonly #absent = new Map<string, Map<string, Grant>>();
 	#capacity: ClusterCapacity = capacityOf([]);
 	#capacityFor = 0;
+	/** Grows when the workers, their capacity or usability change. */
+	#capacityVersion = 0;
 
 	/**
 	 * Adds a worker or takes over its facts.
@@ -43,6 +45,7 @@
 			worker.update(facts);
 			this.factsVersion += Number(hasChanged);
 			this.fixedVersion += Number(hasChanged);
+			this.#capacityVersion += Number(hasChanged);
 			return;
 		}
 
@@ -55,6 +58,7 @@
 		this.workers.set(facts.workerId, added);
 		this.factsVersion++;
 		this.fixedVersion++;
+		this.#capacityVersion++;
 	}
 
 	/**
@@ -71,6 +75,7 @@
 		this.workers.delete(workerId);
 		this.factsVersion++;
 		this.fixedVersion++;
+		this.#capacityVersion++;
 	}
 
 	/**
@@ -181,14 +186,15 @@
 		if (worker && worker.usable !== usable) {
 			worker.usable = usable;
 			this.fixedVersion++;
+			this.#capacityVersion++;
 		}
 	}
 
 	/** What the workers have, whether used or not. */
 	capacity(): ClusterCapacity {
-		if (this.#capacityFor !== this.fixedVersion) {
+		if (this.#capacityFor !== this.#capacityVersion) {
 			this.#capacity = capacityOf([...this.workers.values()]);
-			this.#capacityFor = this.fixedVersion;
+			this.#capacityFor = this.#capacityVersion;
 		}
 
 		return this.#capacity;
--- a/packages/scheduler/src/decision-round.ts
+++ b/packages/scheduler/src/decision-round.ts
@@ -14,6 +14,12 @@
 /** Part of the accelerators that second attempts may use at once. */
 const DUPLICATE_SHARE = 0.1;
 
+/** Number of workers from which on a round makes one reservation only, because each looks at every worker about 15 times. */
+const MANY_WORKERS = 100;
+
+/** Workers that the searches for moves may look at in one round, so that a round stays short on many workers. */
+const MIGRATION_BUDGET = 200;
+
 /** A job runs at least this long between two moves, ten times what a checkpoint takes. */
 const MIN_RUN_BEFORE_MOVE_MS = 30_000;
 
@@ -29,6 +35,7 @@
 	/** Kinds of jobs that did not fit, with the shortest estimate that did not; nothing is freed within a round. */
 	readonly #unplaceable = new Map<string, number>();
 	readonly #unreclaimable = new Set<string>();
+	#migrationTries = 0;
 	readonly #outside = new Set<string>();
 	#ends: readonly ExpectedEnd[] | undefined;
 
@@ -192,7 +199,7 @@
 		}
 
 		this.#unplaceable.set(key, this.#reservations.length === 0 ? 0 : job.estimateMs);
-		if (this.#reservations.length < MAX_RESERVATIONS && ordering.wantsReservation(job, this.#nowMs)) {
+		if (this.#reservations.length < this.#maxReservations() && ordering.wantsReservation(job, this.#nowMs)) {
 			const reservation = reserve(entry, cluster, this.#expectedEnds(), {accepts: this.#accepts(entry), fit: ordering.fit});
 			if (reservation) {
 				this.#reservations.push(reservation);
@@ -203,10 +210,11 @@
 	/** Moves are made one at a time, because a moved job is without a place until it has stopped. */
 	#migrateFor(entry: JobEntry, job: QueuedJob): boolean {
 		const {reclaiming, migrations, jobs, ordering} = this.#state;
-		if (reclaiming.size > 0 || !ordering.wantsMigration(job, this.#nowMs)) {
+		if (reclaiming.size > 0 || this.#migrationTries >= this.#maxMigrationTries() || !ordering.wantsMigration(job, this.#nowMs)) {
 			return false;
 		}
 
+		this.#migrationTries++;
 		const plan = migrations.plan(
 			entry,
 			jobs,
@@ -221,6 +229,10 @@
 		return true;
 	}
 
+	#maxMigrationTries(): number {
+		return Math.max(1, Math.floor(MIGRATION_BUDGET / this.#state.cluster.workers.size));
+	}
+
 	/** A move has to be cheap next to the work that is left, and a job is not moved again soon. */
 	#mayMove(candidate: JobEntry): boolean {
 		return candidate.phase === 'placed' && candidate.spec.checkpointable && candidate.spec.repeatable && !candidate.isPreempted
@@ -229,6 +241,10 @@
 			&& this.#state.estimates.remainingMs(candidate.spec, this.#elapsedMs(candidate)) >= MIN_REMAINING_FOR_MOVE_MS;
 	}
 
+	#maxReservations(): number {
+		return this.#state.cluster.workers.size <= MANY_WORKERS ? MAX_RESERVATIONS : 1;
+	}
+
 	#place(entry: JobEntry, tasks: readonly PlacedTask[], isInside: boolean): void {
 		this.#state.dequeue(entry);
 		this.#state.book(entry, tasks, isInside, this.#nowMs);
--- a/packages/scheduler/src/guarantee-guard.ts
+++ b/packages/scheduler/src/guarantee-guard.ts
@@ -13,6 +13,7 @@
 	#guarantees: readonly Guarantee[] = [];
 	#shapes: readonly GuaranteeShape[] = [];
 	#shapesFor = -1;
+	readonly #byAccount = new Map<string, GuaranteeShape[]>();
 	#packing: Packing = {blocks: new Map(), unplaced: []};
 	#packedVersion = -1;
 
@@ -34,11 +35,26 @@
 		this.#packedVersion = -1;
 	}
 
+	/**
+	 * Gives the shapes of an account.
+	 *
+	 * @param account - The account.
+	 * @returns Its shapes, hardest to place first.
+	 */
+	shapesOf(account: string): readonly GuaranteeShape[] {
+		this.shapes();
+		return this.#byAccount.get(account) ?? [];
+	}
+
 	/** The shapes of all guarantees, hardest to place first. */
 	shapes(): readonly GuaranteeShape[] {
 		if (this.#shapesFor !== this.#cluster.factsVersion) {
 			this.#shapes = shapesOf(this.#guarantees, this.#cluster.capacity().largestWorker);
 			this.#shapesFor = this.#cluster.factsVersion;
+			this.#byAccount.clear();
+			for (const shape of this.#shapes) {
+				this.#byAccount.set(shape.account, [...this.#byAccount.get(shape.account) ?? [], shape]);
+			}
 		}
 
 		return this.#shapes;
--- a/packages/scheduler/src/guarantee-packing.ts
+++ b/packages/scheduler/src/guarantee-packing.ts
@@ -57,7 +57,7 @@
 
 	const moved: Array<readonly [GuaranteeShape, readonly ShapeBlock[]]> = [];
 	for (const shape of affected) {
-		const found = state.place(shape, rack);
+		const found = state.place(shape, rack, 'any');
 		if (!found) {
 			break;
 		}
--- a/packages/scheduler/src/job-placer.ts
+++ b/packages/scheduler/src/job-placer.ts
@@ -10,6 +10,8 @@
 export class JobPlacer {
 	readonly #cluster: ClusterState;
 	readonly #guard: GuaranteeGuard;
+	#blocksOf: Packing | undefined;
+	readonly #blocks = new Map<string, ReadonlyMap<string, ReadonlySet<number>>>();
 
 	/**
 	 * @param cluster - The workers.
@@ -32,7 +34,7 @@
 	place(spec: JobSpec, views: readonly PlacementView[], fit: Fit, packing?: Packing): readonly PlacedTask[] | undefined {
 		if (spec.repeatable) {
 			// Work that can be stopped fills the blocks of guarantees first, which leaves the surplus to work that cannot.
-			return (fit === 'best' ? placeGang(spec, this.#restrict(views, this.#guard.packing(), () => true), fit) : undefined)
+			return (fit === 'best' ? placeGang(spec, this.#restrict(views, this.#blocksBy(this.#guard.packing(), 'all', () => true)), fit) : undefined)
 				?? placeGang(spec, views, fit);
 		}
 
@@ -61,11 +63,10 @@
 	 * @returns The views with only those accelerators.
 	 */
 	ownBlocks(account: string, views: readonly PlacementView[], packing: Packing): readonly PlacementView[] {
-		return this.#restrict(views, packing, holder => holder === account);
+		return this.#restrict(views, this.#blocksBy(packing, `own ${account}`, holder => holder === account));
 	}
 
-	#restrict(views: readonly PlacementView[], packing: Packing, accepts: (account: string) => boolean): readonly PlacementView[] {
-		const own = this.#blocksBy(packing, accepts);
+	#restrict(views: readonly PlacementView[], own: ReadonlyMap<string, ReadonlySet<number>>): readonly PlacementView[] {
 		return views.flatMap(view => {
 			const accelerators = own.get(view.workerId);
 			return accelerators ? [{...view, free: view.free.map((free, index) => free && accelerators.has(index))}] : [];
@@ -86,7 +87,7 @@
 	}
 
 	#surplus(account: string, views: readonly PlacementView[], packing: Packing): readonly PlacementView[] {
-		const others = this.#blocksBy(packing, holder => holder !== account);
+		const others = this.#blocksBy(packing, `not ${account}`, holder => holder !== account);
 		return views.map(view => {
 			const accelerators = others.get(view.workerId);
 			if (!accelerators) {
@@ -100,7 +101,23 @@
 		});
 	}
 
-	#blocksBy(packing: Packing, accepts: (account: string) => boolean): ReadonlyMap<string, ReadonlySet<number>> {
+	/** Blocks by worker; a packing does not change, so its blocks are worked out once for each question. */
+	#blocksBy(packing: Packing, key: string, accepts: (account: string) => boolean): ReadonlyMap<string, ReadonlySet<number>> {
+		if (this.#blocksOf !== packing) {
+			this.#blocksOf = packing;
+			this.#blocks.clear();
+		}
+
+		let blocks = this.#blocks.get(key);
+		if (!blocks) {
+			blocks = this.#collectBlocks(packing, accepts);
+			this.#blocks.set(key, blocks);
+		}
+
+		return blocks;
+	}
+
+	#collectBlocks(packing: Packing, accepts: (account: string) => boolean): ReadonlyMap<string, ReadonlySet<number>> {
 		const result = new Map<string, Set<number>>();
 		for (const shape of this.#guard.shapes()) {
 			if (!accepts(shape.account)) {
--- a/packages/scheduler/src/packing-state.ts
+++ b/packages/scheduler/src/packing-state.ts
@@ -26,6 +26,7 @@
 	/** The account whose work cannot be stopped, for each accelerator. */
 	readonly holders: Array<string | undefined>;
 	readonly taken: boolean[];
+	takenCount: number;
 	/** Accelerators set aside by account. */
 	readonly shares: Map<string, number>;
 	readonly fixedUse: Map<string, Limits>;
@@ -54,7 +55,7 @@
 	}
 
 	return {
-		worker, holders, taken: holders.map(() => false), shares: new Map(), fixedUse, committed,
+		worker, holders, taken: holders.map(() => false), takenCount: 0, shares: new Map(), fixedUse, committed,
 	};
 }
 
@@ -78,12 +79,14 @@
  */
 export class PackingState {
 	readonly #spaces: ReadonlyMap<string, WorkerSpace>;
+	readonly #accountsWithFixedWork: ReadonlySet<string>;
 
 	/**
 	 * @param workers - The workers with their fixed work.
 	 */
 	constructor(workers: readonly PackingWorker[]) {
 		this.#spaces = new Map(workers.map(worker => [worker.workerId, spaceOf(worker)]));
+		this.#accountsWithFixedWork = new Set(workers.flatMap(worker => worker.fixed.map(holding => holding.account)));
 	}
 
 	/**
@@ -91,14 +94,15 @@
 	 *
 	 * @param shape - The shape.
 	 * @param lostRack - A rack whose workers are not available.
+	 * @param choice - `best` spares large blocks and covers own work, `any` takes the first, which is faster.
 	 * @returns The blocks, or undefined when there are none.
 	 */
-	place(shape: GuaranteeShape, lostRack?: string): readonly ShapeBlock[] | undefined {
+	place(shape: GuaranteeShape, lostRack?: string, choice: 'best' | 'any' = 'best'): readonly ShapeBlock[] | undefined {
 		if (shape.impossible) {
 			return undefined;
 		}
 
-		const blocks = shape.blockCount === 1 ? this.#bestBlock(shape, lostRack) : this.#wholeWorkers(shape, lostRack);
+		const blocks = shape.blockCount === 1 ? this.#bestBlock(shape, lostRack, choice) : this.#wholeWorkers(shape, lostRack);
 		if (blocks) {
 			this.#book(shape, blocks, 1);
 		}
@@ -143,6 +147,7 @@
 			addTo(space.committed, commitmentChange(space, shape.account, sign * shape.blockSize));
 			space.shares.set(shape.account, (space.shares.get(shape.account) ?? 0) + (sign * shape.blockSize));
 			space.taken.fill(sign === 1, block.start, block.start + shape.blockSize);
+			space.takenCount += sign * shape.blockSize;
 		}
 	}
 
@@ -157,6 +162,10 @@
 	}
 
 	#blocksOf(space: WorkerSpace, shape: GuaranteeShape): readonly RatedBlock[] {
+		if (space.worker.accelerators - space.takenCount < shape.blockSize) {
+			return [];
+		}
+
 		const available = availableFor(space, shape.account);
 		const starts = freeBlocks(available, shape.blockSize);
 		if (starts.length === 0 || !this.#suits(space, shape)) {
@@ -169,7 +178,7 @@
 		});
 	}
 
-	#bestBlock(shape: GuaranteeShape, lostRack: string | undefined): readonly ShapeBlock[] | undefined {
+	#bestBlock(shape: GuaranteeShape, lostRack: string | undefined, choice: 'best' | 'any'): readonly ShapeBlock[] | undefined {
 		let best: RatedBlock | undefined;
 		for (const space of this.#spaces.values()) {
 			if (space.worker.rack === lostRack) {
@@ -181,6 +190,11 @@
 					best = block;
 				}
 			}
+
+			// Without own work to cover, no block is rated better than one that is not part of a larger one.
+			if (best && (choice === 'any' || (best.rating === shape.blockSize && !this.#accountsWithFixedWork.has(shape.account)))) {
+				break;
+			}
 		}
 
 		return best && [{workerId: best.space.worker.workerId, start: best.start}];
--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -197,7 +197,11 @@
 	 * @returns Whether its account may reclaim for it.
 	 */
 	isInside(spec: JobSpec): boolean {
-		const shapes = this.guard.shapes().filter(shape => shape.account === spec.account);
+		const shapes = this.guard.shapesOf(spec.account);
+		if (shapes.length === 0) {
+			return false;
+		}
+
 		const running = [...this.#insideJobs.get(spec.account) ?? []].map(entry => entry.spec);
 		return fitsInsideGuarantee(spec, shapes, running, this.cluster.capacity().perAccelerator);
 	}
