--- a/packages/scheduler/tests/cluster-scheduler.fuzz.test.ts
+++ b/packages/scheduler/tests/cluster-scheduler.fuzz.test.ts
@@ -14,6 +14,11 @@
 	readonly stopping = new Map<string, number>();
 	readonly reclaims = new Map<string, number>();
 
+	/** When the next stop takes effect, but not before a given time. */
+	nextStopMs(earliestMs: number): number {
+		return Math.max(earliestMs, Math.min(...this.stopping.values()));
+	}
+
 	check(guarantees: readonly Guarantee[]): void {
 		const holders = new Map<string, string>();
 		const slots = new Map<string, number>();
@@ -150,7 +155,7 @@
 
 					// Stops take effect at their time, also within a long wait.
 					while (nowMs < waitUntilMs) {
-						nowMs = Math.min(waitUntilMs, ...[...oracle.stopping.values()].map(stopAtMs => Math.max(stopAtMs, nowMs + 10)));
+						nowMs = Math.min(waitUntilMs, oracle.nextStopMs(nowMs + 10));
 						step(scheduler, oracle, jobs, nowMs);
 						oracle.check(guarantees);
 					}
