Prove each guard of the owner by a red test

Change: only a final report of the incarnation that prepared a task proves that it never started. Tests for the guards that had none.

--- a/packages/owner/src/attempt.ts
+++ b/packages/owner/src/attempt.ts
@@ -5,8 +5,10 @@
 
 /** How it is known that a member no longer runs and can no longer start. */
 export type MemberEnd
-	/** A report of a final task state. */
+	/** A report of a final task state by the incarnation that prepared the task. */
 	= | 'reported'
+	/** The same by a newer incarnation, which cannot know whether the task ever started. */
+		| 'reported_by_successor'
 	/** A complete heartbeat without the task. */
 		| 'absent'
 	/** The lease has expired with certainty. */
@@ -105,6 +107,16 @@
 	};
 }
 
+/**
+ * Tells whether a final state of a member was reported.
+ *
+ * @param member - The member.
+ * @returns True when an agent remembers the task and may be told to forget it.
+ */
+export function isReported({end}: Member): boolean {
+	return end === 'reported' || end === 'reported_by_successor';
+}
+
 /**
  * Takes over a report about a member. Reports of an earlier state than the known one change nothing,
  * so duplicated and reordered heartbeats are harmless.
@@ -117,7 +129,7 @@
 	const isOwnIncarnation = source.incarnation === member.place.incarnation;
 	const isFinal = isFinalTaskState(report.state);
 	// A newer incarnation may report that a leftover has ended; anything else it says is not proof.
-	if (member.end === 'reported' || (!isOwnIncarnation && !isFinal) || STATE_ORDER[report.state] < STATE_ORDER[member.state]) {
+	if (isReported(member) || (!isOwnIncarnation && !isFinal) || STATE_ORDER[report.state] < STATE_ORDER[member.state]) {
 		return;
 	}
 
@@ -133,7 +145,7 @@
 	}
 
 	if (isFinal) {
-		member.end = 'reported';
+		member.end = isOwnIncarnation ? 'reported' : 'reported_by_successor';
 	}
 }
 
--- a/packages/owner/src/member-commands.ts
+++ b/packages/owner/src/member-commands.ts
@@ -1,7 +1,7 @@
 import {
 	FENCE_MARGIN_MS, TASK_LEASE_MS, type CommandKind, type TaskAssignment,
 } from '@amaranthsail/core';
-import type {Attempt, Member} from './attempt.js';
+import {isReported, type Attempt, type Member} from './attempt.js';
 import {taskKeyOf, type CoreContext} from './core-context.js';
 import type {JobRecord} from './job-record.js';
 import {checkpointObjectKey} from './owned-job-row.js';
@@ -99,9 +99,10 @@
  * @param nowMs - Monotonic milliseconds.
  */
 export function sendForgets(context: CoreContext, job: JobRecord, attempt: Attempt, nowMs: number): void {
-	for (const {place: {workerId, taskIndex}, end} of attempt.members) {
+	for (const member of attempt.members) {
+		const {workerId, taskIndex} = member.place;
 		const worker = context.workers.get(workerId);
-		if (end === 'reported' && worker !== undefined) {
+		if (isReported(member) && worker !== undefined) {
 			context.sendCommand(worker, {kind: 'forget', incarnation: worker.incarnation, task: taskKeyOf(job, attempt, taskIndex)}, nowMs);
 		}
 	}
--- a/packages/owner/tests/core-world.ts
+++ b/packages/owner/tests/core-world.ts
@@ -1,5 +1,5 @@
 import {HEARTBEAT_INTERVAL_MS, OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_VALIDITY_MS, type JobSpec} from '@amaranthsail/core';
-import type {Transaction} from '@amaranthsail/platform';
+import type {Row, Transaction} from '@amaranthsail/platform';
 import {FakeAgent} from './fake-agent.js';
 import {FirstFitScheduler} from './first-fit-scheduler.js';
 import {MemoryTables} from './memory-tables.js';
@@ -30,6 +30,10 @@
 	readonly owners: TestOwner[] = [];
 	readonly answers = new Map<string, OwnedJobRow | undefined>();
 	readonly metrics: string[] = [];
+	/** Write ids of all decisions that were sent, whether or not they took effect. */
+	readonly decisionIds = new Set<string>();
+	/** Rows as a read returns them once; afterwards reads are up to date. */
+	readonly staleReads = new Map<string, Row>();
 	readonly sent: Array<Extract<OwnerEffect, {readonly kind: 'send'}>> = [];
 	#nextId = 0;
 	/** Drops messages to agents. */
@@ -38,7 +42,7 @@
 	acceptsWrite: (transaction: Transaction) => boolean = () => true;
 
 	/** Claims the failure domain for a new owner and lets it recover. */
-	claim(options: {readonly isPreviousGone?: boolean} = {}): TestOwner {
+	claim(options: {readonly isPreviousGone?: boolean; readonly recovers?: boolean; readonly missesRows?: boolean} = {}): TestOwner {
 		const epoch = this.owners.length + 1;
 		const version = this.tables.row('ownership', 'catania')?.version ?? 0;
 		const {fault} = this.tables;
@@ -61,11 +65,14 @@
 			this.input(owner, {kind: 'previousOwnerGone'});
 		}
 
-		for (const key of this.openJobs()) {
+		for (const key of options.missesRows === true || options.recovers === false ? [] : this.openJobs()) {
 			this.notify(key.split('/')[1]!, owner);
 		}
 
-		this.input(owner, {kind: 'recoveryComplete'});
+		if (options.recovers !== false) {
+			this.input(owner, {kind: 'recoveryComplete'});
+		}
+
 		this.tables.fault = fault;
 		return owner;
 	}
@@ -104,7 +111,8 @@
 	}
 
 	notify(jobId: string, owner = this.owners.at(-1)!): void {
-		const read = this.tables.row('jobs', jobId);
+		const read = this.staleReads.get(jobId) ?? this.tables.row('jobs', jobId);
+		this.staleReads.delete(jobId);
 		this.input(owner, read === undefined
 			? {kind: 'jobAbsent', jobId}
 			: {kind: 'jobRow', row: read.value as unknown as OwnedJobRow, version: read.version});
@@ -182,6 +190,10 @@
 				}
 
 				case 'write': {
+					if (effect.transaction.writes.some(({value}) => value?.state === 'decided')) {
+						this.decisionIds.add(effect.transaction.writeId);
+					}
+
 					if (this.acceptsWrite(effect.transaction)) {
 						this.input(owner, {kind: 'writeResult', writeId: effect.transaction.writeId, result: this.#write(effect.transaction)});
 					}
--- a/packages/owner/tests/owner-faults.test.ts
+++ b/packages/owner/tests/owner-faults.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	CHECKPOINT_GRACE_MS, FENCE_MARGIN_MS, LEASE_EXTENSION_LIMIT_MS, TASK_LEASE_MS, TASK_STOP_MS, type JobSpec,
+	CHECKPOINT_GRACE_MS, FENCE_MARGIN_MS, LEASE_EXTENSION_LIMIT_MS, OWNERSHIP_VALIDITY_MS, TASK_LEASE_MS, TASK_STOP_MS, type JobSpec, type TaskReport,
 } from '@amaranthsail/core';
 import {CoreWorld, type TestOwner} from './core-world.js';
 import type {FakeAgent} from './fake-agent.js';
@@ -91,8 +91,9 @@
 		const {world, owner, agents: [first, second]} = startRunning();
 		const delayed = {...first!.heartbeat(world.nowMs), incarnation: 'worker-1-0', epoch: 0, reports: []};
 		world.input(owner, {kind: 'heartbeat', message: delayed, host: 'worker-1'});
-		world.run(100);
+		world.run(1100);
 		expect(world.row('job').state).to.equal('running');
+		expect(first!.acks.at(-1)).to.include({sequence: first!.sequence});
 		first!.restart('worker-1-2');
 		world.runUntil(() => world.row('job').attempt === 2, 4000);
 		expect(first!.running.length + second!.running.length).to.be.at.most(1);
@@ -109,6 +110,34 @@
 	});
 });
 
+describe('OwnerCore, proofs that nothing started', () => {
+	const restarts: ReadonlyArray<{readonly name: string; readonly reports: readonly TaskReport[]}> = [
+		{name: 'remembers nothing', reports: []},
+		{
+			name: 'reports the task as never started', reports: [{
+				jobId: 'job', attempt: 1, taskIndex: 0, state: 'stopped', everStarted: false,
+			}],
+		},
+	];
+	for (const {name, reports} of restarts) {
+		// Guards against a second run: the task was started, its reports were lost, and the restarted agent cannot know of it.
+		it(`does not take the word of a restarted agent that ${name}`, () => {
+			const {world, agents: [first, second]} = start(2);
+			world.dropsToAgent = ({message}) => message.type === 'command' && message.kind === 'release';
+			world.submit('job', {repeatable: false});
+			world.runUntil(() => world.row('job').state === 'decided', 1000);
+			first!.restart('worker-1-2');
+			for (const report of reports) {
+				first!.tasks.set('job/1/0', {report, leaseUntilMs: 0});
+			}
+
+			world.run(FENCE_MS + 1000);
+			expect(world.row('job')).to.include({state: 'unknown', outcome: 'unknown'});
+			expect(second!.starts).to.deep.equal([]);
+		});
+	}
+});
+
 describe('OwnerCore, gangs', () => {
 	// Guards against a gang that runs partially after one member has ended.
 	const endings: ReadonlyArray<{readonly name: string; readonly change: Parameters<FakeAgent['set']>[1]}> = [
@@ -194,12 +223,17 @@
 		const {world, owner, agents: [agent]} = startRunning();
 		const old = agent!.heartbeat(world.nowMs);
 		const oldEmpty = {...old, reports: []};
+		const oldPrepared = {...old, reports: old.reports.map(report => ({...report, state: 'prepared' as const}))};
 		agent!.sequence += 1;
 		world.run(1500);
-		for (const message of [old, oldEmpty, old]) {
+		const acknowledged = agent!.acks.length;
+		for (const message of [old, oldEmpty, oldPrepared, old]) {
 			world.input(owner, {kind: 'heartbeat', message, host: 'worker-1'});
 		}
 
+		// A late acknowledgement would move the fence, but not the lease.
+		expect(agent!.acks).to.have.length(acknowledged);
+		expect(agent!.commands.filter(({kind}) => kind === 'release')).to.have.length(1);
 		world.run(100);
 		expect(world.row('job')).to.include({state: 'running', attempt: 1});
 		agent!.finish('job');
@@ -308,25 +342,63 @@
 	});
 });
 
+describe('OwnerCore, drain', () => {
+	// Guards against work that an owner begins and cannot carry through before it gives the failure domain up.
+	it('places nothing more and carries on what is decided', () => {
+		const {world, owner, agents: [agent]} = startRunning({}, 1);
+		world.input(owner, {kind: 'drain'});
+		world.submit('other');
+		world.run(1000);
+		expect([...agent!.tasks.keys()]).to.deep.equal(['job/1/0']);
+		agent!.finish('job');
+		world.report(agent!);
+		world.run(100);
+		expect(world.row('job').state).to.equal('completed');
+		expect(world.row('other').state).to.equal('waiting');
+	});
+});
+
 describe('OwnerCore, durable writes', () => {
 	// Guards against releasing on the strength of a write that may not have happened, and against a second decision when it has.
-	const faults = ['loseAcknowledgement', 'loseRequest', 'down'] as const;
-	for (const fault of faults) {
-		it(`releases nothing while the result of the decision write is open (${fault})`, () => {
+	const faults = [['loseAcknowledgement'], ['loseRequest'], ['down'], ['loseAcknowledgement', 'down']] as const;
+	for (const sequence of faults) {
+		it(`releases nothing while the result of the decision write is open (${sequence.join(', then ')})`, () => {
 			const {world, agents: [agent]} = start();
 			world.submit('job', {repeatable: false});
-			world.tables.fault = fault;
-			world.run(500);
-			expect(agent!.starts).to.deep.equal([]);
+			for (const fault of sequence) {
+				world.tables.fault = fault;
+				// Shorter than the delay before the write is sent again, so that the next fault meets the repetition.
+				world.run(sequence.length > 1 ? 200 : 500);
+				expect(agent!.starts).to.deep.equal([]);
+			}
+
 			world.tables.fault = 'none';
 			world.runUntil(() => agent!.running.length === 1, 1500);
 			world.run(100);
 			expect(world.row('job')).to.include({state: 'running', attempt: 1});
 			const decisions = world.tables.transactions.filter(({writes}) => writes.some(({value}) => value?.state === 'decided'));
 			expect(decisions).to.have.length(1);
+			if (sequence[0] !== 'down') {
+				// A decision that may have been written is never replaced by another one.
+				expect(world.decisionIds.size).to.equal(1);
+			}
 		});
 	}
 
+	// Guards against taking an out-of-date read for the proof that a decision was not written.
+	it('reads again when a row read back is older than the failed condition allows', () => {
+		const {world, agents: [agent]} = start();
+		world.submit('job', {repeatable: false});
+		world.staleReads.set('job', world.tables.row('jobs', 'job')!);
+		world.acceptsWrite = transaction => {
+			world.tables.apply(transaction);
+			return true;
+		};
+
+		world.runUntil(() => agent!.running.length === 1, 1900);
+		expect(world.decisionIds.size).to.equal(1);
+	});
+
 	// Guards against a write that an old copy of the request overtakes.
 	it('takes a row that carries the write id for committed', () => {
 		const {world, agents: [agent]} = start();
@@ -357,10 +429,27 @@
 		agent!.finish('job');
 		world.report(agent!);
 		world.run(1000);
+		// The agent alone holds the answer's length and digest until the completion is durable.
+		expect(agent!.tasks.size).to.equal(1);
 		world.tables.fault = 'none';
 		world.runUntil(() => world.row('job').state === 'completed', 2000);
 	});
 
+	// Guards against a release, made durable before the outage, that another owner may have undone since.
+	it('releases nothing while the ownership is not valid', () => {
+		const {world, agents: [agent]} = start();
+		world.dropsToAgent = ({message}) => message.type === 'command' && message.kind === 'release';
+		world.submit('job');
+		world.runUntil(() => world.row('job').state === 'decided', 1000);
+		world.tables.fault = 'down';
+		world.run(OWNERSHIP_VALIDITY_MS);
+		world.dropsToAgent = () => false;
+		world.run(3000);
+		expect(agent!.starts).to.deep.equal([]);
+		world.tables.fault = 'none';
+		world.runUntil(() => agent!.running.length === 1, 1500);
+	});
+
 	// Guards against leases that are extended for ever by an owner that may have been replaced.
 	it('stops extending leases after the limit', () => {
 		const {world, agents: [agent]} = startRunning({}, 1);
--- a/packages/owner/tests/owner-recovery.test.ts
+++ b/packages/owner/tests/owner-recovery.test.ts
@@ -69,6 +69,72 @@
 		});
 	}
 
+	// Guards against starting some members of a gang before it is known that the others can follow.
+	it('releases no member of a decided gang before all have reported', () => {
+		const world = new CoreWorld();
+		const owner = world.claim();
+		const agents = [world.agent('worker-1'), world.agent('worker-2')];
+		world.run(2000);
+		world.dropsToAgent = ({message}) => message.type === 'command' && message.kind === 'release';
+		world.submit('job', {taskCount: 2});
+		world.runUntil(() => world.row('job').state === 'decided', 1000);
+		owner.isPaused = true;
+		agents[1]!.isPaused = true;
+		world.dropsToAgent = () => false;
+		world.claim();
+		world.run(3000);
+		expect(startsOf(agents)).to.deep.equal([]);
+		agents[1]!.isPaused = false;
+		world.runUntil(() => startsOf(agents).length === 2, 1500);
+	});
+
+	// Guards against tasks whose leases lapse because the open jobs take long to read.
+	it('extends the leases of all reported tasks until recovery is complete', () => {
+		const {world, owner, agents: [agent]} = startRunning({repeatable: false});
+		owner.isPaused = true;
+		world.run(3000);
+		const next = world.claim({recovers: false});
+		world.run(2 * TASK_LEASE_MS);
+		expect(agent.running).to.deep.equal(['job/1/0']);
+		world.notify('job');
+		world.input(next, {kind: 'recoveryComplete'});
+		world.run(2000);
+		expect(world.row('job')).to.include({state: 'running', attempt: 1});
+	});
+
+	// Guards against stopping a task as superfluous because an out-of-date scan of the index has missed its job.
+	it('reads the row of an unknown job before it stops its tasks', () => {
+		const {world, owner, agents} = startRunning({repeatable: false});
+		owner.isPaused = true;
+		world.run(3000);
+		world.claim({missesRows: true});
+		world.run(2500);
+		expect(agents[0].running).to.deep.equal(['job/1/0']);
+		agents[0].finish('job');
+		world.report(agents[0]);
+		world.run(100);
+		expect(world.row('job')).to.include({state: 'completed', attempt: 1});
+	});
+
+	// Guards against taking a heartbeat from before the takeover, of an agent that was replaced, for the state of the worker.
+	it('ignores the absence of a task in a heartbeat from before its epoch', () => {
+		const {world, owner, agents: [agent]} = startRunning({repeatable: false});
+		owner.isPaused = true;
+		world.run(3000);
+		const delayed = [
+			{...agent.heartbeat(world.nowMs), incarnation: 'worker-1-0', reports: []},
+			{...agent.heartbeat(world.nowMs), reports: []},
+		];
+		for (const message of delayed) {
+			const next = world.claim();
+			world.input(next, {kind: 'heartbeat', message, host: 'worker-1'});
+			world.run(2500);
+			expect(world.row('job')).to.include({state: 'running', attempt: 1});
+			expect(agent.running).to.deep.equal(['job/1/0']);
+			next.isPaused = true;
+		}
+	});
+
 	// Guards against a new attempt while an owner that nobody could reach still extends the leases of the old one.
 	const fences: ReadonlyArray<{readonly name: string; readonly isPreviousGone: boolean; readonly fenceMs: number}> = [
 		{name: 'one lease after the claim when the previous owner is gone', isPreviousGone: true, fenceMs: FENCE_MS},
--- a/packages/owner/tests/ownership-manager.test.ts
+++ b/packages/owner/tests/ownership-manager.test.ts
@@ -57,6 +57,19 @@
 		}
 	}
 
+	/** Lets time pass until a renewal of an entry has no answer yet, and returns the write ids of such renewals. */
+	renewals(entry: Entry): readonly string[] {
+		for (;;) {
+			const writeIds = entry.pending.flatMap(({event}) => event.kind === 'writeResult' ? [event.writeId] : []);
+			if (writeIds.length > 0) {
+				entry.pending.splice(0);
+				return writeIds;
+			}
+
+			this.run(10);
+		}
+	}
+
 	owned(entry: Entry): readonly string[] {
 		return DOMAINS.map(({failureDomain}) => failureDomain).filter(name => entry.manager.heldEpoch(name) !== undefined);
 	}
@@ -153,19 +166,25 @@
 	});
 
 	// Guards against a wave of takeovers when the store comes back: no owner could renew, and none of them has failed.
-	it('changes no owner because of a store outage', () => {
-		const world = new ManagerWorld();
-		const entries = ['entry-1', 'entry-2', 'entry-3'].map(processId => world.add(processId));
-		world.run(3000);
-		const ownedBefore = entries.map(entry => world.owned(entry));
-		world.tables.fault = 'down';
-		world.run(60_000);
-		expect(entries.every(({valid}) => [...valid.values()].every(untilMs => untilMs < world.nowMs))).to.equal(true);
-		world.tables.fault = 'none';
-		world.run(10_000);
-		expect(entries.map(entry => world.owned(entry))).to.deep.equal(ownedBefore);
-		expect(entries.flatMap(({claims}) => claims)).to.have.length(3);
-	});
+	for (const phaseMs of [0, 100, 200, 300, 400]) {
+		it(`changes no owner because of a store outage that ends ${phaseMs} ms into a scan interval`, () => {
+			const world = new ManagerWorld();
+			const entries = ['entry-1', 'entry-2', 'entry-3'].map((processId, index) => {
+				// Started apart, the entries scan and renew at different times.
+				world.run(1170 * index);
+				return world.add(processId);
+			});
+			world.run(5000);
+			const ownedBefore = entries.map(entry => world.owned(entry));
+			world.tables.fault = 'down';
+			world.run(20_000 + phaseMs);
+			expect(entries.every(({valid}) => [...valid.values()].every(untilMs => untilMs < world.nowMs))).to.equal(true);
+			world.tables.fault = 'none';
+			world.run(10_000);
+			expect(entries.map(entry => world.owned(entry))).to.deep.equal(ownedBefore);
+			expect(entries.flatMap(({claims}) => claims)).to.have.length(3);
+		});
+	}
 
 	// Guards against a claim that took effect and is forgotten because its acknowledgement was lost: nobody would own the failure domain.
 	for (const fault of ['loseAcknowledgement', 'loseRequest'] as const) {
@@ -220,6 +239,20 @@
 		expect(entry.valid.get('catania')).to.equal(0);
 	});
 
+	// Guards against a former owner that goes on although its renewal was refused.
+	it('gives a failure domain up when a renewal fails its condition', () => {
+		const world = new ManagerWorld();
+		const entry = world.add('entry-1', 'palermo', DOMAINS.slice(0, 1));
+		world.run(1000);
+		world.tables.apply({writeId: 'other', conditions: [], writes: [{table: 'ownership', key: 'catania', value: {epoch: 2}}]});
+		const [renewal] = world.renewals(entry);
+		world.input(entry, {
+			kind: 'writeResult', failureDomain: 'catania', writeId: renewal!, result: {kind: 'conditionFailed', failed: [{table: 'ownership', key: 'catania', version: 1}]},
+		});
+		expect(world.owned(entry)).to.deep.equal([]);
+		expect(entry.valid.get('catania')).to.equal(0);
+	});
+
 	// Guards against load figures that routing cannot see.
 	it('publishes the load with the renewals', () => {
 		const world = new ManagerWorld();
