--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,4 @@
-/** Name of the package. */
-export const PACKAGE_NAME = '@amaranthsail/agent';
+export * from './agent-core.js';
+export * from './agent-effect.js';
+export type * from './agent-event.js';
+export type * from './agent-options.js';
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -67,6 +67,11 @@
 		});
 	}
 
+	/** The failure domain. */
+	get failureDomain(): string {
+		return this.#options.core.failureDomain;
+	}
+
 	/** Epoch under which the failure domain is owned. */
 	get epoch(): number {
 		return this.#options.core.epoch;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -47,6 +47,8 @@
 	readonly policy: SchedulingPolicy;
 	readonly guarantees: readonly Guarantee[];
 	readonly accounts: readonly AccountShare[];
+	/** Declared racks of the failure domain. With them, workers that are not known yet count when a job is checked for ever fitting. */
+	readonly racks?: readonly DeclaredRack[];
 };
 
 /** A job as the scheduler sees it. Times are monotonic milliseconds. */
@@ -59,6 +61,8 @@
 	/** Number of attempts so far. */
 	readonly attempts: number;
 	readonly failedWorkers: readonly string[];
+	/** The job is durably accepted: it waits for as long as it takes and is not refused any more. */
+	readonly isAccepted?: boolean;
 };
 
 /** Where one task goes. */
@@ -110,6 +114,17 @@
 /** How an attempt ended for the scheduler. */
 export type AttemptEnd = 'completed' | 'failed' | 'stopped' | 'lost';
 
+/** Load of a failure domain, for routing and early refusal. */
+export type SchedulerLoad = {
+	readonly waitingJobs: number;
+	readonly waitingByAccount: Readonly<Record<string, number>>;
+	readonly idleAccelerators: number;
+	readonly totalAccelerators: number;
+	readonly largestFreeBlock: number;
+	/** Services with an endpoint that takes new work. */
+	readonly services: readonly string[];
+};
+
 /** Decides placement, order, reclaim and admission for one failure domain. No I/O; times are passed in. */
 export interface Scheduler {
 	configure(config: SchedulerConfig, nowMs: number): void;
@@ -151,5 +166,5 @@
 	alarms(): readonly GuaranteeAlarm[];
 
 	/** Load for routing between failure domains. */
-	load(): {readonly waitingJobs: number; readonly idleAccelerators: number; readonly totalAccelerators: number; readonly largestFreeBlock: number};
+	load(): SchedulerLoad;
 }
