Align the command line with the entry

Cause: the entry reports status and diffs in a form that the command line had guessed otherwise, and an entry that answers 503 could hide a lost answer of another entry.

Change: `status` shows entries, the failure domains they own and agents; `diff` reads the list that the entry returns; `submit` prints the answer it waited for. A 503 is printed as an unknown outcome when any other try may have taken effect, whichever came first.

Conclusion: the forms match the entry's code; a run against a real entry is still to be done.

--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -30,8 +30,8 @@
 	}
 }
 
-function showDiffs(body: Record<string, unknown>): CommandResult {
-	const {diffs = []} = body as {diffs?: readonly RecordDiff[]};
+function showDiffs(body: unknown): CommandResult {
+	const diffs = body as readonly RecordDiff[];
 	const codes = diffs.flatMap(({refusal}) => refusal
 		? [exitCodeOf(refusal.code === 'field_conflict' ? CONFLICT_STATUS : REFUSED_STATUS, refusal.outcome)]
 		: []);
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -3,15 +3,26 @@
 import {EXIT_CODES} from '../exit-code.js';
 import {formatTable} from '../format-table.js';
 
-/** A process as the API reports it; entries may add fields. */
-type ProcessStatus = {
+/** What a process reports about itself through the API. */
+type EntryStatus = {
 	readonly processId: string;
-	readonly program?: string;
-	readonly address?: string;
-	readonly failureDomain?: string;
-	/** Revision in force in the process. */
-	readonly revision?: number;
-	readonly state?: string;
+	readonly host: string;
+	readonly port: number;
+	readonly failureDomain: string;
+	/** Revision in force in the entry. */
+	readonly revision: number;
+	readonly ready: boolean;
+	/** Whether it answered the entry that was asked. */
+	readonly answers: boolean;
+	readonly owned: ReadonlyArray<{readonly failureDomain: string}>;
+	/** Workers of the failure domains it owns, with the revision in force there. */
+	readonly workers: ReadonlyArray<{readonly workerId: string; readonly failureDomain: string; readonly revision: number}>;
+};
+
+type StatusBody = {
+	readonly entries?: readonly EntryStatus[];
+	readonly lowestRevisionInForce?: number;
+	readonly highestRevisionInForce?: number;
 };
 
 /** Shows each process and the revision in force. */
@@ -25,17 +36,33 @@
 }
 
 function showStatus(body: Record<string, unknown>): CommandResult {
-	const {revision, processes = []} = body as {revision?: number; processes?: readonly ProcessStatus[]};
-	const behind = processes.filter(process => revision !== undefined && process.revision !== undefined && process.revision < revision).length;
-	const rows = processes.map(process => [
-		process.processId, process.program ?? '', process.address ?? '', process.failureDomain ?? '', String(process.revision ?? ''), process.state ?? '',
+	const {entries = [], lowestRevisionInForce: lowest, highestRevisionInForce: highest} = body as StatusBody;
+	const rows = entries.flatMap(entry => [
+		[
+			'entry',
+			entry.processId,
+			`${entry.host}:${entry.port}`,
+			entry.failureDomain,
+			String(entry.revision),
+			stateOf(entry),
+			entry.owned.map(({failureDomain}) => failureDomain).join(', '),
+		],
+		...entry.workers.map(({workerId, failureDomain, revision}) => ['agent', workerId, '', failureDomain, String(revision)]),
 	]);
 	return {
 		exitCode: EXIT_CODES.done,
 		json: body,
 		lines: [
-			`revision ${revision ?? '(not reported)'}; ${behind} of ${processes.length} processes behind`,
-			...formatTable(['PROCESS', 'PROGRAM', 'ADDRESS', 'FAILURE DOMAIN', 'REVISION', 'STATE'], rows),
+			lowest === highest ? `revision ${highest} in force everywhere` : `revisions ${lowest} to ${highest} in force`,
+			...formatTable(['PROGRAM', 'PROCESS', 'ADDRESS', 'FAILURE DOMAIN', 'REVISION', 'STATE', 'OWNS'], rows),
 		],
 	};
 }
+
+function stateOf({ready, answers}: EntryStatus): string {
+	if (!answers) {
+		return 'no answer';
+	}
+
+	return ready ? 'ready' : 'not ready';
+}
--- a/packages/cli/src/entry-client.ts
+++ b/packages/cli/src/entry-client.ts
@@ -40,7 +40,7 @@
 		/** The decoded body; undefined when it is not JSON. */
 		readonly body: unknown;
 		readonly bytes: Uint8Array;
-		/** Whether an earlier try may have taken effect, so that a refusal does not settle the outcome. */
+		/** Whether another try may have taken effect, so that a refusal does not settle the outcome. */
 		readonly isRepeat: boolean;
 		readonly readOnly: boolean;
 	}
@@ -74,12 +74,12 @@
 	async send(apiRequest: ApiRequest): Promise<ApiAnswer> {
 		const tries: FailedTry[] = [];
 		let mayHaveRun = false;
-		let unavailable: ApiAnswer | undefined;
+		let unavailable: ApiAnswer & {kind: 'answered'} | undefined;
 		for (const {host, port} of this.#options.addresses) {
 			const address = `${host}:${port}`;
 			try {
 				const response = await this.#request(`http://${address}${apiRequest.path}`, apiRequest);
-				const answer: ApiAnswer = {kind: 'answered', ...response, isRepeat: mayHaveRun, readOnly: apiRequest.readOnly};
+				const answer = {kind: 'answered' as const, ...response, isRepeat: mayHaveRun, readOnly: apiRequest.readOnly};
 				if (response.status !== UNAVAILABLE_STATUS) {
 					return answer;
 				}
@@ -92,12 +92,11 @@
 			}
 		}
 
-		// A refusal of the last entry settles nothing when another entry may have got the request.
-		if (mayHaveRun && tries.length > 0) {
-			return {kind: 'unknown', tries};
+		if (unavailable) {
+			return {...unavailable, isRepeat: mayHaveRun};
 		}
 
-		return unavailable ?? {kind: 'no_entry', tries};
+		return {kind: mayHaveRun ? 'unknown' : 'no_entry', tries};
 	}
 
 	/** Closes all connections. */
--- a/packages/cli/src/job-view.ts
+++ b/packages/cli/src/job-view.ts
@@ -11,6 +11,10 @@
 	readonly operation?: string;
 	readonly failureDomain?: string;
 	readonly attempt?: number;
+	/** The answer, when the request waited for the end of the job. */
+	readonly answer?: unknown;
+	/** Time by which the job is late. */
+	readonly lateByMs?: number;
 	readonly reason?: {readonly code: string; readonly message: string};
 };
 
@@ -33,7 +37,7 @@
 	}
 
 	const facts = Object.entries({
-		outcome: job.outcome, service: job.service, operation: job.operation, failureDomain: job.failureDomain, attempt: job.attempt,
+		outcome: job.outcome, service: job.service, operation: job.operation, failureDomain: job.failureDomain, attempt: job.attempt, lateByMs: job.lateByMs,
 	}).filter(([, value]) => value !== undefined).map(([name, value]) => `${name} ${value}`);
 	return {
 		exitCode: EXIT_CODE_BY_OUTCOME[job.outcome ?? ''] ?? EXIT_CODES.done,
@@ -41,6 +45,7 @@
 		lines: [
 			[`${job.jobId}  ${job.state}`, ...facts].join('  '),
 			...(job.reason ? [`${job.reason.code}: ${job.reason.message}`] : []),
+			...(job.answer === undefined ? [] : [JSON.stringify(job.answer)]),
 		],
 	};
 }
--- a/packages/cli/tests/bin.test.ts
+++ b/packages/cli/tests/bin.test.ts
@@ -79,7 +79,8 @@
 		['a refusal after a hang-up as an unknown outcome', ['hang_up', {status: 429, body: refusalBody('overloaded', 'not_run')}], 3, /outcome unknown/v],
 		['an entry that cannot serve now by the next one', [{status: 503, body: refusalBody('not_ready', 'not_run')}, {status: 200, body: {jobId, state: 'waiting'}}], 0, /waiting/v],
 		['no answer at all as an unknown outcome', ['hang_up', 'hang_up'], 3, /may have taken effect/v],
-		['an unavailable entry after a hang-up as an unknown outcome', ['hang_up', {status: 503, body: refusalBody('store_unavailable', 'not_run')}], 3, /may have taken effect/v],
+		['an unavailable entry after a hang-up as an unknown outcome', ['hang_up', {status: 503, body: refusalBody('store_unavailable', 'not_run')}], 3, /outcome unknown/v],
+		['an unavailable entry before a hang-up as an unknown outcome', [{status: 503, body: refusalBody('store_unavailable', 'not_run')}, 'hang_up'], 3, /outcome unknown/v],
 		['a store outage as a refusal', [{status: 503, body: refusalBody('store_unavailable', 'not_run')}], 1, /outcome not_run/v],
 	];
 	for (const [title, replies, code, printed] of retries) {
--- a/packages/cli/tests/support/command-cases.ts
+++ b/packages/cli/tests/support/command-cases.ts
@@ -52,14 +52,14 @@
 export const commandCases: readonly CommandCase[] = [
 	{
 		argumentTexts: ['diff', 'RECORDS'],
-		reply: success({diffs: [{index: 0, record: account, action: 'create', changes: [{field: 'weight', to: 2}]}]}),
+		reply: success([{index: 0, record: account, action: 'create', changes: [{field: 'weight', to: 2}]}]),
 		expected: {method: 'POST', url: '/v1/records/diff', body: {records: [failureDomain, account]}},
 		code: 0,
 		printed: /ClientAccount\/assets: create\n {2}weight: \(none\) -> 2/v,
 	},
 	{
 		argumentTexts: ['diff', 'RECORDS'],
-		reply: success({diffs: [{index: 0, record: account, action: 'refuse', changes: [], refusal: conflictBody}]}),
+		reply: success([{index: 0, record: account, action: 'refuse', changes: [], refusal: conflictBody}]),
 		expected: {method: 'POST', url: '/v1/records/diff'},
 		code: 5,
 		printed: /weight: 3 by ben, submitted 2/v,
@@ -108,10 +108,17 @@
 	},
 	{
 		argumentTexts: ['status'],
-		reply: success({revision: 9, processes: [{processId, revision: 8}]}),
+		reply: success({
+			entries: [{
+				processId, host: '127.0.0.1', port: 7400, failureDomain: 'catania', revision: 9, ready: true, answers: true, owned: [],
+				workers: [{workerId: 'w1', failureDomain: 'palermo', revision: 8}],
+			}],
+			lowestRevisionInForce: 8,
+			highestRevisionInForce: 9,
+		}),
 		expected: {method: 'GET', url: '/v1/status'},
 		code: 0,
-		printed: /revision 9; 1 of 1 processes behind/v,
+		printed: /revisions 8 to 9 in force\n[^\n]+\nentry +0b5f9c1e[^\n]+127\.0\.0\.1:7400 +catania +9 +ready\nagent +w1 +palermo +8/v,
 	},
 	{
 		argumentTexts: ['drain', 'catania'],
@@ -129,10 +136,12 @@
 	},
 	{
 		argumentTexts: ['submit', 'JOB', '--wait-ms', '20'],
-		reply: success({jobId, state: 'completed', outcome: 'completed'}),
+		reply: success({
+			jobId, state: 'completed', outcome: 'completed', answer: {tasks: []},
+		}),
 		expected: {method: 'POST', url: '/v1/jobs', body: {service: 'register', operation: 'revaluation', waitMs: 20}},
 		code: 0,
-		printed: /completed/v,
+		printed: /outcome completed\n\{"tasks":\[\]\}/v,
 	},
 	{
 		argumentTexts: ['submit', 'JOB'],
