--- a/packages/standin/src/bin.ts
+++ b/packages/standin/src/bin.ts
@@ -20,6 +20,7 @@
 			...settings,
 			address: settings.role === 'all' ? settings.workerAddress : settings.address,
 			agentAddress: settings.agentAddress === 'none' ? undefined : settings.agentAddress,
+			objectStoreAddress: settings.objectStoreAddress === 'none' ? platform?.address : settings.objectStoreAddress,
 		});
 	return {
 		addresses: {
@@ -35,7 +36,15 @@
 
 async function run(settings: SettingsOf<typeof standinSettings>): Promise<void> {
 	const logger = createLogger('standin');
-	const started = await start(settings);
+	let started: Started;
+	try {
+		started = await start(settings);
+	} catch (error) {
+		logger.error('cannot start', {error: String(error)});
+		// One role may be listening already.
+		process.exit(1);
+	}
+
 	const stop = (): void => {
 		logger.info('closing');
 		void started.close();
