Name finished jobs that cancel leaves alone

Cause: a trial against a real entry showed "cancel accepted" for a job that had completed.

Change: `cancel` prints "not cancelled, already completed" for a job in a final state.

--- a/packages/cli/src/commands/cancel.ts
+++ b/packages/cli/src/commands/cancel.ts
@@ -1,3 +1,4 @@
+import {FINAL_JOB_STATES, type JobState} from '@amaranthsail/core';
 import {Args} from '@oclif/core';
 import {ApiCommand} from '../api-command.js';
 import {jobPath} from '../api-paths.js';
@@ -30,6 +31,10 @@
 
 /** Shows the state that the service reports; a job that runs is cancelled only once it has stopped. */
 function showCancelled(body: unknown): CommandResult {
-	const {state} = (body ?? {}) as {state?: string};
+	const {state} = (body ?? {}) as {state?: JobState};
+	if (state !== undefined && state !== 'cancelled' && FINAL_JOB_STATES.has(state)) {
+		return {exitCode: EXIT_CODES.done, json: body, lines: [`not cancelled, already ${state}`]};
+	}
+
 	return {exitCode: EXIT_CODES.done, json: body ?? null, lines: [state === undefined ? 'cancel accepted' : `cancel accepted, state ${state}`]};
 }
--- a/packages/cli/tests/support/command-cases.ts
+++ b/packages/cli/tests/support/command-cases.ts
@@ -188,6 +188,13 @@
 		code: 0,
 		printed: /state cancelled/v,
 	},
+	{
+		argumentTexts: ['cancel', jobId],
+		reply: success({jobId, state: 'completed'}),
+		expected: {method: 'DELETE', url: `/v1/jobs/${jobId}`},
+		code: 0,
+		printed: /not cancelled, already completed/v,
+	},
 	{
 		argumentTexts: ['explain', jobId],
 		reply: success({
