Test the environment variables of the command line

Cause: the tests passed entry addresses and token only by flags.

Change: one case gives both by environment variables.

Conclusion: both ways of giving them are covered.

--- a/packages/cli/tests/bin.test.ts
+++ b/packages/cli/tests/bin.test.ts
@@ -102,6 +102,17 @@
 		expect(run.stdout).to.include(address).and.not.include('not_run');
 	});
 
+	it('takes entry addresses and token from the environment', async () => {
+		const entry = new ReplyingEntry({status: 200, body: {jobs: []}});
+		await entry.start();
+		try {
+			const run = await amaranthsail(['jobs'], '', {AMARANTHSAIL_ENTRY_ADDRESSES: entry.address, AMARANTHSAIL_TOKEN: 'from-environment'});
+			expect([run.code, entry.received[0]?.headers.authorization]).to.deep.equal([0, 'Bearer from-environment']);
+		} finally {
+			await entry.stop();
+		}
+	});
+
 	it('reads a job from standard input', async () => {
 		const run = await runAgainst([{status: 202, body: {jobId, state: 'waiting'}}], ['submit', '-', '--json'], 'service: register\noperation: revaluation\n');
 		expect([run.code, run.received[0]![0]!.body]).to.deep.equal([0, {service: 'register', operation: 'revaluation'}]);
--- a/packages/cli/tests/support/replying-entry.ts
+++ b/packages/cli/tests/support/replying-entry.ts
@@ -58,9 +58,9 @@
 }
 
 /** Runs the program to its end. */
-export async function amaranthsail(argumentTexts: readonly string[], input = ''): Promise<Run> {
+export async function amaranthsail(argumentTexts: readonly string[], input = '', env: Readonly<Record<string, string>> = {}): Promise<Run> {
 	return new Promise(resolve => {
-		const child = execFile(process.execPath, [bin, ...argumentTexts], {timeout: 15_000, env: {}}, (error, stdout, stderr) => {
+		const child = execFile(process.execPath, [bin, ...argumentTexts], {timeout: 15_000, env}, (error, stdout, stderr) => {
 			resolve({code: error ? Number(error.code) : 0, stdout, stderr});
 		});
 		child.stdin!.end(input);
