--- a/packages/agent/src/measure.ts
+++ b/packages/agent/src/measure.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {ANNOUNCEMENT_INTERVAL_MS, integerSetting, readSettings} from '@amaranthsail/core';
+import {ANNOUNCEMENT_INTERVAL_MS, integerSetting, readSettings, type SettingsOf} from '@amaranthsail/core';
 import {MeasureSurroundings} from './measure-surroundings.js';
 import {readProcessUse} from './process-use.js';
 
@@ -16,6 +16,7 @@
 const SETTINGS = {
 	seconds: integerSetting('Length of each measurement.', [1, 600], 20),
 	settleSeconds: integerSetting('Time before each measurement.', [0, 600], 5),
+	semiSpaceMb: integerSetting('Value of --max-semi-space-size for the agent; 0 for the default of Node.js.', [0, 64], 1),
 	httpPort: integerSetting('HTTP port of the agent.', [1024, 65_535], 17_410),
 };
 
@@ -48,11 +49,11 @@
 	}
 }
 
-async function measure(seconds: number, settleSeconds: number, httpPort: number): Promise<void> {
+async function measure({seconds, settleSeconds, semiSpaceMb, httpPort}: SettingsOf<typeof SETTINGS>): Promise<void> {
 	const surroundings = new MeasureSurroundings(SHARED_SECRET);
 	const port = await surroundings.start();
 	const address = `127.0.0.1:${port}`;
-	const agent = spawn(process.execPath, ['--max-semi-space-size=1', fileURLToPath(new URL('bin.js', import.meta.url))], {
+	const agent = spawn(process.execPath, [...(semiSpaceMb === 0 ? [] : [`--max-semi-space-size=${semiSpaceMb}`]), fileURLToPath(new URL('bin.js', import.meta.url))], {
 		env: {
 			AMARANTHSAIL_WORKER_ID: 'worker-1',
 			AMARANTHSAIL_FAILURE_DOMAIN: 'domain-1',
@@ -107,6 +108,5 @@
 } else if (outcome.value.kind === 'help') {
 	process.stdout.write(outcome.value.text);
 } else if (outcome.value.kind === 'run') {
-	const {seconds, settleSeconds, httpPort} = outcome.value.settings;
-	await measure(seconds, settleSeconds, httpPort);
+	await measure(outcome.value.settings);
 }
--- a/packages/agent/src/message-guard.ts
+++ b/packages/agent/src/message-guard.ts
@@ -1,5 +1,5 @@
 import {
-	type Command, COMMAND_KINDS, type ControlMessage, type HeartbeatAck, type TaskKey,
+	type Command, COMMAND_KINDS, type ControlMessage, type HeartbeatAck, RESOURCE_NAMES, type TaskAssignment, type TaskKey,
 } from '@amaranthsail/core';
 
 function isTaskKey(value: unknown): value is TaskKey {
@@ -11,6 +11,23 @@
 	return typeof message.ownerId === 'string' && Number.isInteger(message.epoch);
 }
 
+function isAssignment(value: unknown): value is TaskAssignment {
+	const assignment = value as Partial<TaskAssignment> | undefined;
+	const {shape, accelerators} = assignment ?? {};
+	return typeof assignment?.endpointId === 'string' && typeof assignment.service === 'string' && Array.isArray(accelerators)
+		// A negative amount would give other tasks more than the worker has.
+		&& shape !== undefined && RESOURCE_NAMES.every(name => Number.isFinite(shape[name]) && shape[name] >= 0);
+}
+
+function isDuration(value: unknown): boolean {
+	return value === undefined || (Number.isFinite(value) && Number(value) >= 0);
+}
+
+function isCommand(message: Command): boolean {
+	return COMMAND_KINDS.includes(message.kind) && isTaskKey(message.task) && isDuration(message.holdMs) && isDuration(message.graceMs)
+		&& (message.kind !== 'prepare' || message.assignment === undefined || isAssignment(message.assignment));
+}
+
 /**
  * Tells whether an authenticated message can be handled. Authentication proves the sender, not that its version
  * writes the fields that this one reads.
@@ -24,5 +41,5 @@
 			&& Array.isArray(message.renewed) && message.renewed.every(key => isTaskKey(key));
 	}
 
-	return message.type === 'command' && isFrom(message) && COMMAND_KINDS.includes(message.kind) && isTaskKey(message.task);
+	return message.type === 'command' && isFrom(message) && isCommand(message);
 }
--- a/packages/agent/tests/agent-program.test.ts
+++ b/packages/agent/tests/agent-program.test.ts
@@ -31,15 +31,25 @@
 			this.#last = {heartbeat, port};
 			const {sequence, sentAtMs} = heartbeat;
 			this.#send({
-				type: 'ack', ownerId: 'owner-1', epoch: 1, sequence, sentAtMs, degraded: false, revision: 5, wantFacts: false, renewed: heartbeat.reports,
+				type: 'ack',
+				ownerId: 'owner-1',
+				epoch: 1,
+				sequence,
+				sentAtMs,
+				degraded: false,
+				revision: 5,
+				wantFacts: false,
+				renewed: heartbeat.reports,
 			}, port);
 		});
 	}
 
 	command(kind: 'prepare' | 'release' | 'forget'): void {
 		const {heartbeat, port} = this.#last!;
+		const {incarnation} = heartbeat;
+		const assignment = {...ASSIGNMENT, inlineInput: JSON.stringify({runMs: 300})};
 		this.#send({
-			type: 'command', kind, ownerId: 'owner-1', epoch: 1, workerId: 'worker-a', incarnation: heartbeat.incarnation, task: TASK, assignment: {...ASSIGNMENT, inlineInput: JSON.stringify({runMs: 300})},
+			type: 'command', kind, ownerId: 'owner-1', epoch: 1, workerId: 'worker-a', incarnation, task: TASK, assignment,
 		}, port);
 	}
 
