--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -9,6 +9,7 @@
 import {totalAccelerators, type JobEntry} from './job-entry.js';
 import {JobPlacer} from './job-placer.js';
 import {LeastAttainedPolicy} from './least-attained-policy.js';
+import {MigrationPlanner} from './migration-planner.js';
 import type {OrderingPolicy, OrderingPolicyFactory, QueuedJob} from './ordering-policy.js';
 import {ReclaimPlanner} from './reclaim-planner.js';
 import {RunTimeEstimates} from './run-time-estimates.js';
@@ -17,7 +18,7 @@
 import type {WorkerState} from './worker-state.js';
 
 /** Learned run time from which on work counts as long, whatever its declared class. */
-const LONG_RUN_MS = 60_000;
+const LONG_RUN_MS = 30_000;
 
 const POLICIES: Readonly<Record<Ordering, OrderingPolicyFactory>> = {
 	firstFit: () => new FirstFitPolicy(),
@@ -31,6 +32,7 @@
 	readonly guard = new GuaranteeGuard(this.cluster);
 	readonly placer = new JobPlacer(this.cluster, this.guard);
 	readonly planner = new ReclaimPlanner(this.cluster, this.guard, this.placer);
+	readonly migrations = new MigrationPlanner(this.cluster, this.placer);
 	readonly ledger = new AccountLedger();
 	readonly health = new WorkerHealth();
 	readonly estimates = new RunTimeEstimates();
@@ -214,7 +216,7 @@
 		}
 
 		return !this.health.isQuarantined(worker.workerId)
-			|| (entry.spec.repeatable && entry.spec.taskCount === 1 && this.health.mayTake(worker.workerId, nowMs));
+			|| (entry.spec.repeatable && this.health.mayTake(worker.workerId, nowMs));
 	}
 
 	/**
