--- a/packages/agent/tests/agent-core.test.ts
+++ b/packages/agent/tests/agent-core.test.ts
@@ -4,13 +4,8 @@
 
 type Step = CommandKind | {readonly kind: CommandKind; readonly changes: Partial<Command>} | ((harness: AgentHarness) => void);
 
-type Case = {
-	readonly name: string;
-	readonly steps: readonly Step[];
-	/** State, whether it ever started, and reason of the report at the end. */
-	readonly report: readonly [string, boolean, string?] | undefined;
-	readonly starts: number;
-};
+/** Name, steps, then the report at the end (state, whether it ever started, reason) and the number of starts. */
+type Case = readonly [name: string, steps: readonly Step[], report: readonly [string, boolean, string?] | undefined, starts: number];
 
 function play(harness: AgentHarness, steps: readonly Step[]): void {
 	for (const step of steps) {
@@ -46,245 +41,107 @@
 
 const CASES: Readonly<Record<string, readonly Case[]>> = {
 	'order and repetition of commands': [
-		{
-			name: 'prepare holds', steps: ['prepare'], report: ['prepared', false], starts: 0,
-		},
-		{
-			name: 'release starts', steps: ['prepare', 'release'], report: ['running', true], starts: 1,
-		},
-		{
-			name: 'every command twice', steps: ['prepare', 'prepare', 'release', 'release', 'prepare'], report: ['running', true], starts: 1,
-		},
-		{
-			name: 'release before prepare', steps: ['release', 'prepare', 'release'], report: ['stopped', false, 'never_prepared'], starts: 0,
-		},
-		{
-			name: 'stop before prepare', steps: ['stop', 'prepare', 'release'], report: ['stopped', false, 'never_prepared'], starts: 0,
-		},
-		{
-			name: 'checkpoint before prepare', steps: ['checkpoint', 'prepare', 'release'], report: ['stopped', false, 'never_prepared'], starts: 0,
-		},
-		{
-			name: 'stop of a prepared task', steps: ['prepare', 'stop', 'release', 'prepare'], report: ['stopped', false, 'stop_requested'], starts: 0,
-		},
-		{
-			name: 'stop of a running task', steps: ['prepare', 'release', 'stop', 'stop', 'release'], report: ['stopped', true, 'stop_requested'], starts: 1,
-		},
-		{
-			name: 'prepare and release after forget', steps: ['prepare', 'stop', 'forget', 'prepare', 'release'], report: ['stopped', false, 'already_ended'], starts: 0,
-		},
-		{
-			name: 'release after forget of a started task', steps: ['prepare', 'release', 'stop', 'forget', 'release'], report: ['stopped', true, 'already_ended'], starts: 1,
-		},
-		{
-			name: 'forget of a running task', steps: ['prepare', 'release', 'forget'], report: ['running', true], starts: 1,
-		},
-		{
-			name: 'forget twice', steps: ['stop', 'forget', 'forget'], report: undefined, starts: 0,
-		},
-		{
-			name: 'throttle of an unknown task', steps: ['throttle'], report: undefined, starts: 0,
-		},
+		['prepare holds', ['prepare'], ['prepared', false], 0],
+		['release starts', ['prepare', 'release'], ['running', true], 1],
+		['every command twice', ['prepare', 'prepare', 'release', 'release', 'prepare'], ['running', true], 1],
+		['release before prepare', ['release', 'prepare', 'release'], ['stopped', false, 'never_prepared'], 0],
+		['stop before prepare', ['stop', 'prepare', 'release'], ['stopped', false, 'never_prepared'], 0],
+		['checkpoint before prepare', ['checkpoint', 'prepare', 'release'], ['stopped', false, 'never_prepared'], 0],
+		['stop of a prepared task', ['prepare', 'stop', 'release', 'prepare'], ['stopped', false, 'stop_requested'], 0],
+		['stop of a running task', ['prepare', 'release', 'stop', 'stop', 'release'], ['stopped', true, 'stop_requested'], 1],
+		['prepare and release after forget', ['prepare', 'stop', 'forget', 'prepare', 'release'], ['stopped', false, 'already_ended'], 0],
+		['release after forget of a started task', ['prepare', 'release', 'stop', 'forget', 'release'], ['stopped', true, 'already_ended'], 1],
+		['forget of a running task', ['prepare', 'release', 'forget'], ['running', true], 1],
+		['forget twice', ['stop', 'forget', 'forget'], undefined, 0],
+		['throttle of an unknown task', ['throttle'], undefined, 0],
 	],
 	fences: [
-		{
-			name: 'command of a lower epoch', steps: [{kind: 'prepare', changes: {epoch: 2}}], report: undefined, starts: 0,
-		},
-		{
-			name: 'release of a lower epoch', steps: ['prepare', {kind: 'release', changes: {epoch: 2}}], report: ['prepared', false], starts: 0,
-		},
-		{
-			name: 'release of the old owner after a higher epoch',
-			steps: ['prepare', {kind: 'throttle', changes: {epoch: 4, ownerId: 'owner-4'}}, 'release'],
-			report: ['prepared', false],
-			starts: 0,
-		},
-		{
-			name: 'command of another process under the same epoch', steps: [{kind: 'prepare', changes: {ownerId: 'other'}}], report: undefined, starts: 0,
-		},
-		{
-			name: 'command for another incarnation', steps: [{kind: 'prepare', changes: {incarnation: 'incarnation-1'}}], report: undefined, starts: 0,
-		},
-		{
-			name: 'command for another worker', steps: [{kind: 'prepare', changes: {workerId: 'worker-b'}}], report: undefined, starts: 0,
-		},
+		['command of a lower epoch', [{kind: 'prepare', changes: {epoch: 2}}], undefined, 0],
+		['release of a lower epoch', ['prepare', {kind: 'release', changes: {epoch: 2}}], ['prepared', false], 0],
+		['release of the old owner after a higher epoch', ['prepare', {kind: 'throttle', changes: {epoch: 4, ownerId: 'owner-4'}}, 'release'], ['prepared', false], 0],
+		['command of another process under the same epoch', [{kind: 'prepare', changes: {ownerId: 'other'}}], undefined, 0],
+		['command for another incarnation', [{kind: 'prepare', changes: {incarnation: 'incarnation-1'}}], undefined, 0],
+		['command for another worker', [{kind: 'prepare', changes: {workerId: 'worker-b'}}], undefined, 0],
 	],
 	endpoints: [
-		{
-			name: 'prepare on a leaving endpoint', steps: [leave, 'prepare'], report: ['refused', false, 'endpoint_leaving'], starts: 0,
-		},
-		{
-			name: 'release on a leaving endpoint', steps: ['prepare', leave, 'release'], report: ['stopped', false, 'endpoint_leaving'], starts: 0,
-		},
-		{
-			name: 'late announcement that no longer says leaving',
-			steps: ['prepare', leave, wait(100), set({isLeaving: false}), (harness: AgentHarness): void => {
-				harness.announce();
-			}, 'release'],
-			report: ['stopped', false, 'endpoint_leaving'],
-			starts: 0,
-		},
-		{
-			name: 'prepare on a silent endpoint', steps: [set({isAnnouncing: false}), wait(3000), 'prepare'], report: ['refused', false, 'endpoint_leaving'], starts: 0,
-		},
-		{
-			name: 'release on a silent endpoint', steps: ['prepare', set({isAnnouncing: false}), wait(3000), 'release'], report: ['stopped', false, 'endpoint_leaving'], starts: 0,
-		},
-		{
-			name: 'running task on a silent endpoint', steps: ['prepare', 'release', set({isAnnouncing: false}), wait(20_000)], report: ['running', true], starts: 1,
-		},
-		{
-			name: 'unknown endpoint', steps: [withAssignment({endpointId: 'endpoint-b'})], report: ['refused', false, 'unknown_endpoint'], starts: 0,
-		},
-		{
-			name: 'endpoint of another service', steps: [withAssignment({service: 'repairs'})], report: ['refused', false, 'wrong_service'], starts: 0,
-		},
-		{
-			name: 'release after a refused prepare', steps: [leave, 'prepare', 'release'], report: ['stopped', false, 'endpoint_leaving'], starts: 0,
-		},
+		['prepare on a leaving endpoint', [leave, 'prepare'], ['refused', false, 'endpoint_leaving'], 0],
+		['release on a leaving endpoint', ['prepare', leave, 'release'], ['stopped', false, 'endpoint_leaving'], 0],
+		['late announcement that no longer says leaving', ['prepare', leave, wait(100), set({isLeaving: false}), (harness: AgentHarness): void => {
+			harness.announce();
+		}, 'release'], ['stopped', false, 'endpoint_leaving'], 0],
+		['prepare on a silent endpoint', [set({isAnnouncing: false}), wait(3000), 'prepare'], ['refused', false, 'endpoint_leaving'], 0],
+		['release on a silent endpoint', ['prepare', set({isAnnouncing: false}), wait(3000), 'release'], ['stopped', false, 'endpoint_leaving'], 0],
+		['running task on a silent endpoint', ['prepare', 'release', set({isAnnouncing: false}), wait(20_000)], ['running', true], 1],
+		['unknown endpoint', [withAssignment({endpointId: 'endpoint-b'})], ['refused', false, 'unknown_endpoint'], 0],
+		['endpoint of another service', [withAssignment({service: 'repairs'})], ['refused', false, 'wrong_service'], 0],
+		['release after a refused prepare', [leave, 'prepare', 'release'], ['stopped', false, 'endpoint_leaving'], 0],
 	],
 	resources: [
-		...(['slots', 'connections', 'processors', 'memoryMb', 'accelerators'] as const).map(name => ({
-			name: `too many ${name}`, steps: [withShape({[name]: 100_000})], report: ['refused', false, `no_${name}`] as const, starts: 0,
-		})),
-		{
-			name: 'accelerator held by another task',
-			steps: [{kind: 'prepare', changes: {task: {...TASK, jobId: 'job-b'}}}, 'prepare'],
-			report: ['refused', false, 'accelerator_taken'],
-			starts: 0,
-		},
-		{
-			name: 'fewer accelerator numbers than the shape', steps: [withAssignment({accelerators: [0]})], report: ['refused', false, 'wrong_accelerators'], starts: 0,
-		},
-		{
-			name: 'accelerator number twice', steps: [withAssignment({accelerators: [0, 0]})], report: ['refused', false, 'wrong_accelerators'], starts: 0,
-		},
-		{
-			name: 'accelerator that the worker lacks', steps: [withAssignment({accelerators: [7, 8]})], report: ['refused', false, 'accelerator_taken'], starts: 0,
-		},
-		{
-			name: 'resources given back by a stopped task',
-			steps: [{kind: 'prepare', changes: {task: {...TASK, jobId: 'job-b'}}}, {kind: 'stop', changes: {task: {...TASK, jobId: 'job-b'}}}, 'prepare'],
-			report: ['prepared', false],
-			starts: 0,
-		},
+		...(['slots', 'connections', 'processors', 'memoryMb', 'accelerators'] as const)
+			.map((name): Case => [`too many ${name}`, [withShape({[name]: 100_000})], ['refused', false, `no_${name}`], 0]),
+		['accelerator held by another task', [{kind: 'prepare', changes: {task: {...TASK, jobId: 'job-b'}}}, 'prepare'], ['refused', false, 'accelerator_taken'], 0],
+		['fewer accelerator numbers than the shape', [withAssignment({accelerators: [0]})], ['refused', false, 'wrong_accelerators'], 0],
+		['accelerator number twice', [withAssignment({accelerators: [0, 0]})], ['refused', false, 'wrong_accelerators'], 0],
+		['accelerator that the worker lacks', [withAssignment({accelerators: [7, 8]})], ['refused', false, 'accelerator_taken'], 0],
+		[
+			'resources given back by a stopped task',
+			[{kind: 'prepare', changes: {task: {...TASK, jobId: 'job-b'}}}, {kind: 'stop', changes: {task: {...TASK, jobId: 'job-b'}}}, 'prepare'],
+			['prepared', false],
+			0,
+		],
 	],
 	'holds and leases': [
-		{
-			name: 'hold lapses without a renewal', steps: [set({isRenewing: false}), 'prepare', wait(5000), 'release'], report: ['stopped', false, 'hold_lapsed'], starts: 0,
-		},
-		{
-			name: 'hold goes on with renewals', steps: ['prepare', wait(30_000), 'release'], report: ['running', true], starts: 1,
-		},
-		{
-			name: 'prepared task whose lease lapses',
-			steps: ['prepare', wait(100), set({isAcking: false}), wait(TASK_LEASE_MS), 'release'],
-			report: ['stopped', false, 'lease_lapsed'],
-			starts: 0,
-		},
-		{
-			name: 'running task whose lease lapses',
-			steps: ['prepare', 'release', wait(100), set({isAcking: false}), wait(TASK_LEASE_MS)],
-			report: ['stopped', true, 'lease_lapsed'],
-			starts: 1,
-		},
-		{
-			name: 'release that was queued while the agent was paused',
-			steps: ['prepare', wait(100), (harness: AgentHarness): void => {
-				harness.pause(TASK_LEASE_MS);
-				harness.announce();
-			}, 'release'],
-			report: ['stopped', false, 'lease_lapsed'],
-			starts: 0,
-		},
-		{
-			name: 'prepare and release that were queued while the agent was paused',
-			steps: [(harness: AgentHarness): void => {
-				harness.isAcking = false;
-				harness.pause(TASK_LEASE_MS);
-				harness.announce();
-			}, 'prepare', 'release'],
-			report: ['prepared', false],
-			starts: 0,
-		},
+		['hold lapses without a renewal', [set({isRenewing: false}), 'prepare', wait(5000), 'release'], ['stopped', false, 'hold_lapsed'], 0],
+		['hold goes on with renewals', ['prepare', wait(30_000), 'release'], ['running', true], 1],
+		['prepared task whose lease lapses', ['prepare', wait(100), set({isAcking: false}), wait(TASK_LEASE_MS), 'release'], ['stopped', false, 'lease_lapsed'], 0],
+		['running task whose lease lapses', ['prepare', 'release', wait(100), set({isAcking: false}), wait(TASK_LEASE_MS)], ['stopped', true, 'lease_lapsed'], 1],
+		['release that was queued while the agent was paused', ['prepare', wait(100), (harness: AgentHarness): void => {
+			harness.pause(TASK_LEASE_MS);
+			harness.announce();
+		}, 'release'], ['stopped', false, 'lease_lapsed'], 0],
+		['prepare and release that were queued while the agent was paused', [(harness: AgentHarness): void => {
+			harness.isAcking = false;
+			harness.pause(TASK_LEASE_MS);
+			harness.announce();
+		}, 'prepare', 'release'], ['prepared', false], 0],
 	],
 	shutdown: [
-		{
-			name: 'prepare after the first signal', steps: [(harness: AgentHarness): void => {
-				harness.run({task: {...TASK, jobId: 'job-b'}});
-			}, shutDown, 'prepare'], report: ['refused', false, 'agent_leaving'], starts: 1,
-		},
-		{
-			name: 'prepared task at the first signal', steps: ['prepare', shutDown, 'release'], report: ['stopped', false, 'agent_leaving'], starts: 0,
-		},
-		{
-			name: 'running task at the first signal', steps: ['prepare', 'release', wait(50), shutDown, wait(60_000)], report: ['running', true], starts: 1,
-		},
+		['prepare after the first signal', [(harness: AgentHarness): void => {
+			harness.run({task: {...TASK, jobId: 'job-b'}});
+		}, shutDown, 'prepare'], ['refused', false, 'agent_leaving'], 1],
+		['prepared task at the first signal', ['prepare', shutDown, 'release'], ['stopped', false, 'agent_leaving'], 0],
+		['running task at the first signal', ['prepare', 'release', wait(50), shutDown, wait(60_000)], ['running', true], 1],
 	],
 	'worker failures': [
-		{
-			name: 'start that was never sent',
-			steps: [set({startError: {kind: 'unavailable', message: ''}}), 'prepare', 'release', 'release'],
-			report: ['stopped', false, 'worker_unavailable'],
-			starts: 1,
-		},
-		{
-			name: 'start that the worker refuses', steps: [set({startError: {kind: 'refused', message: ''}}), 'prepare', 'release'], report: ['stopped', false, 'start_refused'], starts: 1,
-		},
-		{
-			name: 'start whose answer is lost', steps: [set({startError: {kind: 'outcome_unknown', message: ''}}), 'prepare', 'release', wait(300)], report: ['running', true], starts: 1,
-		},
-		{
-			name: 'start that is lost without an answer',
-			steps: [set({startError: {kind: 'outcome_unknown', message: ''}}), 'prepare', 'release', (harness: AgentHarness): void => {
-				harness.worker.clear();
-			}, wait(600)],
-			report: ['stopped', true, 'lost_by_worker'],
-			starts: 1,
-		},
-		{
-			name: 'worker that forgot a running task',
-			steps: ['prepare', 'release', (harness: AgentHarness): void => {
-				harness.worker.clear();
-			}, wait(600)],
-			report: ['stopped', true, 'lost_by_worker'],
-			starts: 1,
-		},
-		{
-			name: 'task that fails',
-			steps: ['prepare', 'release', (harness: AgentHarness): void => {
-				harness.setWorkerTask({state: 'failed', reason: 'exit_1'});
-			}, wait(300)],
-			report: ['failed', true, 'exit_1'],
-			starts: 1,
-		},
-		{
-			name: 'stop that fails is not reported',
-			steps: ['prepare', 'release', set({stopError: {kind: 'unavailable', message: ''}}), 'stop', wait(2000)],
-			report: ['running', true],
-			starts: 1,
-		},
-		{
-			name: 'stop that fails is repeated',
-			steps: ['prepare', 'release', set({stopError: {kind: 'outcome_unknown', message: ''}}), 'stop', wait(50), set({stopError: undefined}), wait(600)],
-			report: ['stopped', true, 'stop_requested'],
-			starts: 1,
-		},
-		{
-			name: 'task that finishes while it is being stopped',
-			steps: ['prepare', 'release', (harness: AgentHarness): void => {
-				harness.finish();
-			}, 'stop', wait(50)],
-			report: ['finished', true],
-			starts: 1,
-		},
+		['start that was never sent', [set({startError: {kind: 'unavailable', message: ''}}), 'prepare', 'release', 'release'], ['stopped', false, 'worker_unavailable'], 1],
+		['start that the worker refuses', [set({startError: {kind: 'refused', message: ''}}), 'prepare', 'release'], ['stopped', false, 'start_refused'], 1],
+		['start whose answer is lost', [set({startError: {kind: 'outcome_unknown', message: ''}}), 'prepare', 'release', wait(300)], ['running', true], 1],
+		['start that is lost without an answer', [set({startError: {kind: 'outcome_unknown', message: ''}}), 'prepare', 'release', (harness: AgentHarness): void => {
+			harness.worker.clear();
+		}, wait(600)], ['stopped', true, 'lost_by_worker'], 1],
+		['worker that forgot a running task', ['prepare', 'release', (harness: AgentHarness): void => {
+			harness.worker.clear();
+		}, wait(600)], ['stopped', true, 'lost_by_worker'], 1],
+		['task that fails', ['prepare', 'release', (harness: AgentHarness): void => {
+			harness.setWorkerTask({state: 'failed', reason: 'exit_1'});
+		}, wait(300)], ['failed', true, 'exit_1'], 1],
+		['stop that fails is not reported', ['prepare', 'release', set({stopError: {kind: 'unavailable', message: ''}}), 'stop', wait(2000)], ['running', true], 1],
+		[
+			'stop that fails is repeated',
+			['prepare', 'release', set({stopError: {kind: 'outcome_unknown', message: ''}}), 'stop', wait(50), set({stopError: undefined}), wait(600)],
+			['stopped', true, 'stop_requested'],
+			1,
+		],
+		['task that finishes while it is being stopped', ['prepare', 'release', (harness: AgentHarness): void => {
+			harness.finish();
+		}, 'stop', wait(50)], ['finished', true], 1],
 	],
 };
 
 describe('AgentCore', () => {
 	for (const [group, cases] of Object.entries(CASES)) {
 		describe(group, () => {
-			for (const {name, steps, report, starts} of cases) {
+			for (const [name, steps, report, starts] of cases) {
 				it(name, () => {
 					const harness = new AgentHarness().boot();
 					play(harness, steps);
