Restrict the lint rules to scripts

Cause: 'npx xo DIRECTORY' crashed on package.json, because rules for TypeScript applied to JSON files as well. Measured: lint is clean for the whole tree and for a directory. Conclusion: contributors can lint one package.

--- a/packages/proof/tests/partitions.test.ts
+++ b/packages/proof/tests/partitions.test.ts
@@ -1,5 +1,5 @@
-import {findViolations, World, type FuzzJob} from '@amaranthsail/proof';
 import {expect} from 'chai';
+import {findViolations, World, type FuzzJob} from '@amaranthsail/proof';
 
 const longJob: FuzzJob = {
 	account: 'red', taskCount: 1, accelerators: 1, repeatable: true, checkpointable: false, runMs: 120_000, fails: false, ignoresStop: false,
--- a/xo.config.js
+++ b/xo.config.js
@@ -4,6 +4,7 @@
 		ignores: ['**/dist/**', 'build/**', 'bench-results/**'],
 	},
 	{
+		files: ['**/*.{js,ts}'],
 		rules: {
 			// Wire formats and environment variables have names of their own.
 			'@typescript-eslint/naming-convention': 'off',
