--- a/packages/proof/src/world.ts
+++ b/packages/proof/src/world.ts
@@ -15,8 +15,8 @@
 import {HEALTHY_NETWORK, SimNetwork} from './sim-network.js';
 import {VirtualTime} from './virtual-time.js';
 
-/** States of the store. */
-export const STORE_MODES = ['up', 'down', 'lossy'] as const;
+/** States of the store; `unanswered` takes requests and neither carries them out nor answers. */
+export const STORE_MODES = ['up', 'down', 'lossy', 'unanswered'] as const;
 
 /** One of {@link STORE_MODES}. */
 export type StoreMode = (typeof STORE_MODES)[number];
@@ -235,6 +235,10 @@
 			return {kind: 'unavailable'};
 		}
 
+		if (this.storeMode === 'unanswered') {
+			return {kind: operation.hasEffect ? 'lost_before_effect' : 'unavailable'};
+		}
+
 		if (this.storeMode === 'lossy' && this.#random.chance(30)) {
 			const kinds = operation.hasEffect
 				? ['lost_before_effect', 'lost_after_effect', 'late', 'duplicated', 'unavailable'] as const
--- a/packages/proof/tests/partitions.test.ts
+++ b/packages/proof/tests/partitions.test.ts
@@ -1,13 +1,13 @@
 import {expect} from 'chai';
-import {findViolations, World, type FuzzJob} from '@amaranthsail/proof';
+import {findViolations, HEALTHY_NETWORK, World, type FuzzJob} from '@amaranthsail/proof';
 
 const longJob: FuzzJob = {
 	account: 'red', taskCount: 1, accelerators: 1, repeatable: true, checkpointable: false, runMs: 120_000, fails: false, ignoresStop: false,
 };
 
 /** A world with one running job, its owner and its agent. */
-async function startLongJob(): Promise<{readonly world: World; readonly jobId: string; readonly owner: number; readonly agent: number}> {
-	const world = new World(1);
+async function startLongJob(seed = 1): Promise<{readonly world: World; readonly jobId: string; readonly owner: number; readonly agent: number}> {
+	const world = new World(seed);
 	await world.time.advance(6000);
 	const jobId = await world.submit(longJob);
 	await world.time.advance(2000);
@@ -62,4 +62,41 @@
 		expect(executionsOf(world, jobId)).to.equal(1);
 		expect(findViolations(world)).to.deep.equal([]);
 	});
+
+	// Guards against a release that is sent before the decision is durable: a new owner would start the job again.
+	it('a non-repeatable job runs at most once wherever the store fails between submit and release', async () => {
+		for (let delayMs = 2; delayMs <= 62; delayMs += 3) {
+			const world = new World(delayMs);
+			await world.time.advance(6000);
+			const jobId = await world.submit({...longJob, repeatable: false, runMs: 1000});
+			await world.time.advance(delayMs);
+			world.storeMode = 'unanswered';
+			await world.time.advance(2000);
+			for (const index of world.entries.keys()) {
+				world.restartEntry(index);
+			}
+
+			world.storeMode = 'up';
+			await world.time.advance(120_000);
+			expect(findViolations(world), `store unanswered after ${delayMs} ms`).to.deep.equal([]);
+			expect(executionsOf(world, jobId!)).to.be.at.most(1);
+			expect(['completed', 'unknown']).to.include(world.history.rows.get(jobId!)!.state);
+		}
+	});
+
+	// Guards against a lease that counts from the arrival of a late acknowledgement and outlives the owner's fence.
+	it('late acknowledgements do not extend a task beyond the fence of a silent agent', async () => {
+		for (let seed = 1; seed <= 25; seed++) {
+			const {world, agent} = await startLongJob(seed);
+			world.network.faults = {lossPercent: 60, duplicatePercent: 50, maxDelayMs: 4000};
+			await world.time.advance(15_000);
+			for (const index of world.entries.keys()) {
+				world.network.cut(`entry-${index}`, world.agents[agent]!.host);
+			}
+
+			world.network.faults = HEALTHY_NETWORK;
+			await world.time.advance(40_000);
+			expect(findViolations(world), `seed ${seed}`).to.deep.equal([]);
+		}
+	});
 });
