Fetch long inputs before a task starts

Cause: an input of more than 400 bytes was stored as an object, but no worker fetched it, so the task ran without its input. Change: the worker stand-in fetches the object that the assignment names and refuses the start as unavailable without it; the quickstart runs such a job. Before: the new test starts a task without input. Conclusion: the agent repeats a start that was unavailable, so a slow object store only delays the task.

--- a/packages/quickstart/src/local-system.ts
+++ b/packages/quickstart/src/local-system.ts
@@ -114,7 +114,7 @@
 				AMARANTHSAIL_ROLE: 'worker',
 				AMARANTHSAIL_ADDRESS: '127.0.0.1:0',
 				AMARANTHSAIL_AGENT_ADDRESS: agentAddress,
-				AMARANTHSAIL_STORE_ADDRESS: formatAddress(this.platform.address),
+				AMARANTHSAIL_OBJECT_STORE_ADDRESS: formatAddress(this.platform.address),
 				AMARANTHSAIL_SERVICES: spec.services.join(','),
 				AMARANTHSAIL_RACK: spec.rack,
 				AMARANTHSAIL_CAPACITY: JSON.stringify(spec.capacity),
--- a/packages/quickstart/src/quickstart.ts
+++ b/packages/quickstart/src/quickstart.ts
@@ -26,6 +26,10 @@
 	{title: 'revaluation', account: 'subsidiaries', job: 'revaluation', input: {runMs: 400}, expected: 'completed'},
 	{title: 'revaluation, gang of 4 in one rack', account: 'subsidiaries', job: 'revaluation-gang', input: {runMs: 400}, expected: 'completed'},
 	{title: 'depreciation posting', account: 'tax', job: 'depreciation-posting', input: {runMs: 100}, expected: 'completed'},
+	{
+		title: 'depreciation posting with a long input', account: 'tax', job: 'depreciation-posting',
+		input: {runMs: 100, ledgers: Array.from({length: 200}, (_unused, index) => 4100 + index)}, expected: 'completed',
+	},
 	{title: 'disposal reconciliation, not repeatable', account: 'tax', job: 'disposal-reconciliation', input: {runMs: 100}, expected: 'completed'},
 	{title: 'photo assessment, gang of 2', account: 'water-repairs', job: 'photo-assessment', input: {runMs: 400}, expected: 'completed'},
 	{title: 'quote batching', account: 'housing-repairs', job: 'quote-batching', input: {runMs: 100}, expected: 'completed'},
--- a/packages/standin/src/start-worker.ts
+++ b/packages/standin/src/start-worker.ts
@@ -1,7 +1,7 @@
 import {
 	SystemClock, type Address, type Clock, type EndpointReport, type Resources,
 } from '@amaranthsail/core';
-import {FaultPlan, HttpObjectStore, MemoryWorkerRuntime} from '@amaranthsail/platform';
+import {FaultPlan, HttpObjectStore, MemoryWorkerRuntime, type ObjectStore} from '@amaranthsail/platform';
 import {z} from 'zod';
 import {CheckpointMirror} from './checkpoint-mirror.js';
 import {EndpointAnnouncer} from './endpoint-announcer.js';
@@ -41,7 +41,7 @@
 	readonly clock?: Clock;
 	/** Progress by checkpoint key; pass one map to all workers that continue one another's tasks. */
 	readonly checkpoints?: Map<string, number>;
-	/** The object store that takes the checkpoints, for workers in several processes; none by default. */
+	/** The object store that takes the checkpoints and holds long inputs, for workers in several processes; none by default. */
 	readonly objectStoreAddress?: Address;
 };
 
@@ -76,7 +76,7 @@
 	const endpoints = endpointsOf(endpointId, options.services ?? []);
 	const announcer = options.agentAddress && new EndpointAnnouncer(options.agentAddress, endpoints);
 	const server = await serve([
-		...workerRoutes(runtime, async key => mirror?.load(key)),
+		...workerRoutes(runtime, async key => mirror?.load(key), async key => readText(objects, key)),
 		...faultRoutes(runtime.faults),
 		['GET', '/v1/endpoints', () => json({endpoints: announcer?.endpoints ?? endpoints})],
 		['PUT', '/v1/endpoints', withBody(z.strictObject({leaving: z.boolean().optional(), silent: z.boolean().optional()}), async change => {
@@ -109,3 +109,8 @@
 		leaving: false,
 	}));
 }
+
+async function readText(objects: ObjectStore | undefined, key: string): Promise<string | undefined> {
+	const content = await objects?.get(key);
+	return content?.ok && content.value ? new TextDecoder().decode(content.value) : undefined;
+}
--- a/packages/standin/src/worker-routes.ts
+++ b/packages/standin/src/worker-routes.ts
@@ -1,4 +1,4 @@
-import type {Resources, TaskAssignment, TaskKey} from '@amaranthsail/core';
+import {err, type Resources, type TaskAssignment, type TaskKey} from '@amaranthsail/core';
 import type {MemoryWorkerRuntime} from '@amaranthsail/platform';
 import {z} from 'zod';
 import {json, type Reply, type Route} from './http-app.js';
@@ -24,6 +24,7 @@
 	repeatable: z.boolean(),
 	checkpointable: z.boolean(),
 	inlineInput: z.string().optional(),
+	inputKey: z.string().optional(),
 	checkpointKey: z.string().optional(),
 }) satisfies z.ZodType<TaskAssignment>;
 
@@ -35,16 +36,26 @@
  *
  * @param runtime - Runs the tasks.
  * @param loadCheckpoint - Fetches a checkpoint before the start of a task that continues from it.
+ * @param loadInput - Fetches an input that did not travel with the assignment; undefined when it cannot be had now.
  * @returns The routes.
  */
-export function workerRoutes(runtime: MemoryWorkerRuntime, loadCheckpoint: (key: string) => Promise<void>): readonly Route[] {
+export function workerRoutes(
+	runtime: MemoryWorkerRuntime,
+	loadCheckpoint: (key: string) => Promise<void>,
+	loadInput: (key: string) => Promise<string | undefined>,
+): readonly Route[] {
 	const value = (result: unknown): Reply => json({value: result ?? {}});
 	const start = withBody(leaseSchema.extend({assignment: assignmentSchema}), async ({key, assignment, leaseUntilMs}) => {
 		if (assignment.checkpointKey !== undefined) {
 			await loadCheckpoint(assignment.checkpointKey);
 		}
 
-		return replyOf(await runtime.start(key, assignment, leaseUntilMs), value);
+		const input = assignment.inputKey === undefined ? assignment.inlineInput : await loadInput(assignment.inputKey);
+		if (assignment.inputKey !== undefined && input === undefined) {
+			return replyOf(err({kind: 'unavailable', message: 'the input could not be fetched'}), value);
+		}
+
+		return replyOf(await runtime.start(key, {...assignment, inlineInput: input}, leaseUntilMs), value);
 	});
 	return [
 		['GET', '/v1/runtime/facts', async () => replyOf(await runtime.facts(), value)],
--- /dev/null
+++ b/packages/standin/tests/long-input.test.ts
@@ -0,0 +1,34 @@
+import {SystemClock, type TaskAssignment} from '@amaranthsail/core';
+import {HttpObjectStore} from '@amaranthsail/platform';
+import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {startPlatform, startWorker} from '@amaranthsail/standin';
+import {expect} from 'chai';
+import {CAPACITY} from './contracts/worker-runtime-cases.js';
+
+const key = {jobId: 'job', attempt: 1, taskIndex: 0};
+
+const task: TaskAssignment = {
+	account: 'alpha', service: 'register', operation: 'revaluation', endpointId: 'endpoint-1', shape: CAPACITY, accelerators: [0], taskCount: 1,
+	repeatable: true, checkpointable: false, inputKey: 'inputs/job/digest',
+};
+
+describe('long inputs', () => {
+	// Guards against a task that runs without its input, because it did not fit the command that started it.
+	it('are fetched before the start, and a task without its input does not start', async () => {
+		const platform = await startPlatform();
+		const worker = await startWorker({objectStoreAddress: platform.address});
+		const objects = new HttpObjectStore({address: platform.address});
+		const runtime = new HttpWorkerRuntime({address: worker.address});
+		const leaseUntilMs = new SystemClock().monotonicMs() + 10_000;
+		try {
+			const early = await runtime.start(key, task, leaseUntilMs);
+			expect(early.ok ? 'started' : early.error.kind).to.equal('unavailable');
+			expect(worker.runtime.executions()).to.deep.equal([]);
+			await objects.put('inputs/job/digest', new TextEncoder().encode('{"runMs":60000}'));
+			const started = await runtime.start(key, task, leaseUntilMs);
+			expect(started.ok ? started.value.state : started.error.kind).to.equal('running');
+		} finally {
+			await Promise.all([worker.close(), platform.close(), objects.close()]);
+		}
+	});
+});
