--- a/packages/standin/tests/long-input.test.ts
+++ b/packages/standin/tests/long-input.test.ts
@@ -1,9 +1,9 @@
 import {SystemClock, type TaskAssignment} from '@amaranthsail/core';
 import {HttpObjectStore} from '@amaranthsail/platform';
 import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
-import {startPlatform, startWorker} from '@amaranthsail/standin';
 import {expect} from 'chai';
 import {CAPACITY} from './contracts/worker-runtime-cases.js';
+import {startPlatform, startWorker} from '@amaranthsail/standin';
 
 const key = {jobId: 'job', attempt: 1, taskIndex: 0};
 
