--- a/packages/owner/src/attempt.ts
+++ b/packages/owner/src/attempt.ts
@@ -50,6 +50,8 @@
 	stopSinceMs: number | undefined;
 	/** A reclaim in progress: members are told to checkpoint and stopped at the end of the grace. */
 	preempt: {readonly untilMs: number; readonly hadCheckpoint: readonly boolean[]} | undefined;
+	/** When the decision was confirmed; moved on while the ownership is not valid. */
+	decidedAtMs: number;
 	/** When every member was first seen running. */
 	startedAtMs: number | undefined;
 };
@@ -103,6 +105,7 @@
 		stopCause: undefined,
 		stopSinceMs: undefined,
 		preempt: undefined,
+		decidedAtMs: options.nowMs,
 		startedAtMs: undefined,
 	};
 }
--- a/packages/owner/src/domain-state.ts
+++ b/packages/owner/src/domain-state.ts
@@ -32,6 +32,8 @@
 	claim: {readonly writeId: string; readonly epoch: number; readonly sentAtMs: number} | undefined;
 	/** Row that the claim replaces. */
 	previous: OwnershipRow | undefined;
+	/** This process claims nothing before, after it has given the failure domain up. */
+	claimNotBeforeMs: number;
 	/** Highest epoch that this process has held; it never holds one twice. */
 	lastEpoch: number;
 	load: LoadSummary | undefined;
@@ -46,7 +48,7 @@
  */
 export function createDomainState(placement: DomainPlacement): DomainState {
 	return {
-		placement, observation: undefined, holding: undefined, claim: undefined, previous: undefined, lastEpoch: 0, load: undefined, revision: 0,
+		placement, observation: undefined, holding: undefined, claim: undefined, previous: undefined, claimNotBeforeMs: Number.NEGATIVE_INFINITY, lastEpoch: 0, load: undefined, revision: 0,
 	};
 }
 
--- a/packages/owner/src/job-driver.ts
+++ b/packages/owner/src/job-driver.ts
@@ -12,6 +12,9 @@
 /** An attempt whose members are not all prepared by then is given up. */
 export const PREPARE_TIMEOUT_MS = 3000;
 
+/** A decided attempt of a repeatable job whose members do not all start by then is stopped. Longer than the fence, which ends lost members first. */
+export const START_TIMEOUT_MS = 15_000;
+
 /** First delay before a job whose undecided attempt was given up is queued again, so that a refusing worker is not asked in a tight loop; it doubles. */
 export const REQUEUE_DELAY_MS = 250;
 
@@ -64,10 +67,19 @@
 		: undefined;
 }
 
+/** Finds a repeatable attempt of which a member does not start. A non-repeatable job waits instead: a stop would end it as unknown. */
+function startCause(job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
+	const isOverdue = attempt.decision === 'durable' && attempt.startedAtMs === undefined && nowMs - attempt.decidedAtMs >= START_TIMEOUT_MS;
+	const isStuck = isOverdue && attempt.members.every(({state}) => state !== 'unreported') && attempt.members.some(({state}) => state === 'prepared');
+	return isStuck && job.row.spec.repeatable
+		? {kind: 'member_failed', message: 'A member did not start in time.'}
+		: undefined;
+}
+
 function chosenCause(job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
 	return job.cancelRequested
 		? {kind: 'cancelled', message: 'The job was cancelled.'}
-		: preemptionCause(job, attempt, nowMs);
+		: preemptionCause(job, attempt, nowMs) ?? startCause(job, attempt, nowMs);
 }
 
 function findStopCause(context: CoreContext, job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
@@ -145,6 +157,10 @@
 	}
 
 	updateMemberEnds(context, attempt, nowMs);
+	if (!context.gate.canWrite(nowMs)) {
+		attempt.decidedAtMs = nowMs;
+	}
+
 	const isFinished = attempt.members.every(({state}) => state === 'finished');
 	if (attempt.stopCause === undefined && !isFinished) {
 		attempt.stopCause = findStopCause(context, job, attempt, nowMs);
--- a/packages/owner/src/job-results.ts
+++ b/packages/owner/src/job-results.ts
@@ -191,6 +191,7 @@
 
 			case 'decision': {
 				job.attempt!.decision = 'durable';
+				job.attempt!.decidedAtMs = nowMs;
 				job.undecidedAttempts = 0;
 				this.#context.measure('owner.accepted_to_decided', {valueMs: this.#context.wallMs(nowMs) - job.row.acceptedAtMs}, {workClass: job.row.spec.workClass});
 				break;
--- a/packages/owner/src/owner-host.ts
+++ b/packages/owner/src/owner-host.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import PQueue from 'p-queue';
 import {
-	newId, type Clock, type ControlMessage, type Heartbeat, type Logger, type MessageCodec,
+	newId, OWNERSHIP_RENEWAL_INTERVAL_MS, type Clock, type ControlMessage, type Heartbeat, type Logger, type MessageCodec,
 } from '@amaranthsail/core';
 import type {Row, TableStore, Transaction} from '@amaranthsail/platform';
 import type {Scheduler, SchedulerConfig} from '@amaranthsail/scheduler';
@@ -69,6 +69,7 @@
 	readonly #domainOfWorker = new Map<string, string>();
 	readonly #inputs = new PQueue({concurrency: 1});
 	readonly #writesUnderWay = new Set<Promise<void>>();
+	#loadsDueAtMs = Number.NEGATIVE_INFINITY;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
 
@@ -87,7 +88,7 @@
 	/** Starts to watch and claim the configured failure domains. */
 	start(): void {
 		this.#timer = setInterval(() => {
-			this.#reportLoads();
+			this.#reportLoadsWhenDue();
 			this.#enqueue(() => this.#manager.tick(this.#nowMs()));
 		}, MANAGER_TICK_MS);
 	}
@@ -250,7 +251,13 @@
 		});
 	}
 
-	#reportLoads(): void {
+	#reportLoadsWhenDue(): void {
+		const nowMs = this.#nowMs();
+		if (nowMs < this.#loadsDueAtMs) {
+			return;
+		}
+
+		this.#loadsDueAtMs = nowMs + OWNERSHIP_RENEWAL_INTERVAL_MS;
 		for (const [failureDomain, {scheduler}] of this.#held) {
 			this.#handle({
 				kind: 'load', failureDomain, load: scheduler.load(), revision: this.#configs.get(failureDomain)?.revision ?? 0,
--- a/packages/owner/src/ownership-manager.ts
+++ b/packages/owner/src/ownership-manager.ts
@@ -85,7 +85,7 @@
 			}
 
 			case 'release': {
-				this.#release(event.failureDomain);
+				this.#release(event.failureDomain, nowMs);
 				break;
 			}
 
@@ -299,7 +299,7 @@
 		}
 	}
 
-	#release(failureDomain: string | undefined): void {
+	#release(failureDomain: string | undefined, nowMs: number): void {
 		for (const domain of this.#domains.values()) {
 			const {holding, placement} = domain;
 			if (holding === undefined || (failureDomain !== undefined && placement.failureDomain !== failureDomain)) {
@@ -308,6 +308,8 @@
 
 			// The core stops before the row says so; otherwise a new owner could count on it too early.
 			this.#drop(domain);
+			// Others come first; without any, this process takes it back.
+			domain.claimNotBeforeMs = nowMs + OWNERSHIP_CLAIM_AFTER_MS;
 			const writeId = this.#options.newId();
 			this.#effects.push({
 				kind: 'write', purpose: 'release', failureDomain: placement.failureDomain,
@@ -347,7 +349,7 @@
 
 	#claimWhenDue(domain: DomainState, nowMs: number): void {
 		const {observation, placement, claim} = domain;
-		if (this.#isDraining || observation === undefined || domain.holding !== undefined || claim !== undefined || !this.#isFresh(nowMs)) {
+		if (this.#isDraining || observation === undefined || domain.holding !== undefined || claim !== undefined || !this.#isFresh(nowMs) || nowMs < domain.claimNotBeforeMs) {
 			return;
 		}
 
--- a/packages/owner/tests/core-world.ts
+++ b/packages/owner/tests/core-world.ts
@@ -1,5 +1,6 @@
 import {HEARTBEAT_INTERVAL_MS, OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_VALIDITY_MS, type JobSpec} from '@amaranthsail/core';
 import type {Row, Transaction} from '@amaranthsail/platform';
+import type {Scheduler} from '@amaranthsail/scheduler';
 import {FakeAgent} from './fake-agent.js';
 import {FirstFitScheduler} from './first-fit-scheduler.js';
 import {MemoryTables} from './memory-tables.js';
@@ -24,6 +25,8 @@
 
 /** Runs owner cores, agents and a store on one virtual clock, in steps of 10 ms. */
 export class CoreWorld {
+	/** Makes the scheduler of each owner; without it, the first-fit stand-in is used. */
+	createScheduler: (() => Scheduler) | undefined;
 	nowMs = 1000;
 	readonly tables = new MemoryTables();
 	readonly agents: FakeAgent[] = [];
@@ -51,7 +54,7 @@
 		const scheduler = new FirstFitScheduler();
 		const core = new OwnerCore({
 			failureDomain: 'catania', ownerId: `owner-${epoch}`, epoch, ownershipVersion: this.tables.row('ownership', 'catania')!.version,
-			claimedAtMs: this.nowMs, wallOffsetMs: 0, scheduler, revision: 1, newId: () => {
+			claimedAtMs: this.nowMs, wallOffsetMs: 0, scheduler: this.createScheduler?.() ?? scheduler, revision: 1, newId: () => {
 				this.#nextId += 1;
 				return `w${this.#nextId}`;
 			},
--- a/packages/owner/tests/owner-faults.test.ts
+++ b/packages/owner/tests/owner-faults.test.ts
@@ -168,6 +168,20 @@
 		expect(world.row('job').answers).to.deep.equal([]);
 	});
 
+	// Guards against a gang that runs partially for ever because one of its workers starts nothing.
+	const stuck: ReadonlyArray<{readonly repeatable: boolean; readonly attempt: number}> = [{repeatable: true, attempt: 2}, {repeatable: false, attempt: 1}];
+	for (const {repeatable, attempt} of stuck) {
+		it(`${repeatable ? 'stops' : 'keeps'} a ${repeatable ? '' : 'non-'}repeatable gang of which one member does not start`, () => {
+			const {world} = start(2);
+			world.dropsToAgent = ({message, host}) => message.type === 'command' && message.kind === 'release' && host === 'worker-2';
+			world.submit('job', {taskCount: 2, repeatable});
+			world.run(14_000);
+			expect(world.row('job')).to.include({state: 'decided', attempt: 1});
+			world.run(3000);
+			expect(world.row('job')).to.include({state: 'decided', attempt});
+		});
+	}
+
 	// Guards against a gang that holds resources although one member was refused.
 	it('releases nobody when one member refuses', () => {
 		const {world, agents} = start(2);
--- a/packages/owner/tests/ownership-manager.test.ts
+++ b/packages/owner/tests/ownership-manager.test.ts
@@ -227,6 +227,19 @@
 		expect(first.manager.ownerOf('catania')?.ownerId).to.equal('entry-2');
 	});
 
+	// Guards against a released failure domain that its last owner takes back before others can, and against one that stays without an owner.
+	it('claims a failure domain that it has released only when no other entry does', () => {
+		const world = new ManagerWorld();
+		const entry = world.add('entry-1', 'palermo', DOMAINS.slice(0, 1));
+		world.run(1000);
+		world.input(entry, {kind: 'release', failureDomain: 'catania'});
+		world.run(2900);
+		expect(world.owned(entry)).to.deep.equal([]);
+		world.run(1500);
+		expect(world.owned(entry)).to.deep.equal(['catania']);
+		expect(entry.claims.map(({epoch}) => epoch)).to.deep.equal([1, 2]);
+	});
+
 	// Guards against an entry that goes on sending after it has confirmed a step-down.
 	it('gives a failure domain up for a higher epoch', () => {
 		const world = new ManagerWorld();
