--- a/packages/cli/tests/bin.test.ts
+++ b/packages/cli/tests/bin.test.ts
@@ -79,7 +79,8 @@
 		['a refusal after a hang-up as an unknown outcome', ['hang_up', {status: 429, body: refusalBody('overloaded', 'not_run')}], 3, /outcome unknown/v],
 		['an entry that cannot serve now by the next one', [{status: 503, body: refusalBody('not_ready', 'not_run')}, {status: 200, body: {jobId, state: 'waiting'}}], 0, /waiting/v],
 		['no answer at all as an unknown outcome', ['hang_up', 'hang_up'], 3, /may have taken effect/v],
-		['an unavailable entry after a hang-up as an unknown outcome', ['hang_up', {status: 503, body: refusalBody('store_unavailable', 'not_run')}], 3, /may have taken effect/v],
+		['an unavailable entry after a hang-up as an unknown outcome', ['hang_up', {status: 503, body: refusalBody('store_unavailable', 'not_run')}], 3, /outcome unknown/v],
+		['an unavailable entry before a hang-up as an unknown outcome', [{status: 503, body: refusalBody('store_unavailable', 'not_run')}, 'hang_up'], 3, /outcome unknown/v],
 		['a store outage as a refusal', [{status: 503, body: refusalBody('store_unavailable', 'not_run')}], 1, /outcome not_run/v],
 	];
 	for (const [title, replies, code, printed] of retries) {
@@ -101,6 +102,17 @@
 		expect(run.stdout).to.include(address).and.not.include('not_run');
 	});
 
+	it('takes entry addresses and token from the environment', async () => {
+		const entry = new ReplyingEntry({status: 200, body: {jobs: []}});
+		await entry.start();
+		try {
+			const run = await amaranthsail(['jobs'], '', {AMARANTHSAIL_ENTRY_ADDRESSES: entry.address, AMARANTHSAIL_TOKEN: 'from-environment'});
+			expect([run.code, entry.received[0]?.headers.authorization]).to.deep.equal([0, 'Bearer from-environment']);
+		} finally {
+			await entry.stop();
+		}
+	});
+
 	it('reads a job from standard input', async () => {
 		const run = await runAgainst([{status: 202, body: {jobId, state: 'waiting'}}], ['submit', '-', '--json'], 'service: register\noperation: revaluation\n');
 		expect([run.code, run.received[0]![0]!.body]).to.deep.equal([0, {service: 'register', operation: 'revaluation'}]);
