Move waiting jobs away from failure domains that cannot run them

Cause: a job stays in the failure domain that accepted it; after the loss of all its workers it waits for ever. A cancellation that an entry leaves in the row of a job was not seen by a living owner, and the entry took an owner's missing answer for a cancellation. Change: the owner hands waiting jobs over by one transaction on the row and both index rows; the entry that hosts it asks for that when the service has not run there for 15 s and another failure domain runs it. An owner takes over a cancellation that it reads back; an entry counts a cancellation as taken only when it is durable. Conclusion: 15 s is longer than a takeover, after which all agents report anew.

--- a/packages/entry/src/entry-program.ts
+++ b/packages/entry/src/entry-program.ts
@@ -29,6 +29,7 @@
 import {RecordCatalog} from './record-catalog.js';
 import {RecordRoutes} from './record-routes.js';
 import {Repeater} from './repeater.js';
+import {REROUTE_INTERVAL_MS, Rerouter} from './rerouter.js';
 import {Router} from './router.js';
 import type {EntrySettings} from './settings.js';
 import {SystemRoutes} from './system-routes.js';
@@ -53,6 +54,7 @@
 	readonly #watcher: ConfigWatcher;
 	readonly #socket: Socket;
 	readonly #repeaters: readonly Repeater[];
+	readonly #router: Router;
 	#catalog: RecordCatalog | undefined;
 	#host: OwnerHost | undefined;
 	#server: HttpServer | undefined;
@@ -77,9 +79,14 @@
 		this.#members = new Members({tables: this.#tables, clock: this.#clock, logger, describe: () => this.#describe()});
 		this.#watcher = new ConfigWatcher({store: this.#tables, processId: this.#processId, memberRow: () => ({...this.#describe()})});
 		this.#socket = createSocket('udp4');
+		this.#router = new Router(() => [...this.#host?.loads() ?? []].map(([domain, load]) => ({failureDomain: domain, ...load})));
+		const rerouter = new Rerouter(this.#router, this.#clock);
 		this.#repeaters = [
 			new Repeater(CONFIG_POLL_INTERVAL_MS, async () => this.#poll(), logger),
 			new Repeater(MEMBER_INTERVAL_MS, async () => this.#refreshMembers(), logger),
+			new Repeater(REROUTE_INTERVAL_MS, async () => {
+				rerouter.run(this.#host?.drivers() ?? [], this.#catalog);
+			}, logger),
 		];
 	}
 
@@ -194,7 +201,6 @@
 	#createServer(local: LocalPeerService): HttpServer {
 		const {accountTokens, operatorTokens, sharedSecret} = this.#settings;
 		const jobs = new JobStore(this.#tables);
-		const router = new Router(() => [...this.#host?.loads() ?? []].map(([failureDomain, load]) => ({failureDomain, ...load})));
 		const owners = new OwnerGateway({
 			processId: this.#processId,
 			ownerOf: domain => this.#host?.ownerOf(domain),
@@ -210,7 +216,7 @@
 				tables: this.#tables,
 				objects: this.#objects,
 				clock: this.#clock,
-				router,
+				router: this.#router,
 				catalog: () => this.#catalog,
 			}),
 			jobs,
--- a/packages/entry/src/local-peer-service.ts
+++ b/packages/entry/src/local-peer-service.ts
@@ -37,8 +37,8 @@
 			return false;
 		}
 
-		await driver.cancel(jobIds);
-		return true;
+		const rows = await driver.cancel(jobIds);
+		return rows.every(row => row !== undefined);
 	}
 
 	async explain(failureDomain: string, jobId: string): Promise<unknown> {
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -72,4 +72,29 @@
 
 		return load.waitingJobs >= MAX_WAITING_PER_ACCELERATOR * Math.max(1, load.totalAccelerators) ? 'overloaded' : undefined;
 	}
+
+	/**
+	 * Tells whether a job can run where it is, with the workers that are there now.
+	 *
+	 * @param spec - The job's specification.
+	 * @param failureDomain - The failure domain.
+	 * @returns False when its service does not run there or too few accelerators are left; true when nothing is known.
+	 */
+	canRunNow(spec: JobSpec, failureDomain: string): boolean {
+		const load = this.#loads().find(candidate => candidate.failureDomain === failureDomain);
+		return !load || (load.services.includes(spec.service) && load.totalAccelerators >= spec.taskCount * spec.shape.accelerators);
+	}
+
+	/**
+	 * Finds another failure domain that can run a job.
+	 *
+	 * @param spec - The job's specification.
+	 * @param failureDomain - Where the job is.
+	 * @param catalog - The configuration in force.
+	 * @returns The best other one that has an owner and runs the service, or undefined.
+	 */
+	alternativeTo(spec: JobSpec, failureDomain: string, catalog: Catalog): string | undefined {
+		const owned = new Set(this.#loads().map(load => load.failureDomain));
+		return this.rank(spec, catalog).find(name => name !== failureDomain && owned.has(name) && this.canRunNow(spec, name));
+	}
 }
--- a/packages/owner/src/job-driver.ts
+++ b/packages/owner/src/job-driver.ts
@@ -198,10 +198,16 @@
 	};
 }
 
+function movingWrite(job: JobRecord): JobWrite | undefined {
+	return job.moveTo === undefined
+		? undefined
+		: {kind: 'moved', writeId: undefined, next: nextRow(job, {failureDomain: job.moveTo})};
+}
+
 function wantedWrite(context: CoreContext, job: JobRecord, nowMs: number): JobWrite | undefined {
 	const {attempt} = job;
 	if (attempt === undefined) {
-		return concludeWaiting(job, context.wallMs(nowMs));
+		return concludeWaiting(job, context.wallMs(nowMs)) ?? movingWrite(job);
 	}
 
 	if (attempt.decision === 'none') {
--- a/packages/owner/src/job-intake.ts
+++ b/packages/owner/src/job-intake.ts
@@ -92,6 +92,30 @@
 	driveJob(context, job, nowMs);
 }
 
+/**
+ * Hands waiting jobs over to another failure domain. A job that is placed, ends or is cancelled stays.
+ *
+ * @param context - The core's state.
+ * @param jobIds - The jobs.
+ * @param failureDomain - The failure domain that takes them.
+ * @param nowMs - Monotonic milliseconds.
+ */
+export function moveJobs(context: CoreContext, jobIds: readonly string[], failureDomain: string, nowMs: number): void {
+	for (const jobId of jobIds) {
+		const job = context.jobs.get(jobId);
+		if (job?.attempt !== undefined || job?.row.state !== 'waiting' || job.cancelRequested || job.refusal !== undefined) {
+			continue;
+		}
+
+		job.moveTo = failureDomain;
+		job.requeueAtMs = undefined;
+		job.resubmitAtMs = undefined;
+		job.queued = false;
+		context.scheduler.withdraw(jobId);
+		driveJob(context, job, nowMs);
+	}
+}
+
 /**
  * Requests the cancellation of jobs. Waiting jobs end with the next batch of writes; placed ones are stopped first.
  *
--- a/packages/owner/src/job-record.ts
+++ b/packages/owner/src/job-record.ts
@@ -4,7 +4,7 @@
 import type {OwnedJobRow} from './owned-job-row.js';
 
 /** What a durable write does to a job. */
-export type JobWriteKind = 'decision' | 'running' | 'cancel_mark' | 'waiting' | 'final';
+export type JobWriteKind = 'decision' | 'running' | 'cancel_mark' | 'waiting' | 'moved' | 'final';
 
 /** A durable write of one job, queued or sent. */
 export type JobWrite = {
@@ -36,6 +36,8 @@
 	readonly isRecovered: boolean;
 	/** The job is submitted to the scheduler again at this time. */
 	resubmitAtMs: number | undefined;
+	/** The failure domain that takes the job over. */
+	moveTo: string | undefined;
 	/** The scheduler has given resources to the job. */
 	placed: boolean;
 	/** The job ends without a further attempt. */
@@ -73,6 +75,7 @@
 		isRecovered,
 		resubmitAtMs: undefined,
 		undecidedAttempts: 0,
+		moveTo: undefined,
 		placed: false,
 		refusal: undefined,
 		failedWorkers: row.failedWorkers,
--- a/packages/owner/src/job-results.ts
+++ b/packages/owner/src/job-results.ts
@@ -131,7 +131,9 @@
 		this.#dropped(job, nowMs);
 		job.row = row;
 		job.version = version;
-		if (FINAL_JOB_STATES.has(row.state)) {
+		// An entry that could not reach this owner leaves a cancellation in the row.
+		job.cancelRequested ||= row.cancelRequested;
+		if (FINAL_JOB_STATES.has(row.state) || row.failureDomain !== this.#context.options.failureDomain) {
 			this.#end(job, nowMs);
 			return;
 		}
@@ -179,6 +181,7 @@
 		job.row = {...next, writeId: writeId!};
 		job.version = version;
 		switch (kind) {
+			case 'moved':
 			case 'final': {
 				this.#end(job, nowMs);
 				return;
--- a/packages/owner/src/owner-core.ts
+++ b/packages/owner/src/owner-core.ts
@@ -3,7 +3,7 @@
 import {decide} from './decisions.js';
 import {handleHeartbeat} from './heartbeats.js';
 import {driveJob} from './job-driver.js';
-import {cancelJobs, resubmitDue, takeJobRow} from './job-intake.js';
+import {cancelJobs, moveJobs, resubmitDue, takeJobRow} from './job-intake.js';
 import {JobResults} from './job-results.js';
 import type {OwnedJobRow} from './owned-job-row.js';
 import type {OwnerEffect, OwnerEvent} from './owner-events.js';
@@ -127,6 +127,18 @@
 		return this.#context.jobs.get(jobId)?.row;
 	}
 
+	/**
+	 * Lists the jobs that have waited here for long without an attempt.
+	 *
+	 * @param acceptedBeforeMs - Wall-clock time; only jobs accepted before it.
+	 * @returns Their rows.
+	 */
+	waitingSince(acceptedBeforeMs: number): readonly OwnedJobRow[] {
+		return [...this.#context.jobs.values()]
+			.filter(({attempt, row, moveTo}) => attempt === undefined && moveTo === undefined && row.state === 'waiting' && row.acceptedAtMs < acceptedBeforeMs)
+			.map(({row}) => row);
+	}
+
 	/**
 	 * Counts what the core holds.
 	 *
@@ -166,6 +178,11 @@
 				return;
 			}
 
+			case 'move': {
+				moveJobs(this.#context, event.jobIds, event.failureDomain, nowMs);
+				return;
+			}
+
 			case 'cancel': {
 				cancelJobs(this.#context, event.jobIds, nowMs);
 				return;
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -119,6 +119,26 @@
 		return Promise.all(answers);
 	}
 
+	/**
+	 * Lists the jobs that have waited for long without an attempt.
+	 *
+	 * @param waitedMs - How long at least.
+	 * @returns Their rows.
+	 */
+	waitingFor(waitedMs: number): readonly OwnedJobRow[] {
+		return this.#core.waitingSince(this.#options.clock.wallMs() - waitedMs);
+	}
+
+	/**
+	 * Hands waiting jobs over to another failure domain.
+	 *
+	 * @param jobIds - The jobs.
+	 * @param failureDomain - The failure domain that takes them.
+	 */
+	move(jobIds: readonly string[], failureDomain: string): void {
+		this.#input({kind: 'move', jobIds, failureDomain});
+	}
+
 	/**
 	 * Explains why a job waits.
 	 *
--- a/packages/owner/src/owner-events.ts
+++ b/packages/owner/src/owner-events.ts
@@ -28,6 +28,8 @@
 		| {readonly kind: 'cancel'; readonly jobIds: readonly string[]}
 	/** Asks for the row once it is final, or with `forCancel` once the cancellation is durable. */
 		| {readonly kind: 'wait'; readonly waiterId: string; readonly jobId: string; readonly untilMs: number; readonly forCancel: boolean}
+	/** Hands waiting jobs over to another failure domain, which can run them. */
+		| {readonly kind: 'move'; readonly jobIds: readonly string[]; readonly failureDomain: string}
 		| {readonly kind: 'configure'; readonly config: SchedulerConfig; readonly revision: number}
 		| {readonly kind: 'writeResult'; readonly writeId: string; readonly result: WriteResult}
 		| {readonly kind: 'recoveryComplete'}
--- a/packages/owner/src/write-queue.ts
+++ b/packages/owner/src/write-queue.ts
@@ -1,6 +1,6 @@
 import {DECISION_BATCH_MS, FINAL_JOB_STATES} from '@amaranthsail/core';
-import type {RowCondition, Transaction} from '@amaranthsail/platform';
-import type {JobRecord} from './job-record.js';
+import type {RowCondition, RowWrite, Transaction} from '@amaranthsail/platform';
+import type {JobRecord, JobWrite} from './job-record.js';
 import {OWNER_TABLES, openJobKey} from './owned-job-row.js';
 import type {WriteResult} from './owner-events.js';
 
@@ -125,7 +125,7 @@
 		let batch: JobRecord[] = [];
 		let rowCount = 0;
 		for (const job of jobs) {
-			const rows = FINAL_JOB_STATES.has(job.write!.next.state) ? 2 : 1;
+			const rows = this.#rowsOf(job.write!, '').length;
 			if (rowCount + rows > MAX_TRANSACTION_ROWS || batch.length === MAX_TRANSACTION_JOBS) {
 				due.push(this.#send(batch));
 				batch = [];
@@ -185,18 +185,24 @@
 		});
 	}
 
+	/** The row of a job, and its index rows where its end or its failure domain changes them. */
+	#rowsOf({kind, next}: JobWrite, writeId: string): readonly RowWrite[] {
+		const row = {table: OWNER_TABLES.jobs, key: next.jobId, value: {...next, writeId}};
+		const closed = {table: OWNER_TABLES.openJobs, key: openJobKey(this.#failureDomain, next.jobId), value: undefined};
+		if (kind === 'moved') {
+			const opened = {table: OWNER_TABLES.openJobs, key: openJobKey(next.failureDomain, next.jobId), value: {jobId: next.jobId, writeId}};
+			return [row, closed, opened];
+		}
+
+		return FINAL_JOB_STATES.has(next.state) ? [row, closed] : [row];
+	}
+
 	#send(jobs: readonly JobRecord[]): Transaction {
 		const writeId = this.#newId();
 		const transaction: Transaction = {
 			writeId,
 			conditions: [this.#ownership, ...jobs.map(job => ({table: OWNER_TABLES.jobs, key: job.row.jobId, version: job.version}))],
-			writes: jobs.flatMap(job => {
-				const {next} = job.write!;
-				const row = {table: OWNER_TABLES.jobs, key: next.jobId, value: {...next, writeId}};
-				return FINAL_JOB_STATES.has(next.state)
-					? [row, {table: OWNER_TABLES.openJobs, key: openJobKey(this.#failureDomain, next.jobId), value: undefined}]
-					: [row];
-			}),
+			writes: jobs.flatMap(job => this.#rowsOf(job.write!, writeId)),
 		};
 		for (const job of jobs) {
 			job.write!.writeId = writeId;
--- a/packages/quickstart/src/local-system.ts
+++ b/packages/quickstart/src/local-system.ts
@@ -30,8 +30,8 @@
 
 const SHARED_SECRET = 'local-shared-secret';
 
-/** Young generation of an agent in MB; it decides most of its private memory. */
-const AGENT_NODE_FLAGS = ['--max-semi-space-size=1'];
+/** Flags of the agent's start line: a small young generation and compact code halve its private memory. */
+const AGENT_NODE_FLAGS = ['--max-semi-space-size=1', '--optimize-for-size'];
 
 function formatTokens(tokens: Readonly<Record<string, string>>): string {
 	return Object.entries(tokens).map(([name, token]) => `${name}=${token}`).join(',');
