--- a/packages/agent/src/bin.ts
+++ b/packages/agent/src/bin.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env -S node --max-semi-space-size=1
+#!/usr/bin/env -S node --max-semi-space-size=1 --optimize-for-size
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {createLogger, readSettings, SystemClock} from '@amaranthsail/core';
--- a/packages/agent/src/measure.ts
+++ b/packages/agent/src/measure.ts
@@ -4,19 +4,37 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {ANNOUNCEMENT_INTERVAL_MS, integerSetting, readSettings, type SettingsOf} from '@amaranthsail/core';
+import {ANNOUNCEMENT_INTERVAL_MS, integerSetting, readSettings, type SettingDefinition, type SettingsOf} from '@amaranthsail/core';
 import {MeasureSurroundings} from './measure-surroundings.js';
 import {readProcessUse} from './process-use.js';
 
 const PROGRAM = 'measure';
 const SHARED_SECRET = 'measuring secret';
-const TASK_COUNTS = [0, 4, 8] as const;
 const START_TIMEOUT_MS = 15_000;
 
+const nodeFlagsSetting: SettingDefinition<readonly string[]> = {
+	description: 'Flags of Node.js for the agent.',
+	// The flags in the first line of bin.ts.
+	defaultText: '--max-semi-space-size=1 --optimize-for-size',
+	expected: 'flags separated by spaces',
+	parse: text => text.split(' ').filter(flag => flag !== ''),
+};
+
+const taskCountsSetting: SettingDefinition<readonly number[]> = {
+	description: 'Numbers of tasks to measure with, never falling; a repeated number shows a change over time.',
+	defaultText: '0,4,8',
+	expected: 'numbers from 0 to 8 separated by commas',
+	parse(text) {
+		const counts = text.split(',').map(Number);
+		return counts.every(count => Number.isInteger(count) && count >= 0 && count <= 8) ? counts : undefined;
+	},
+};
+
 const SETTINGS = {
 	seconds: integerSetting('Length of each measurement.', [1, 600], 20),
 	settleSeconds: integerSetting('Time before each measurement.', [0, 600], 5),
-	semiSpaceMb: integerSetting('Value of --max-semi-space-size for the agent; 0 for the default of Node.js.', [0, 64], 1),
+	nodeFlags: nodeFlagsSetting,
+	taskCounts: taskCountsSetting,
 	httpPort: integerSetting('HTTP port of the agent.', [1024, 65_535], 17_410),
 };
 
@@ -49,11 +67,13 @@
 	}
 }
 
-async function measure({seconds, settleSeconds, semiSpaceMb, httpPort}: SettingsOf<typeof SETTINGS>): Promise<void> {
+async function measure({
+	seconds, settleSeconds, nodeFlags, taskCounts, httpPort,
+}: SettingsOf<typeof SETTINGS>): Promise<void> {
 	const surroundings = new MeasureSurroundings(SHARED_SECRET);
 	const port = await surroundings.start();
 	const address = `127.0.0.1:${port}`;
-	const agent = spawn(process.execPath, [...(semiSpaceMb === 0 ? [] : [`--max-semi-space-size=${semiSpaceMb}`]), fileURLToPath(new URL('bin.js', import.meta.url))], {
+	const agent = spawn(process.execPath, [...nodeFlags, fileURLToPath(new URL('bin.js', import.meta.url))], {
 		env: {
 			AMARANTHSAIL_WORKER_ID: 'worker-1',
 			AMARANTHSAIL_FAILURE_DOMAIN: 'domain-1',
@@ -79,7 +99,7 @@
 		await surroundings.nextHeartbeat(AbortSignal.timeout(START_TIMEOUT_MS));
 		await sleep(2 * ANNOUNCEMENT_INTERVAL_MS);
 		process.stdout.write('tasks residentMb privateMb privateDirtyMb privateAloneMb processorPercent datagramBytesPerSecond loopbackBytesPerSecond\n');
-		for (const count of TASK_COUNTS) {
+		for (const count of taskCounts) {
 			await fill(surroundings, count);
 			await sleep(settleSeconds * 1000);
 			const before = {...surroundings.bytes(), ...readProcessUse(pid, process.execPath)};
