--- a/packages/scheduler/src/run-time-estimates.ts
+++ b/packages/scheduler/src/run-time-estimates.ts
@@ -3,6 +3,9 @@
 /** Run times kept for each kind of work; old ones make room for new ones. */
 const SAMPLE_COUNT = 32;
 
+/** Kinds of work kept; 95 accounts with some ten operations each. */
+const MAX_KINDS = 2000;
+
 /** Samples below which the next wider kind of work is used. */
 const ENOUGH_SAMPLES = 3;
 
@@ -41,7 +44,15 @@
 				samples.shift();
 			}
 
+			// Operations are named by callers, so the kinds that are kept have to be bounded; the one unused longest goes.
+			this.#samples.delete(key);
 			this.#samples.set(key, samples);
+			const [oldest] = this.#samples.keys();
+			if (this.#samples.size > MAX_KINDS && oldest !== undefined) {
+				this.#samples.delete(oldest);
+				this.#cache.delete(oldest);
+			}
+
 			this.#cache.delete(key);
 		}
 	}
