Let a reclaim take the place that a move holds

Cause: a place held for a moved job counted as fixed for reclaims, so that a reclaim could wait for the move and then for its own victims, up to 12 s against a bound of 6 s. Change: a reclaim cancels such a hold and waits for the jobs that are stopping there.

--- a/packages/scheduler/src/decision-round.ts
+++ b/packages/scheduler/src/decision-round.ts
@@ -141,7 +141,7 @@
 			return;
 		}
 
-		const plan = planner.plan(entry.spec, accepts, jobId => this.#state.reclaiming.has(jobId), ordering.fit);
+		const plan = planner.plan(entry.spec, accepts, jobId => this.#state.reclaiming.get(jobId)?.inside ?? false, ordering.fit);
 		if (!plan) {
 			this.#unreclaimable.add(key);
 			return;
@@ -158,8 +158,17 @@
 		this.#state.reclaiming.set(jobId, entry);
 		this.#state.book(entry, plan.tasks, isInside, this.#nowMs);
 		for (const victimId of plan.victims) {
+			const victim = this.#state.jobs.get(victimId)!;
+			if (victim.phase === 'reclaiming') {
+				// It only holds its place for a move; what runs there is a victim of its own.
+				this.#state.reclaiming.delete(victimId);
+				this.#state.release(victim, victim.placedAtMs);
+				this.#state.enqueue(victim);
+				continue;
+			}
+
 			entry.victims.add(victimId);
-			this.#preempt(this.#state.jobs.get(victimId)!, jobId, isInside);
+			this.#preempt(victim, jobId, isInside);
 		}
 
 		if (entry.victims.size === 0) {
--- a/packages/scheduler/tests/cluster-scheduler.test.ts
+++ b/packages/scheduler/tests/cluster-scheduler.test.ts
@@ -180,6 +180,28 @@
 		expect(placedIds(scheduler.decide(5000))).to.deep.equal(['a']);
 	});
 
+	// Guards against a reclaim that waits behind a move, which would add the stop of the moved job to its bound.
+	it('takes the place that a move holds for another job', () => {
+		const scheduler = cluster([2], config({}, {guarantees: [guarantee({count: 2})]}));
+		submitAll(scheduler, [job('a', {}, 4), job('b', {}, 4), job('c', {}, 4)]);
+		scheduler.decide(0);
+		for (const jobId of ['a', 'b', 'c']) {
+			scheduler.started(jobId, 0);
+		}
+
+		scheduler.ended('a', 'completed', [], 100);
+		submitAll(scheduler, [job('wide', {}, 8)]);
+		expect(scheduler.decide(60_000)).to.have.nested.property('[0].reclaim', false);
+		submitAll(scheduler, [job('own', {account: 'blue', taskCount: 2, adjacency: 'failureDomain'}, 8)]);
+		expect(scheduler.decide(60_010).map(decision => decision.kind)).to.deep.equal(['preempt']);
+		for (const jobId of ['b', 'c']) {
+			scheduler.ended(jobId, 'stopped', [], 66_000);
+			scheduler.requeue(jobId, 66_000);
+		}
+
+		expect(placedIds(scheduler.decide(66_000))).to.deep.equal(['own']);
+	});
+
 	// Guards against a lost rack that nobody notices.
 	it('raises an alarm when a lost worker breaks a guarantee', () => {
 		const scheduler = cluster([1, 1], config({}, {guarantees: [guarantee({count: 2})]}));
