Weigh an account's dominant share in the balanced queue

Cause: the balanced order did not look at what an account already uses. Change: the score grows with the account's dominant share over its weight, and weights are relative to their mean.

--- a/packages/scheduler/src/balanced-policy.ts
+++ b/packages/scheduler/src/balanced-policy.ts
@@ -62,6 +62,6 @@
 		const workMs = job.accelerators > 1
 			? job.estimateMs * ((REFERENCE_ACCELERATORS / job.accelerators) ** this.#gangExponent)
 			: job.estimateMs * this.#shortFactor;
-		return urgency * workMs / (1 + (waitedMs / (AGING_FACTOR * job.estimateMs)));
+		return urgency * workMs * (1 + job.dominantShare) / (1 + (waitedMs / (AGING_FACTOR * job.estimateMs)));
 	}
 }
--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -82,8 +82,14 @@
 		this.ordering = this.#fixedOrdering ?? POLICIES[config.policy.ordering](config.policy);
 		this.#weights.clear();
 		this.#maxAccelerators.clear();
+		let weightSum = 0;
+		for (const {weight} of config.accounts) {
+			weightSum += weight;
+		}
+
 		for (const {account, weight, maxAccelerators} of config.accounts) {
-			this.#weights.set(account, weight);
+			// An account of mean weight has weight 1, like an account without a record.
+			this.#weights.set(account, weight * config.accounts.length / Math.max(Number.EPSILON, weightSum));
 			if (maxAccelerators !== undefined) {
 				this.#maxAccelerators.set(account, maxAccelerators);
 			}
