--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -157,7 +157,10 @@
 			}
 
 			case 'preempt': {
-				this.#recorder.reclaimBegins(this.#jobs.get(decision.forJobId)!, this.#nowMs);
+				if (decision.reclaim) {
+					this.#recorder.reclaimBegins(this.#jobs.get(decision.forJobId)!, this.#nowMs);
+				}
+
 				this.#preempt(job, decision.graceMs);
 				break;
 			}
