Test refusal by load and declared workers

Cause: two ways through admission had no test. Change: cases for overloaded, with and without a guarantee, and for declared workers that have not reported.

--- a/packages/scheduler/tests/cluster-scheduler.test.ts
+++ b/packages/scheduler/tests/cluster-scheduler.test.ts
@@ -57,6 +57,29 @@
 		expect(scheduler.submit(job('c'), 0)).to.have.nested.property('refusal.code', 'account_limit');
 	});
 
+	// Guards against taking work that cannot be done in time, and against refusing work that a guarantee gives a place to.
+	for (const [account, code] of [['red', 'overloaded'], ['blue', undefined]] as const) {
+		it(`${code === undefined ? 'takes' : `refuses as ${code}`} work of ${account} whose deadline the queue ahead does not allow`, () => {
+			const scheduler = cluster([1], config({}, {guarantees: [guarantee()]}));
+			for (const jobId of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']) {
+				submitAll(scheduler, [job(jobId, {}, 8)]);
+				scheduler.decide(0);
+				scheduler.ended(jobId, 'completed', [], 10_000);
+			}
+
+			submitAll(scheduler, ['p', 'q', 'r', 's'].map(jobId => job(jobId, {}, 8)));
+			const answer = scheduler.submit({...job('urgent', {account}, 8), deadlineAtMs: 45_000}, 10_000);
+			expect(answer.admitted ? undefined : answer.refusal.code).to.equal(code);
+		});
+	}
+
+	// Guards against a final refusal only because a declared rack has not reported yet.
+	it('counts declared workers that are not known yet', () => {
+		const scheduler = cluster([1], config({}, {racks: [{rack: 'r0', workers: [CAPACITY, CAPACITY]}]}));
+		submitAll(scheduler, [job('a', {taskCount: 2, adjacency: 'rack'}, 8)]);
+		expect(scheduler.submit(job('b', {taskCount: 3, adjacency: 'rack'}, 8), 0)).to.have.nested.property('refusal.code', 'never_fits');
+	});
+
 	// Guards against refusing everything after a change of owner, before the agents have reported.
 	it('takes jobs while no worker is known', () => {
 		submitAll(cluster([]), [job('a', {}, 8)]);
