--- a/packages/scheduler/tests/cluster-scheduler.test.ts
+++ b/packages/scheduler/tests/cluster-scheduler.test.ts
@@ -57,6 +57,29 @@
 		expect(scheduler.submit(job('c'), 0)).to.have.nested.property('refusal.code', 'account_limit');
 	});
 
+	// Guards against taking work that cannot be done in time, and against refusing work that a guarantee gives a place to.
+	for (const [account, code] of [['red', 'overloaded'], ['blue', undefined]] as const) {
+		it(`${code === undefined ? 'takes' : `refuses as ${code}`} work of ${account} whose deadline the queue ahead does not allow`, () => {
+			const scheduler = cluster([1], config({}, {guarantees: [guarantee()]}));
+			for (const jobId of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']) {
+				submitAll(scheduler, [job(jobId, {}, 8)]);
+				scheduler.decide(0);
+				scheduler.ended(jobId, 'completed', [], 10_000);
+			}
+
+			submitAll(scheduler, ['p', 'q', 'r', 's'].map(jobId => job(jobId, {}, 8)));
+			const answer = scheduler.submit({...job('urgent', {account}, 8), deadlineAtMs: 45_000}, 10_000);
+			expect(answer.admitted ? undefined : answer.refusal.code).to.equal(code);
+		});
+	}
+
+	// Guards against a final refusal only because a declared rack has not reported yet.
+	it('counts declared workers that are not known yet', () => {
+		const scheduler = cluster([1], config({}, {racks: [{rack: 'r0', workers: [CAPACITY, CAPACITY]}]}));
+		submitAll(scheduler, [job('a', {taskCount: 2, adjacency: 'rack'}, 8)]);
+		expect(scheduler.submit(job('b', {taskCount: 3, adjacency: 'rack'}, 8), 0)).to.have.nested.property('refusal.code', 'never_fits');
+	});
+
 	// Guards against refusing everything after a change of owner, before the agents have reported.
 	it('takes jobs while no worker is known', () => {
 		submitAll(cluster([]), [job('a', {}, 8)]);
@@ -180,6 +203,28 @@
 		expect(placedIds(scheduler.decide(5000))).to.deep.equal(['a']);
 	});
 
+	// Guards against a reclaim that waits behind a move, which would add the stop of the moved job to its bound.
+	it('takes the place that a move holds for another job', () => {
+		const scheduler = cluster([2], config({}, {guarantees: [guarantee({count: 2})]}));
+		submitAll(scheduler, [job('a', {}, 4), job('b', {}, 4), job('c', {}, 4)]);
+		scheduler.decide(0);
+		for (const jobId of ['a', 'b', 'c']) {
+			scheduler.started(jobId, 0);
+		}
+
+		scheduler.ended('a', 'completed', [], 100);
+		submitAll(scheduler, [job('wide', {}, 8)]);
+		expect(scheduler.decide(60_000)).to.have.nested.property('[0].reclaim', false);
+		submitAll(scheduler, [job('own', {account: 'blue', taskCount: 2, adjacency: 'failureDomain'}, 8)]);
+		expect(scheduler.decide(60_010).map(decision => decision.kind)).to.deep.equal(['preempt']);
+		for (const jobId of ['b', 'c']) {
+			scheduler.ended(jobId, 'stopped', [], 66_000);
+			scheduler.requeue(jobId, 66_000);
+		}
+
+		expect(placedIds(scheduler.decide(66_000))).to.deep.equal(['own']);
+	});
+
 	// Guards against a lost rack that nobody notices.
 	it('raises an alarm when a lost worker breaks a guarantee', () => {
 		const scheduler = cluster([1, 1], config({}, {guarantees: [guarantee({count: 2})]}));
