--- a/packages/entry/tests/rerouter.test.ts
+++ b/packages/entry/tests/rerouter.test.ts
@@ -1,8 +1,8 @@
 import {ManualClock, type JobRow} from '@amaranthsail/core';
-import {Rerouter} from '@amaranthsail/entry/rerouter.js';
-import {Router, type DomainLoad} from '@amaranthsail/entry/router.js';
 import {expect} from 'chai';
 import {catalog, jobRow} from './fixtures.js';
+import {Rerouter} from '@amaranthsail/entry/rerouter.js';
+import {Router, type DomainLoad} from '@amaranthsail/entry/router.js';
 
 const serving: DomainLoad = {
 	failureDomain: 'palermo', services: ['register'], waitingByAccount: {}, waitingJobs: 0, idleAccelerators: 8, totalAccelerators: 8, largestFreeBlock: 8,
