Raise alarms for guarantees that cannot be kept, and tag owner metrics by account

Cause: the scheduler finds broken guarantees after the loss of a worker or rack, but nothing showed them to operators; histograms of the owner had the class of work only.

--- a/packages/entry/src/entry-program.ts
+++ b/packages/entry/src/entry-program.ts
@@ -12,6 +12,7 @@
 import {ConfigStore, ConfigWatcher, schedulerConfigOf, type ConfigSnapshot} from '@amaranthsail/records';
 import {checkGuarantees, createScheduler} from '@amaranthsail/scheduler';
 import {Admission} from './admission.js';
+import {ALARM_INTERVAL_MS, AlarmWatch} from './alarm-watch.js';
 import {AnswerReader} from './answer-reader.js';
 import {isConnectionRefused} from './connection-probe.js';
 import {HttpServer} from './http-server.js';
@@ -55,6 +56,7 @@
 	readonly #socket: Socket;
 	readonly #repeaters: readonly Repeater[];
 	readonly #router: Router;
+	readonly #alarmWatch: AlarmWatch;
 	#catalog: RecordCatalog | undefined;
 	#host: OwnerHost | undefined;
 	#server: HttpServer | undefined;
@@ -80,6 +82,7 @@
 		this.#watcher = new ConfigWatcher({store: this.#tables, processId: this.#processId, memberRow: () => ({...this.#describe()})});
 		this.#socket = createSocket('udp4');
 		this.#router = new Router(() => [...this.#host?.loads() ?? []].map(([domain, load]) => ({failureDomain: domain, ...load})));
+		this.#alarmWatch = new AlarmWatch(this.#clock, logger, this.#metrics);
 		const rerouter = new Rerouter(this.#router, this.#clock);
 		this.#repeaters = [
 			new Repeater(CONFIG_POLL_INTERVAL_MS, async () => this.#poll(), logger),
@@ -87,6 +90,9 @@
 			new Repeater(REROUTE_INTERVAL_MS, async () => {
 				rerouter.run(this.#host?.drivers() ?? [], this.#catalog);
 			}, logger),
+			new Repeater(ALARM_INTERVAL_MS, async () => {
+				this.#alarmWatch.update((this.#host?.drivers() ?? []).flatMap(driver => driver.alarms()));
+			}, logger),
 		];
 	}
 
@@ -102,6 +108,7 @@
 			processId: this.#processId,
 			host: () => this.#host,
 			revision: () => this.#revision,
+			alarms: () => this.#alarmWatch.alarms,
 			shutDown: this.shutDown,
 		});
 		this.#server = this.#createServer(local);
--- a/packages/entry/src/local-peer-service.ts
+++ b/packages/entry/src/local-peer-service.ts
@@ -1,5 +1,6 @@
 import type {JobRow} from '@amaranthsail/core';
 import type {OwnerHost} from '@amaranthsail/owner';
+import type {GuaranteeAlarm} from '@amaranthsail/scheduler';
 import type {PeerService, PeerStatus} from './peer-router.js';
 
 /** What the service needs. */
@@ -8,6 +9,7 @@
 	/** Undefined until the process has started. */
 	readonly host: () => OwnerHost | undefined;
 	readonly revision: () => number;
+	readonly alarms: () => readonly GuaranteeAlarm[];
 	/** Starts the graceful shutdown of this process. */
 	readonly shutDown: () => void;
 };
@@ -59,12 +61,13 @@
 	}
 
 	async status(): Promise<PeerStatus> {
-		const {processId, revision, host} = this.#options;
+		const {processId, revision, host, alarms} = this.#options;
 		const drivers = host()?.drivers() ?? [];
 		return {
 			processId,
 			revision: revision(),
 			owned: drivers.map(driver => ({failureDomain: driver.failureDomain, epoch: driver.status().epoch})),
+			alarms: alarms(),
 			workers: drivers.flatMap(driver => driver.status().workerRevisions.map(worker => ({
 				workerId: worker.workerId,
 				failureDomain: driver.failureDomain,
--- a/packages/entry/src/peer-router.ts
+++ b/packages/entry/src/peer-router.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createHash, timingSafeEqual} from 'node:crypto';
 import type {JobRow} from '@amaranthsail/core';
+import type {GuaranteeAlarm} from '@amaranthsail/scheduler';
 import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
 
@@ -32,6 +33,8 @@
 	readonly processId: string;
 	readonly revision: number;
 	readonly owned: ReadonlyArray<{readonly failureDomain: string; readonly epoch: number}>;
+	/** Guarantees that cannot be kept at the moment. */
+	readonly alarms: readonly GuaranteeAlarm[];
 	/** Revision in force on each worker, as its agent last reported it. */
 	readonly workers: ReadonlyArray<{readonly workerId: string; readonly failureDomain: string; readonly revision: number}>;
 };
--- a/packages/entry/src/system-routes.ts
+++ b/packages/entry/src/system-routes.ts
@@ -113,7 +113,7 @@
 	}
 }
 
-type MemberDescription = Member & Pick<PeerStatus, 'owned' | 'workers'> & {readonly answers: boolean};
+type MemberDescription = Member & Pick<PeerStatus, 'owned' | 'workers' | 'alarms'> & {readonly answers: boolean};
 
 function describeMember(member: Member, status: PeerStatus | undefined): MemberDescription {
 	return {
@@ -121,6 +121,7 @@
 		revision: status?.revision ?? member.revision,
 		owned: status?.owned ?? [],
 		workers: status?.workers ?? [],
+		alarms: status?.alarms ?? [],
 		answers: status !== undefined,
 	};
 }
--- a/packages/entry/tests/api-contract.test.ts
+++ b/packages/entry/tests/api-contract.test.ts
@@ -133,9 +133,13 @@
 	it('shows a job to its own account only', async () => {
 		const {body} = await call({method: 'POST', path: '/v1/jobs', key: 'own', body: JSON.stringify(job)});
 		const path = `/v1/jobs/${String(body.jobId)}`;
-		expect((await call({method: 'GET', path})).status).to.equal(200);
-		expect((await call({method: 'GET', path, token: 'token-beta'})).body).to.include({code: 'not_found'});
-		expect((await call({method: 'DELETE', path, token: 'token-beta'})).body).to.include({code: 'not_found'});
+		const own = await call({method: 'GET', path});
+		expect(own.status).to.equal(200);
+		for (const method of ['GET', 'DELETE'] as const) {
+			const foreign = await call({method, path, token: 'token-beta'});
+			expect(foreign.body).to.include({code: 'not_found'});
+		}
+
 		const listed = await call({method: 'GET', path: '/v1/jobs', token: 'token-beta'});
 		expect(listed.body.jobs).to.deep.equal([]);
 	});
--- a/packages/owner/src/job-driver.ts
+++ b/packages/owner/src/job-driver.ts
@@ -173,7 +173,7 @@
 	if (attempt.decision === 'durable' && attempt.startedAtMs === undefined && attempt.members.every(({state}) => RUNNING_STATES.has(state))) {
 		attempt.startedAtMs = nowMs;
 		context.scheduler.started(job.row.jobId, nowMs);
-		context.measure('owner.placed_to_running', {valueMs: nowMs - attempt.placedAtMs}, {workClass: job.row.spec.workClass});
+		context.measure('owner.placed_to_running', {valueMs: nowMs - attempt.placedAtMs}, {account: job.row.spec.account, workClass: job.row.spec.workClass});
 	}
 
 	const isUnwritten = job.write?.writeId === undefined && job.readingSinceMs === undefined;
--- a/packages/owner/src/job-results.ts
+++ b/packages/owner/src/job-results.ts
@@ -196,7 +196,7 @@
 				job.attempt!.decision = 'durable';
 				job.attempt!.decidedAtMs = nowMs;
 				job.undecidedAttempts = 0;
-				this.#context.measure('owner.accepted_to_decided', {valueMs: this.#context.wallMs(nowMs) - job.row.acceptedAtMs}, {workClass: job.row.spec.workClass});
+				this.#context.measure('owner.accepted_to_decided', {valueMs: this.#context.wallMs(nowMs) - job.row.acceptedAtMs}, {account: job.row.spec.account, workClass: job.row.spec.workClass});
 				break;
 			}
 
@@ -246,7 +246,7 @@
 		this.#context.jobs.delete(jobId);
 		this.noteEnded(jobId, job.version);
 
-		this.#context.measure('owner.job_ended', {count: 1, valueMs: this.#context.wallMs(nowMs) - acceptedAtMs}, {state, workClass: spec.workClass});
+		this.#context.measure('owner.job_ended', {count: 1, valueMs: this.#context.wallMs(nowMs) - acceptedAtMs}, {state, account: spec.account, workClass: spec.workClass});
 		this.#context.answer(this.#context.waiters.answer(jobId, FINAL_JOB_STATES.has(state) ? job.row : undefined));
 	}
 }
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -4,7 +4,7 @@
 	OPEN_JOBS_SCAN_INTERVAL_MS, type Clock, type ControlMessage, type Logger,
 } from '@amaranthsail/core';
 import type {TableStore} from '@amaranthsail/platform';
-import type {Explanation, SchedulerConfig} from '@amaranthsail/scheduler';
+import type {Explanation, GuaranteeAlarm, SchedulerConfig} from '@amaranthsail/scheduler';
 import type {OwnerCoreOptions} from './core-context.js';
 import type {DurableWriter} from './durable-writer.js';
 import {JobReader} from './job-reader.js';
@@ -185,6 +185,15 @@
 		this.#input({kind: 'previousOwnerGone'});
 	}
 
+	/**
+	 * Lists the guarantees that cannot be kept on the workers known now.
+	 *
+	 * @returns The alarms.
+	 */
+	alarms(): readonly GuaranteeAlarm[] {
+		return this.#options.core.scheduler.alarms();
+	}
+
 	/**
 	 * Counts what the owner holds.
 	 *
