Keep a job cancelled during its return to waiting out of the queue

Cause: a cancellation that arrived while the write back to waiting was under way left the job in the scheduler's queue; the scheduler could place it, and its resources stayed granted after the job had ended. Change: such a job is not queued again.

--- a/packages/owner/src/job-results.ts
+++ b/packages/owner/src/job-results.ts
@@ -223,7 +223,8 @@
 			this.#context.measure('owner.stop_to_waiting', {valueMs: nowMs - attempt.stopSinceMs}, {cause: attempt.stopCause?.kind ?? 'none'});
 		}
 
-		job.requeueAtMs = nowMs;
+		// A cancellation may have come while the write was under way; the scheduler must not place the job then.
+		job.requeueAtMs = job.cancelRequested ? undefined : nowMs;
 	}
 
 	#end(job: JobRecord, nowMs: number): void {
--- a/packages/owner/tests/owner-faults.test.ts
+++ b/packages/owner/tests/owner-faults.test.ts
@@ -299,6 +299,21 @@
 		});
 	}
 
+	// Guards against resources that the scheduler grants for ever to a job that was cancelled while it went back to waiting.
+	it('does not queue a job that is cancelled while its return to waiting is written', () => {
+		const {world, owner, agents} = startRunning();
+		agents[0]!.set('job', {state: 'failed', reason: 'broken'});
+		world.tables.fault = 'loseAcknowledgement';
+		world.report(agents[0]!);
+		world.run(50);
+		expect(world.row('job').state).to.equal('waiting');
+		world.input(owner, {kind: 'cancel', jobIds: ['job']});
+		world.tables.fault = 'none';
+		world.run(1500);
+		expect(world.row('job').state).to.equal('cancelled');
+		expect(agents[1]!.commands).to.deep.equal([]);
+	});
+
 	// Guards against a final state that changes.
 	it('leaves a final job as it is', () => {
 		const {world, owner, agents: [agent]} = startRunning();
