Name the failure domain in every heartbeat

Cause: an entry that owns several failure domains could place a heartbeat only by the facts in the agent's first one; when that was lost, the worker got no answer for up to ten heartbeats, as long as its lease. Change: heartbeats carry the failure domain; the entry keeps no table of workers, which grew with every replaced worker. Before: with the old dispatch the new test waits in vain. Conclusion: a heartbeat needs nothing but itself to find its owner.

--- a/packages/agent/src/agent-core.ts
+++ b/packages/agent/src/agent-core.ts
@@ -304,11 +304,12 @@
 	}
 
 	#heartbeats(address: Address, nowMs: number, isRegular: boolean): readonly AgentEffect[] {
-		const {workerId, incarnation, replyPort} = this.#options;
+		const {workerId, failureDomain, incarnation, replyPort} = this.#options;
 		const parts = splitHeartbeat({
 			header: {
 				type: 'heartbeat',
 				workerId,
+				failureDomain,
 				incarnation,
 				sentAtMs: nowMs,
 				epoch: this.#owner.epoch,
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -52,6 +52,8 @@
 export type Heartbeat = {
 	readonly type: 'heartbeat';
 	readonly workerId: string;
+	/** In every heartbeat, because one entry may own several failure domains and the first heartbeat may be lost. */
+	readonly failureDomain: string;
 	readonly incarnation: string;
 	readonly sequence: number;
 	/** The agent's monotonic clock at sending; leases count from it. */
--- a/packages/owner/src/owner-host.ts
+++ b/packages/owner/src/owner-host.ts
@@ -66,7 +66,6 @@
 	readonly #write: DurableWriter;
 	readonly #held = new Map<string, Held>();
 	readonly #configs = new Map<string, DomainConfig>();
-	readonly #domainOfWorker = new Map<string, string>();
 	readonly #inputs = new PQueue({concurrency: 1});
 	readonly #writesUnderWay = new Set<Promise<void>>();
 	#loadsDueAtMs = Number.NEGATIVE_INFINITY;
@@ -206,25 +205,7 @@
 			return;
 		}
 
-		if (message.facts !== undefined) {
-			this.#domainOfWorker.set(message.workerId, message.facts.failureDomain);
-		}
-
-		this.#driverOf(message)?.handleDatagram(message, remote);
-	}
-
-	/**
-	 * Finds the owner for a heartbeat. The first heartbeat, which names the failure domain, may have been lost; the agent
-	 * has then learned the epoch from an entry, and an epoch that only one failure domain held here has tells which it is.
-	 */
-	#driverOf({workerId, epoch}: Heartbeat): OwnerDriver | undefined {
-		const failureDomain = this.#domainOfWorker.get(workerId);
-		if (failureDomain !== undefined) {
-			return this.#held.get(failureDomain)?.driver;
-		}
-
-		const matching = [...this.#held.values()].filter(held => held.epoch === epoch);
-		return matching.length === 1 ? matching[0]!.driver : undefined;
+		this.#held.get(message.failureDomain)?.driver.handleDatagram(message, remote);
 	}
 
 	#nowMs(): number {
--- a/packages/owner/tests/fake-agent.ts
+++ b/packages/owner/tests/fake-agent.ts
@@ -52,7 +52,7 @@
 		this.expireLeases(nowMs);
 		this.sequence += 1;
 		return {
-			type: 'heartbeat', workerId: this.facts.workerId, incarnation: this.incarnation, sequence: this.sequence, sentAtMs: nowMs,
+			type: 'heartbeat', workerId: this.facts.workerId, failureDomain: this.facts.failureDomain, incarnation: this.incarnation, sequence: this.sequence, sentAtMs: nowMs,
 			epoch: this.epoch, replyPort: 9, revisionInForce: 0, facts: this.facts, leaving: false,
 			reports: [...this.tasks.values()].map(({report}) => report), complete: this.isComplete,
 		};
--- a/packages/owner/tests/owner-host.test.ts
+++ b/packages/owner/tests/owner-host.test.ts
@@ -111,6 +111,17 @@
 		expect(row).to.include({state: 'cancelled', outcome: 'not_run'});
 	});
 
+	// Guards against a worker that gets no answer because its first heartbeat, with the facts, was lost.
+	it('answers heartbeats without facts when it owns several failure domains', async () => {
+		const host = createHost('entry-1');
+		host.configure(['catania', 'siracusa'].map(failureDomain => ({failureDomain, region: 'sicily', scheduler: CONFIG, revision: 1})));
+		await until(() => host.drivers().length === 2, 3000);
+		const heartbeat = {...agent.heartbeat(clock.monotonicMs()), facts: undefined};
+		host.handleDatagram(codec.encode(heartbeat), {host: 'worker-1', port: 9});
+		await until(() => agent.acks.length === 1, 1000);
+		expect(agent.acks[0]).to.include({wantFacts: true});
+	});
+
 	// Guards against a former owner that confirms and still sends.
 	it('steps down for a higher epoch only', async () => {
 		const host = createHost('entry-1');
