--- a/packages/owner/src/core-context.ts
+++ b/packages/owner/src/core-context.ts
@@ -110,7 +110,7 @@
 	 * @returns Wall-clock milliseconds.
 	 */
 	wallMs(nowMs: number): number {
-		return nowMs + this.options.wallOffsetMs;
+		return Math.round(nowMs + this.options.wallOffsetMs);
 	}
 
 	/**
