Close the sockets of other entries before a drain closes the server

Cause: a drain closed the HTTP server first, and the server waits for the WebSockets of other entries, which it cannot cut. Change: the sockets are closed after ownership is given up and before the server closes. Conclusion: entries exit by themselves while others hold connections.

--- a/packages/entry/src/entry-program.ts
+++ b/packages/entry/src/entry-program.ts
@@ -119,9 +119,10 @@
 		this.#isDraining = true;
 		this.#logger.info('draining', {openRequests: this.#server?.openRequests});
 		await this.#host?.stop();
+		// The HTTP server does not close while other entries hold WebSockets to it, and it cannot cut them itself.
+		this.#closePeers?.();
 		await this.#server?.close(this.#settings.drainTimeoutMs);
 		await Promise.all(this.#repeaters.map(async repeater => repeater.stop()));
-		this.#closePeers?.();
 		this.#peers.close();
 		await this.#members.leave();
 		this.#metrics.close();
