Let agents report to a new owner before it decides

Cause: after a takeover, an owner decided as soon as the first agent had reported. Ruled out: lost leases and absent reports; the scheduler's decision was a preempt with one known worker. Change: from epoch 2 on, an owner decides from one heartbeat interval after the first heartbeat on.

--- a/packages/owner/src/decisions.ts
+++ b/packages/owner/src/decisions.ts
@@ -1,3 +1,4 @@
+import {HEARTBEAT_INTERVAL_MS} from '@amaranthsail/core';
 import type {Decision, PlacedTask} from '@amaranthsail/scheduler';
 import {createAttempt, isStoppable} from './attempt.js';
 import type {CoreContext} from './core-context.js';
@@ -83,6 +84,15 @@
 	}
 }
 
+/**
+ * Tells whether the agents have had time to report to a new owner. While only some have, the rest of the failure domain
+ * looks lost, and a reclaim would stop running work although another worker is idle.
+ */
+function hasHeardAgents(context: CoreContext, nowMs: number): boolean {
+	const {firstHeardAtMs} = context.workers;
+	return context.options.epoch === 1 || (firstHeardAtMs !== undefined && nowMs - firstHeardAtMs >= HEARTBEAT_INTERVAL_MS);
+}
+
 /**
  * Lets the scheduler decide and carries its decisions out.
  *
@@ -90,7 +100,7 @@
  * @param nowMs - Monotonic milliseconds.
  */
 export function decide(context: CoreContext, nowMs: number): void {
-	if (!context.gate.canDecide(nowMs)) {
+	if (!context.gate.canDecide(nowMs) || !hasHeardAgents(context, nowMs)) {
 		return;
 	}
 
--- a/packages/owner/src/worker-table.ts
+++ b/packages/owner/src/worker-table.ts
@@ -49,6 +49,7 @@
 	readonly #epoch: number;
 	readonly #claimedAtMs: number;
 	#previousGoneAtMs: number | undefined;
+	#firstHeardAtMs: number | undefined;
 
 	/**
 	 * @param epoch - The owner's epoch.
@@ -59,6 +60,11 @@
 		this.#claimedAtMs = claimedAtMs;
 	}
 
+	/** Receipt of the first heartbeat from any agent, in monotonic milliseconds; undefined before. */
+	get firstHeardAtMs(): number | undefined {
+		return this.#firstHeardAtMs;
+	}
+
 	/**
 	 * Finds a worker.
 	 *
@@ -189,6 +195,7 @@
 	}
 
 	#add(heartbeat: Heartbeat, host: string, nowMs: number): WorkerRecord {
+		this.#firstHeardAtMs ??= nowMs;
 		const worker: WorkerRecord = {
 			workerId: heartbeat.workerId, host, port: heartbeat.replyPort, incarnation: heartbeat.incarnation, facts: undefined,
 			heardAtMs: nowMs, leaving: heartbeat.leaving, usable: false, revisionInForce: heartbeat.revisionInForce, incarnations: new Map(),
