Let fault switches concern each n-th operation

Change: the switch every limits a fault to each n-th operation concerned. Conclusion: half of the answers can be lost for any length of time.

--- a/packages/platform/src/fault-switches.ts
+++ b/packages/platform/src/fault-switches.ts
@@ -24,6 +24,8 @@
 	readonly skip?: number;
 	/** Number of operations that the faults apply to; without an end when absent. */
 	readonly count?: number;
+	/** Of the operations concerned, the faults apply to each whose number is a multiple of this; 1 when absent. */
+	readonly every?: number;
 };
 
 /**
@@ -35,6 +37,7 @@
 export function chooseBySwitches(switches: FaultSwitches): ChooseFault {
 	const first = switches.skip ?? 0;
 	const end = first + (switches.count ?? Number.POSITIVE_INFINITY);
+	const every = switches.every ?? 1;
 	let matched = 0;
 	return operation => {
 		const {services, operations} = switches;
@@ -43,7 +46,7 @@
 		}
 
 		matched += 1;
-		return matched > first && matched <= end
+		return matched > first && matched <= end && (matched - first) % every === 0
 			? {kind: kindOf(switches, operation), delayMs: switches.latencyMs}
 			: {kind: 'none'};
 	};
--- a/packages/standin/src/fault-routes.ts
+++ b/packages/standin/src/fault-routes.ts
@@ -18,6 +18,7 @@
 	operations: z.array(z.string()).optional(),
 	skip: z.int().min(0).optional(),
 	count: z.int().min(0).optional(),
+	every: z.int().min(1).optional(),
 }) satisfies z.ZodType<FaultSwitches>;
 
 /**
