Give local systems spare entries and checkpoints in the object store

Cause: agents know only the addresses of the entries at the start, so a replacement could not start beside the old entry. Workers got the object store's address under a name that their program does not read, so that no other worker could continue from a checkpoint. Change: an option for spare entry addresses, the name of the setting, and a query whether a process has become ready. Conclusion: rolling replacement and restart from checkpoints can run.

--- a/packages/quickstart/src/local-system.ts
+++ b/packages/quickstart/src/local-system.ts
@@ -19,6 +19,8 @@
 /** What a local system consists of. */
 export type LocalSystemOptions = {
 	readonly entries: readonly LocalEntrySpec[];
+	/** Number of further entry addresses that agents know, for entries that are started later; 0 when absent. */
+	readonly spareEntryCount?: number;
 	readonly workers: readonly LocalWorkerSpec[];
 	readonly accountTokens: Readonly<Record<string, string>>;
 	readonly operatorTokens: Readonly<Record<string, string>>;
@@ -57,7 +59,7 @@
 		this.#options = options;
 	}
 
-	/** Addresses of the entries, whether they run or not. */
+	/** Addresses of the entries, whether they run or not, and then the spare ones. */
 	get entryAddresses(): readonly string[] {
 		return this.#entryAddresses;
 	}
@@ -65,9 +67,10 @@
 	/** Starts everything. */
 	async start(): Promise<void> {
 		await this.platform.start();
-		const ports = await Promise.all(this.#options.entries.map(async () => findFreePort()));
+		const {entries, spareEntryCount = 0} = this.#options;
+		const ports = await Promise.all(Array.from({length: entries.length + spareEntryCount}, async () => findFreePort()));
 		this.#entryAddresses = ports.map(port => `127.0.0.1:${port}`);
-		await Promise.all(this.#options.entries.map(async (spec, index) => this.startEntry(spec, this.#entryAddresses[index])));
+		await Promise.all(entries.map(async (spec, index) => this.startEntry(spec, this.#entryAddresses[index])));
 		await Promise.all(this.#options.workers.map(async spec => this.startWorker(spec)));
 	}
 
@@ -114,7 +117,7 @@
 				AMARANTHSAIL_ROLE: 'worker',
 				AMARANTHSAIL_ADDRESS: '127.0.0.1:0',
 				AMARANTHSAIL_AGENT_ADDRESS: agentAddress,
-				AMARANTHSAIL_STORE_ADDRESS: formatAddress(this.platform.address),
+				AMARANTHSAIL_OBJECT_STORE_ADDRESS: formatAddress(this.platform.address),
 				AMARANTHSAIL_SERVICES: spec.services.join(','),
 				AMARANTHSAIL_RACK: spec.rack,
 				AMARANTHSAIL_CAPACITY: JSON.stringify(spec.capacity),
--- a/packages/quickstart/src/managed-process.ts
+++ b/packages/quickstart/src/managed-process.ts
@@ -53,6 +53,11 @@
 		return this.#child?.pid ?? 0;
 	}
 
+	/** Whether the process has said that it is ready. */
+	get isReady(): boolean {
+		return this.#address !== undefined;
+	}
+
 	/** Whether the process has not ended. */
 	get isRunning(): boolean {
 		return this.#child?.exitCode === null && this.#child.signalCode === null;
