Run the real processes under failures

Cause: the fuzzer shows the state machines under faults, but nothing showed the programs under killed, paused and replaced processes. Change: scenarios on a local system with one failure domain, checked against the workers' executions and the API, and a command that runs them, prints measured times and writes them to bench-results.

--- /dev/null
+++ b/packages/proof/src/failure-runs.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+import {mkdir, writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {
+	EXIT_INVALID_SETTINGS, integerSetting, readSettings, type SettingDefinition,
+} from '@amaranthsail/core';
+import {formatFigures, runScenarios, SCENARIOS, type Scenario} from './runs/index.js';
+
+const RESULTS = new URL('../../../bench-results/', import.meta.url);
+
+const scenarioSetting: SettingDefinition<readonly Scenario[]> = {
+	description: 'The scenarios to run.',
+	defaultText: 'all',
+	expected: `all or names separated by commas of ${SCENARIOS.map(({name}) => name).join(', ')}`,
+	parse(text) {
+		const chosen = text === 'all' ? SCENARIOS : text.split(',').map(name => SCENARIOS.find(scenario => scenario.name === name));
+		return chosen.every(scenario => scenario !== undefined) ? chosen : undefined;
+	},
+};
+
+const SETTINGS = {
+	scenario: scenarioSetting,
+	repeats: integerSetting('Repetitions of measured steps.', [1, 100], 3),
+};
+
+function print(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
+async function main(): Promise<void> {
+	const outcome = readSettings('failure-runs', SETTINGS, process.argv.slice(2), process.env);
+	if (!outcome.ok) {
+		for (const problem of outcome.error.problems) {
+			process.stderr.write(`${problem.setting}: ${problem.message}\n`);
+		}
+
+		process.exitCode = EXIT_INVALID_SETTINGS;
+		return;
+	}
+
+	if (outcome.value.kind !== 'run') {
+		print(outcome.value.kind === 'help' ? outcome.value.text : '0.1.0');
+		return;
+	}
+
+	const {scenario, repeats} = outcome.value.settings;
+	const report = await runScenarios(scenario, repeats, print);
+	for (const line of formatFigures(report.figures)) {
+		print(line);
+	}
+
+	await mkdir(RESULTS, {recursive: true});
+	await writeFile(new URL('failure-runs.json', RESULTS), `${JSON.stringify(report, undefined, '\t')}\n`);
+	const late = report.figures.filter(({maxMs, targetMs}) => targetMs !== undefined && maxMs > targetMs);
+	const failed = report.scenarios.filter(({violation}) => violation !== undefined);
+	print(`${report.scenarios.length - failed.length} of ${report.scenarios.length} scenarios held; ${late.length} times above their targets.`);
+	process.exitCode = failed.length + late.length > 0 ? 1 : 0;
+}
+
+await main();
--- /dev/null
+++ b/packages/proof/src/runs/index.ts
@@ -0,0 +1,7 @@
+export * from './check-executions.js';
+export * from './figures.js';
+export * from './proof-system.js';
+export * from './run-scenarios.js';
+export type * from './scenario.js';
+export * from './scenarios/index.js';
+export * from './violation.js';
--- /dev/null
+++ b/packages/proof/src/runs/scenarios/urgent-start.ts
@@ -0,0 +1,92 @@
+import {checkCompletedOnce} from '../check-executions.js';
+import type {JobHandle} from '../job-handle.js';
+import {monotonicNowMs} from '../monotonic-now.js';
+import type {ProofSystem} from '../proof-system.js';
+import type {Scenario} from '../scenario.js';
+import {check} from '../violation.js';
+import {waitUntil} from '../wait-until.js';
+
+/** Longest wait for a start; the stated targets are in the table of figures. */
+const START_TIMEOUT_MS = 30_000;
+
+/** Run time of the work that fills the accelerators; it is cancelled at the end. */
+const FILL_RUN_MS = 300_000;
+
+/** Accelerators of one task by operation, as in the example records. */
+const ACCELERATORS: Readonly<Partial<Record<string, number>>> = {'photo-assessment': 2, 'quote-batching': 1, 'dispatch-matching': 1};
+
+async function startUrgent(system: ProofSystem): Promise<number> {
+	const submittedMs = monotonicNowMs();
+	const job = await system.submit({operation: 'dispatch-matching', runMs: 50});
+	const startMs = await waitUntil('the start of an urgent job', START_TIMEOUT_MS, async () => {
+		const [execution] = await system.executions(job.jobId);
+		return execution?.startMs;
+	});
+	await checkCompletedOnce(system, job, 1);
+	return startMs - submittedMs;
+}
+
+/** Waits until tasks run on every accelerator. */
+async function untilFull(system: ProofSystem): Promise<void> {
+	const total = system.local.workers.reduce((sum, {spec}) => sum + spec.capacity.accelerators, 0);
+	let used = 0;
+	try {
+		await waitUntil('work on all accelerators', START_TIMEOUT_MS, async () => {
+			const executions = await system.executions();
+			const running = executions.filter(({endMs}) => endMs === undefined);
+			used = running.reduce((sum, {operation}) => sum + ACCELERATORS[operation]!, 0);
+			return used === total ? true : undefined;
+		});
+	} catch {
+		check(false, `work is on ${used} of ${total} accelerators`);
+	}
+}
+
+async function cancel(system: ProofSystem, jobs: readonly JobHandle[]): Promise<void> {
+	const caller = system.account('housing-repairs');
+	await Promise.all(jobs.map(async ({jobId}) => caller.call('DELETE', `/v1/jobs/${jobId}`)));
+	await waitUntil('the end of the cancelled jobs', START_TIMEOUT_MS, async () => {
+		const views = await Promise.all(jobs.map(async job => system.view(job)));
+		return views.every(({final}) => final) ? true : undefined;
+	});
+}
+
+/** Time from the submit of an urgent job to its start on an idle system. */
+export const urgentStartIdle: Scenario = {
+	name: 'urgent-start-idle',
+	properties: ['P9'],
+	async run({system, record, repeats}) {
+		for (let round = 0; round < repeats * 3; round += 1) {
+			record('urgent start, idle', await startUrgent(system));
+		}
+
+		const worker = system.local.workers[0]!;
+		await worker.agent.stop('SIGKILL');
+		for (let round = 0; round < repeats; round += 1) {
+			record('urgent start, agent killed', await startUrgent(system));
+		}
+
+		await system.local.restartAgent(worker);
+		await system.untilReady();
+	},
+};
+
+/** Time from the submit of an urgent job to its start while stoppable work of another account fills all accelerators. */
+export const urgentStartReclaim: Scenario = {
+	name: 'urgent-start-reclaim',
+	properties: ['P1', 'P9'],
+	async run({system, record, repeats}) {
+		const filling = await Promise.all([
+			...Array.from({length: 12}, async () => system.submit({operation: 'photo-assessment', runMs: FILL_RUN_MS, account: 'housing-repairs'})),
+			...Array.from({length: 24}, async () => system.submit({operation: 'quote-batching', runMs: FILL_RUN_MS, account: 'housing-repairs'})),
+		]);
+		try {
+			for (let round = 0; round < repeats; round += 1) {
+				await untilFull(system);
+				record('urgent start, reclaim', await startUrgent(system));
+			}
+		} finally {
+			await cancel(system, filling);
+		}
+	},
+};
