End connections with their answer while an entry closes

Cause: an open request's keep-alive connection stayed open after its answer, so a drain waited for Node's 5,000 ms idle timeout, or, with a client that goes on sending, for the drain timeout, which cuts its requests. Change: answers carry 'connection: close' once the server closes, with a test. Conclusion: a drain ends with its last open request.

--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -49,6 +49,7 @@
 	readonly server: Server;
 	readonly #options: HttpServerOptions;
 	#openRequests = 0;
+	#isClosing = false;
 
 	/**
 	 * @param options - Routes and what they need.
@@ -97,11 +98,13 @@
 	}
 
 	/**
-	 * Stops listening and waits until open requests are answered.
+	 * Stops listening and waits until open requests are answered. Each connection ends with its answer: one that stayed
+	 * open would hold the close up, and its next request could be cut at the timeout.
 	 *
 	 * @param timeoutMs - Longest wait, after which connections are cut.
 	 */
 	async close(timeoutMs: number): Promise<void> {
+		this.#isClosing = true;
 		const closed = new Promise<void>(resolve => {
 			this.server.close(() => {
 				resolve();
@@ -120,6 +123,10 @@
 			this.#openRequests += 1;
 			try {
 				const result = await this.#run(route, request);
+				if (this.#isClosing) {
+					response.setHeader('connection', 'close');
+				}
+
 				if (result.ok) {
 					sendJson(response, result.value.status, result.value.body);
 				} else {
--- /dev/null
+++ b/packages/entry/tests/http-server.test.ts
@@ -0,0 +1,45 @@
+import {Agent, request as sendRequest} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createLogger, ok} from '@amaranthsail/core';
+import {expect} from 'chai';
+import {Authenticator} from '@amaranthsail/entry/identity.js';
+import {HttpServer} from '@amaranthsail/entry/http-server.js';
+
+/** Far above what the close takes, and far below the 5,000 ms after which Node closes an idle connection. */
+const CLOSE_BOUND_MS = 2000;
+
+async function get(port: number, agent: Agent): Promise<{readonly status: number | undefined; readonly connection: string | undefined}> {
+	return new Promise((resolve, reject) => {
+		const sent = sendRequest({port, host: '127.0.0.1', path: '/slow', agent}, response => {
+			response.resume().on('end', () => {
+				resolve({status: response.statusCode, connection: response.headers.connection});
+			});
+		});
+		sent.on('error', reject).end();
+	});
+}
+
+describe('HttpServer', () => {
+	// Guards against a drain that a client holds up by keeping its connection, and that then cuts the client's requests.
+	it('answers an open request during a close and ends its connection with the answer', async () => {
+		const server = new HttpServer({
+			authenticator: new Authenticator(new Map(), new Map(), 'secret-of-test'),
+			logger: createLogger('test', 'error'),
+			routes: [{
+				method: 'GET', path: '/slow', role: undefined, async handle() {
+					await sleep(200);
+					return ok({status: 200, body: {}});
+				},
+			}],
+		});
+		const {port} = await server.listen({host: '127.0.0.1', port: 0});
+		const agent = new Agent({keepAlive: true});
+		const answered = get(port, agent);
+		await sleep(50);
+		const startedMs = performance.now();
+		await server.close(10_000);
+		expect(performance.now() - startedMs).to.be.below(CLOSE_BOUND_MS);
+		expect(await answered).to.deep.equal({status: 200, connection: 'close'});
+		agent.destroy();
+	});
+});
