Measure reclaims from short and from long work apart

Cause: the example policy keeps a quarter of the accelerators for short work, so long work alone filled 18 of 24, and a reclaim took short work. Change: one fill by long and short work, one by long work alone under a policy without that share, which is put back afterwards.

--- a/packages/proof/src/runs/figures.ts
+++ b/packages/proof/src/runs/figures.ts
@@ -16,9 +16,11 @@
 	'configuration in force, store slow': 11_000,
 	'urgent start, idle': 1900,
 	// Checkpoint grace 5,000 ms, stop 1,000 ms and the start.
-	'urgent start, reclaim': 7900,
+	'urgent start, reclaim from short work': 7900,
+	'urgent start, reclaim from long work': 7900,
 	'last start after leaving, no fault': 4000,
 	'last start after leaving, store down': 4000,
+	'last start after leaving, silent': 4000,
 };
 
 /** Collects measured times by name. */
--- a/packages/proof/src/runs/scenarios/urgent-start.ts
+++ b/packages/proof/src/runs/scenarios/urgent-start.ts
@@ -1,8 +1,9 @@
+import {readExampleRecords} from '@amaranthsail/quickstart';
 import {checkCompletedOnce} from '../check-executions.js';
 import type {JobHandle} from '../job-handle.js';
 import {monotonicNowMs} from '../monotonic-now.js';
 import type {ProofSystem} from '../proof-system.js';
-import type {Scenario} from '../scenario.js';
+import type {Scenario, ScenarioContext} from '../scenario.js';
 import {check} from '../violation.js';
 import {waitUntil} from '../wait-until.js';
 
@@ -71,22 +72,48 @@
 	},
 };
 
+/** Sets the share of accelerators that the example policy keeps for short work and waits until it is in force. */
+async function setShortShare(system: ProofSystem, shortShare: number | undefined): Promise<void> {
+	const records = await readExampleRecords('cooperative');
+	const policy = records.find(({kind}) => kind === 'Policy')!;
+	const record = shortShare === undefined ? policy : {...policy, spec: {...policy.spec, lanes: {shortShare}}};
+	const reply = await system.operator('olga').call('PUT', `/v1/records/Policy/${policy.name}`, {body: {record}});
+	check(reply.status === 200, `the policy was refused: ${JSON.stringify(reply.body)}`);
+	await waitUntil('the policy in force', START_TIMEOUT_MS, async () => {
+		const {lowestRevision} = await system.status();
+		return lowestRevision >= Number(reply.body.revision) ? true : undefined;
+	});
+}
+
+async function fillAndReclaim({system, record, repeats}: ScenarioContext, name: string, counts: {readonly long: number; readonly short: number}): Promise<void> {
+	const account = 'housing-repairs';
+	const filling = await Promise.all([
+		...Array.from({length: counts.long}, async () => system.submit({operation: 'photo-assessment', runMs: FILL_RUN_MS, account})),
+		...Array.from({length: counts.short}, async () => system.submit({operation: 'quote-batching', runMs: FILL_RUN_MS, account})),
+	]);
+	try {
+		for (let round = 0; round < repeats; round += 1) {
+			await untilFull(system);
+			record(name, await startUrgent(system));
+		}
+	} finally {
+		await cancel(system, filling);
+	}
+}
+
 /** Time from the submit of an urgent job to its start while stoppable work of another account fills all accelerators. */
 export const urgentStartReclaim: Scenario = {
 	name: 'urgent-start-reclaim',
 	properties: ['P1', 'P9'],
-	async run({system, record, repeats}) {
-		const filling = await Promise.all([
-			...Array.from({length: 12}, async () => system.submit({operation: 'photo-assessment', runMs: FILL_RUN_MS, account: 'housing-repairs'})),
-			...Array.from({length: 24}, async () => system.submit({operation: 'quote-batching', runMs: FILL_RUN_MS, account: 'housing-repairs'})),
-		]);
+	async run(context) {
+		const {system} = context;
+		await fillAndReclaim(context, 'urgent start, reclaim from short work', {long: 12, short: 24});
+		// Without a share for short work, long work that can checkpoint fills everything.
+		await setShortShare(system, 0);
 		try {
-			for (let round = 0; round < repeats; round += 1) {
-				await untilFull(system);
-				record('urgent start, reclaim', await startUrgent(system));
-			}
+			await fillAndReclaim(context, 'urgent start, reclaim from long work', {long: 16, short: 0});
 		} finally {
-			await cancel(system, filling);
+			await setShortShare(system, undefined);
 		}
 	},
 };
