Add a load tool for the path, agents and configuration changes

Cause: the needs of each role at full size had no measured basis beside the decision time of the scheduler.

Change: amaranthsail-load starts a local system and measures empty jobs from submit to answer (path), emulated agents with running tasks against a real owner over UDP (agents), and the time until a change is in force (config).

--- /dev/null
+++ b/packages/bench/src/load/load-settings.ts
@@ -0,0 +1,38 @@
+import {integerSetting, type SettingDefinition} from '@amaranthsail/core';
+
+/** What the load tool measures. */
+export const LOAD_MODES = ['path', 'agents', 'config'] as const;
+
+/** One of {@link LOAD_MODES}. */
+export type LoadMode = (typeof LOAD_MODES)[number];
+
+const MAX_AGENTS = 400;
+
+const modeSetting: SettingDefinition<LoadMode> = {
+	description: 'Measures jobs from submit to answer, agents of one owner, or changes of the configuration.',
+	expected: LOAD_MODES.join(', or '),
+	parse: text => LOAD_MODES.find(mode => mode === text),
+};
+
+const sizesSetting: SettingDefinition<readonly number[]> = {
+	description: 'Numbers of emulated agents, one system for each.',
+	defaultText: '10,50,150',
+	expected: `at least two different whole numbers from 1 to ${MAX_AGENTS}, separated by commas`,
+	parse(text) {
+		const sizes = text.split(',').map(Number);
+		const isValid = sizes.every(size => Number.isInteger(size) && size >= 1 && size <= MAX_AGENTS);
+		return isValid && new Set(sizes).size >= 2 ? sizes : undefined;
+	},
+};
+
+/** Flags of the load tool. */
+export const LOAD_SETTINGS = {
+	mode: modeSetting,
+	seed: integerSetting('Seed of the phases of the heartbeats and of the keys of the jobs.', [0, 1_000_000], 1),
+	jobs: integerSetting('Jobs of each level of concurrency.', [10, 10_000], 300),
+	sizes: sizesSetting,
+	tasksPerAgent: integerSetting('Running tasks that each emulated agent holds and reports.', [0, 8], 8),
+	changes: integerSetting('Changes of the configuration at each size.', [1, 100], 5),
+	seconds: integerSetting('Length of each measurement.', [2, 120], 8),
+	settleSeconds: integerSetting('Time between the start and each measurement.', [0, 60], 3),
+};
--- /dev/null
+++ b/packages/bench/src/load/load-system.ts
@@ -0,0 +1,189 @@
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Resources} from '@amaranthsail/core';
+import {ApiClient, LocalSystem, type LocalWorkerSpec} from '@amaranthsail/quickstart';
+import {request} from 'undici';
+
+/** The failure domain that all load goes to. */
+export const LOAD_DOMAIN = 'load-domain';
+
+/** The client account that submits all jobs. */
+export const LOAD_ACCOUNT = 'load-account';
+
+const SERVICE = 'load';
+const ACCOUNT_TOKEN = 'token-load-account';
+const OPERATOR_TOKEN = 'token-load-operator';
+const WORKERS_PER_RACK = 3;
+const READY_TIMEOUT_MS = 20_000;
+const POLL_INTERVAL_MS = 50;
+
+/** Resources of each worker; enough slots for the largest concurrency on three workers. */
+export const LOAD_CAPACITY: Resources = {
+	slots: 16, connections: 64, processors: 60, memoryMb: 128_000, accelerators: 8,
+};
+
+/** What the platform stand-in has served. */
+export type StoreCounters = Readonly<Record<'reads' | 'rowsRead' | 'transactions' | 'writes' | 'conditionsFailed' | 'objects', number>>;
+
+/**
+ * Names the rack of a worker.
+ *
+ * @param index - Number of the worker, from 0.
+ * @returns Name of the rack.
+ */
+export function rackOf(index: number): string {
+	return `rack-${Math.floor(index / WORKERS_PER_RACK)}`;
+}
+
+/**
+ * Waits until a condition holds.
+ *
+ * @param what - Names the condition for the error.
+ * @param holds - The condition.
+ * @param timeoutMs - Longest wait.
+ * @throws Error when it does not hold in time.
+ */
+export async function waitUntil(what: string, holds: () => boolean | Promise<boolean>, timeoutMs = READY_TIMEOUT_MS): Promise<void> {
+	const untilMs = performance.now() + timeoutMs;
+	while (!await holds()) {
+		if (performance.now() > untilMs) {
+			throw new Error(`${what}: not within ${timeoutMs} ms`);
+		}
+
+		await sleep(POLL_INTERVAL_MS);
+	}
+}
+
+/** Two entries, the platform stand-in and a failure domain with records for a number of workers. */
+export class LoadSystem {
+	readonly local: LocalSystem;
+	readonly #workerCount: number;
+
+	/**
+	 * @param workerCount - Workers that the records declare.
+	 * @param workers - Workers to start with their real agents; none when they are emulated.
+	 */
+	constructor(workerCount: number, workers: readonly LocalWorkerSpec[] = []) {
+		this.#workerCount = workerCount;
+		this.local = new LocalSystem({
+			entries: ['first', 'second'].map(name => ({name: `${name} entry`, region: 'load-region', failureDomain: `${name}-place`})),
+			workers,
+			accountTokens: {[LOAD_ACCOUNT]: ACCOUNT_TOKEN},
+			operatorTokens: {operator: OPERATOR_TOKEN},
+		});
+	}
+
+	/** The shared secret of the processes. */
+	get sharedSecret(): string {
+		return this.local.entries[0]!.spec.environment.AMARANTHSAIL_SHARED_SECRET!;
+	}
+
+	/** A client of the operator at the first entry. */
+	get operator(): ApiClient {
+		return new ApiClient(this.local.entryAddresses[0]!, OPERATOR_TOKEN);
+	}
+
+	/** A client of the account at the first entry. */
+	get account(): ApiClient {
+		return new ApiClient(this.local.entryAddresses[0]!, ACCOUNT_TOKEN);
+	}
+
+	/** Settings of the command line as environment variables. */
+	get cliEnvironment(): Readonly<Record<string, string | undefined>> {
+		return {PATH: process.env.PATH, AMARANTHSAIL_ENTRY_ADDRESSES: this.local.entryAddresses.join(','), AMARANTHSAIL_TOKEN: OPERATOR_TOKEN};
+	}
+
+	/** Starts the system and applies the records. */
+	async start(): Promise<void> {
+		await this.local.start();
+		await waitUntil('readiness', async () => {
+			const replies = await Promise.all(this.local.entryAddresses.map(async address => new ApiClient(address, OPERATOR_TOKEN).call('GET', '/readyz')));
+			return replies.every(({status}) => status === 200);
+		});
+		const racks: Record<string, {workers: Resources[]}> = {};
+		for (let index = 0; index < this.#workerCount; index++) {
+			racks[rackOf(index)] ??= {workers: []};
+			racks[rackOf(index)]!.workers.push(LOAD_CAPACITY);
+		}
+
+		await this.apply('FailureDomain', LOAD_DOMAIN, {region: 'load-region', racks});
+		await this.apply('Service', SERVICE, {
+			operations: {
+				// A task takes no accelerator, so that only slots bound the concurrency of empty jobs.
+				empty: {workClass: 'short', repeatable: true, maxRunMs: 3_600_000},
+				held: {workClass: 'long', repeatable: true, maxRunMs: 3_600_000, shape: {accelerators: 1}},
+			},
+		});
+		await this.apply('ClientAccount', LOAD_ACCOUNT, {weight: 1});
+		await this.apply('Policy', 'load', {
+			ordering: 'balanced',
+			weights: {
+				completion: 1, fragmentation: 1, peak: 1, shortWork: 1,
+			},
+			limits: {maxWaitingPerAccount: 10_000},
+			stragglerFactor: 0,
+		});
+	}
+
+	/**
+	 * Submits a record.
+	 *
+	 * @param kind - Kind of the record.
+	 * @param name - Its name.
+	 * @param spec - Its fields.
+	 * @returns The revision of the change.
+	 * @throws Error when it is refused.
+	 */
+	async apply(kind: string, name: string, spec: unknown): Promise<number> {
+		const record = {
+			schemaVersion: 1, kind, name, spec,
+		};
+		const reply = await this.operator.call('PUT', `/v1/records/${kind}/${name}`, {body: {record}});
+		if (reply.status !== 200) {
+			throw new Error(`${kind}/${name} was refused: ${JSON.stringify(reply.body)}`);
+		}
+
+		return Number(reply.body.revision);
+	}
+
+	/**
+	 * Submits a job.
+	 *
+	 * @param operation - `empty` ends at once; `held` runs until it is stopped.
+	 * @param key - Its idempotency key.
+	 * @param waitMs - How long to wait for its answer.
+	 * @returns State of the job.
+	 * @throws Error when it is refused.
+	 */
+	async submit(operation: 'empty' | 'held', key: string, waitMs: number): Promise<string> {
+		const body = {
+			service: SERVICE, operation, input: {runMs: 0}, waitMs,
+		};
+		const reply = await this.account.call('POST', '/v1/jobs', {key, body});
+		if (reply.status >= 300) {
+			throw new Error(`a job was refused: ${JSON.stringify(reply.body)}`);
+		}
+
+		return String(reply.body.state);
+	}
+
+	/** Finds the process that owns the failure domain. */
+	async ownerPid(): Promise<number> {
+		let pid = 0;
+		await waitUntil('an owner', async () => {
+			const {body} = await this.operator.call('GET', '/v1/status');
+			const entries = body.entries as ReadonlyArray<{readonly port: number; readonly owned: ReadonlyArray<{readonly failureDomain: string}>}>;
+			const owner = entries.find(({owned}) => owned.some(({failureDomain}) => failureDomain === LOAD_DOMAIN));
+			pid = this.local.entries.find(entry => entry.address.port === owner?.port)?.pid ?? 0;
+			return pid !== 0;
+		});
+		return pid;
+	}
+
+	/** Reads what the platform stand-in has served since its start. */
+	async counters(): Promise<StoreCounters> {
+		const {host, port} = this.local.platform.address;
+		const response = await request(`http://${host}:${port}/v1/counters`);
+		return await response.body.json() as StoreCounters;
+	}
+}
