Count the store's operations beside emulated agents

Cause: scans of the open-job index return a row for each open job, which the figures of agents did not show.

Change: the agents mode reads the stand-in's counters around each measurement; the difference of counters moves to load-system.ts, which the path mode uses too.

--- a/packages/bench/src/load/agents-load.ts
+++ b/packages/bench/src/load/agents-load.ts
@@ -3,6 +3,7 @@
 import {AgentFleet, type FleetOptions} from './agent-fleet.js';
 import {Latency, type LatencySummary} from './latency.js';
 import {fitLine, type Line} from './least-squares.js';
+import {storeUseOf, type StoreUse} from './load-system.js';
 import {ProcessMeter, type IntervalUse} from './process-meter.js';
 
 /** Figures of an owner at one number of agents. */
@@ -20,6 +21,7 @@
 	readonly receivedBytesPerSecondPerAgent: number;
 	readonly datagramsPerSecondPerAgent: number;
 	readonly ack: LatencySummary;
+	readonly storePerSecond: StoreUse;
 };
 
 /** Figures at all sizes, and lines over the number of agents. */
@@ -41,12 +43,14 @@
 		['emulation', process.pid],
 	]));
 	const latency = new Latency();
+	const countersBefore = await fleet.system.counters();
 	const before = {...fleet.traffic};
 	const startMs = performance.now();
 	fleet.latency = latency;
 	await sleep(seconds * 1000);
 	fleet.latency = undefined;
-	const perAgent = agents * (performance.now() - startMs) / 1000;
+	const measuredSeconds = (performance.now() - startMs) / 1000;
+	const perAgent = agents * measuredSeconds;
 	const after = {...fleet.traffic};
 	const uses = meter.end();
 	return {
@@ -60,6 +64,7 @@
 		receivedBytesPerSecondPerAgent: (after.receivedBytes - before.receivedBytes) / perAgent,
 		datagramsPerSecondPerAgent: (after.sentDatagrams + after.receivedDatagrams - before.sentDatagrams - before.receivedDatagrams) / perAgent,
 		ack: latency.summary(),
+		storePerSecond: storeUseOf(countersBefore, await fleet.system.counters(), {divisor: measuredSeconds}),
 	};
 }
 
--- a/packages/bench/src/load/load-system.ts
+++ b/packages/bench/src/load/load-system.ts
@@ -25,6 +25,27 @@
 /** What the platform stand-in has served. */
 export type StoreCounters = Readonly<Record<'reads' | 'rowsRead' | 'transactions' | 'writes' | 'conditionsFailed' | 'objects', number>>;
 
+/** Operations of the store for one unit of load. */
+export type StoreUse = Readonly<Record<Exclude<keyof StoreCounters, 'conditionsFailed'>, number>>;
+
+/**
+ * Compares two readings of the counters.
+ *
+ * @param before - The earlier one.
+ * @param after - The later one.
+ * @param options - `divisor` is the number of units between them; `idle` is what is taken off for each of `seconds`.
+ * @returns Operations for one unit.
+ */
+export function storeUseOf(before: StoreCounters, after: StoreCounters, options: {
+	readonly divisor: number; readonly idle?: StoreUse; readonly seconds?: number;
+}): StoreUse {
+	const {divisor, idle, seconds = 0} = options;
+	const countOf = (name: keyof StoreUse): number => (after[name] - before[name] - ((idle?.[name] ?? 0) * seconds)) / divisor;
+	return {
+		reads: countOf('reads'), rowsRead: countOf('rowsRead'), transactions: countOf('transactions'), writes: countOf('writes'), objects: countOf('objects'),
+	};
+}
+
 /**
  * Names the rack of a worker.
  *
--- a/packages/bench/src/load/path-load.ts
+++ b/packages/bench/src/load/path-load.ts
@@ -5,7 +5,7 @@
 import {readProcessUse, type ProcessUse} from '@amaranthsail/agent/process-use.js';
 import {Latency, type LatencySummary} from './latency.js';
 import {
-	LOAD_CAPACITY, LOAD_DOMAIN, LoadSystem, rackOf, waitUntil, type StoreCounters,
+	LOAD_CAPACITY, LOAD_DOMAIN, LoadSystem, rackOf, storeUseOf, waitUntil, type StoreUse,
 } from './load-system.js';
 import {ProcessMeter, type IntervalUse} from './process-meter.js';
 
@@ -15,14 +15,12 @@
 const SAMPLE_INTERVAL_MS = 5;
 const CLI_TIMEOUT_MS = 20_000;
 
-/** Operations of the store for one job, without those that an idle system makes. */
-export type StoreUse = {readonly reads: number; readonly rowsRead: number; readonly transactions: number; readonly writes: number; readonly objects: number};
-
 /** Figures at one level of concurrency. */
 export type PathFigures = {
 	readonly concurrency: number;
 	readonly jobsPerSecond: number;
 	readonly latency: LatencySummary;
+	/** Operations of the store for one job, without those of an idle system. */
 	readonly storePerJob: StoreUse;
 	readonly processes: Readonly<Record<string, IntervalUse>>;
 };
@@ -36,13 +34,6 @@
 	readonly cli: Pick<ProcessUse, 'residentMb' | 'privateMb' | 'processorMs'>;
 };
 
-function difference(before: StoreCounters, after: StoreCounters, {divisor, idle, seconds}: {divisor: number; idle?: StoreUse; seconds: number}): StoreUse {
-	const of = (name: keyof StoreUse): number => (after[name] - before[name] - ((idle?.[name] ?? 0) * seconds)) / divisor;
-	return {
-		reads: of('reads'), rowsRead: of('rowsRead'), transactions: of('transactions'), writes: of('writes'), objects: of('objects'),
-	};
-}
-
 async function measureCli(system: LoadSystem): Promise<PathResult['cli']> {
 	const child = spawn(process.execPath, [fileURLToPath(import.meta.resolve('@amaranthsail/cli/bin.js')), 'status'], {
 		env: system.cliEnvironment, stdio: ['ignore', 'ignore', 'inherit'], timeout: CLI_TIMEOUT_MS,
@@ -124,7 +115,7 @@
 		const idleBefore = await system.counters();
 		const idleMeter = new ProcessMeter(pids);
 		await sleep(settings.seconds * 1000);
-		const idle = difference(idleBefore, await system.counters(), {divisor: settings.seconds, seconds: settings.seconds});
+		const idle = storeUseOf(idleBefore, await system.counters(), {divisor: settings.seconds});
 		const idleProcesses = idleMeter.end();
 		const levels: PathFigures[] = [];
 		for (const concurrency of CONCURRENCIES) {
@@ -137,7 +128,7 @@
 				concurrency,
 				jobsPerSecond: settings.jobs / seconds,
 				latency: latency.summary(),
-				storePerJob: difference(before, await system.counters(), {divisor: settings.jobs, idle, seconds}),
+				storePerJob: storeUseOf(before, await system.counters(), {divisor: settings.jobs, idle, seconds}),
 				processes: meter.end(),
 			});
 		}
--- a/packages/bench/src/load/report.ts
+++ b/packages/bench/src/load/report.ts
@@ -2,7 +2,8 @@
 import type {ConfigFigures} from './config-load.js';
 import type {LatencySummary} from './latency.js';
 import type {Line} from './least-squares.js';
-import type {PathResult, StoreUse} from './path-load.js';
+import type {StoreUse} from './load-system.js';
+import type {PathResult} from './path-load.js';
 import type {IntervalUse} from './process-meter.js';
 
 function formatLatency({medianMs, p99Ms, maxMs, count}: LatencySummary): string {
@@ -55,6 +56,7 @@
 	return [
 		...result.sizes.flatMap(size => [
 			`${size.agents} agents, ${size.runningTasks} running tasks: ack ${formatLatency(size.ack)}`,
+			`  store a second: ${formatStore(size.storePerSecond)}`,
 			`  owner: ${formatUse(size.owner)}`,
 			`  other entry: ${formatUse(size.otherEntry)}`,
 			`  platform: ${formatUse(size.platform)}`,
