Refuse flags without a value, and start programs in one way

Cause: a flag whose value was forgotten was read as absent, or took the next flag as its value, which could print a secret in the message. Each program repeated the code for help, version and wrong settings. Before: 2 new cases fail (the flag is ignored; the next flag is shown as its value). Conclusion: every program that reads settings can use the same start.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,5 +7,6 @@
 export * from './messages.js';
 export * from './message-codec.js';
 export * from './settings.js';
+export * from './program-settings.js';
 export * from './logger.js';
 export * from './task-key.js';
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -108,6 +108,12 @@
 		const flagValue = values[flagOf(name).slice(2)];
 		const text = typeof flagValue === 'string' ? flagValue : environment[variableOf(name)] ?? definition.defaultText;
 		const setting = `${flagOf(name)} (${variableOf(name)})`;
+		// `parseArgs` takes the next flag as the value of one that has none.
+		if (flagValue === true || (typeof flagValue === 'string' && flagValue.startsWith('--'))) {
+			problems.push({setting, message: `the flag has no value; expected ${definition.expected}`});
+			continue;
+		}
+
 		if (text === undefined) {
 			problems.push({setting, message: `required: ${definition.expected}`});
 			continue;
--- a/packages/core/tests/settings.test.ts
+++ b/packages/core/tests/settings.test.ts
@@ -11,6 +11,26 @@
 };
 
 describe('readSettings', () => {
+	// Guards against a flag that is silently ignored because its value was forgotten.
+	for (const argumentTexts of [['--worker-count'], ['--worker-count', '--shared-secret=long enough']]) {
+		it(`refuses a flag without a value: ${argumentTexts.join(' ')}`, () => {
+			const outcome = readSettings('test', schema, argumentTexts, {
+				AMARANTHSAIL_ENTRY_ADDRESSES: '127.0.0.1:1',
+				AMARANTHSAIL_SHARED_SECRET: 'long enough',
+			});
+			expect(outcome).to.deep.equal({
+				ok: false,
+				error: {
+					kind: 'invalid_settings',
+					problems: [{
+						setting: '--worker-count (AMARANTHSAIL_WORKER_COUNT)',
+						message: 'the flag has no value; expected a whole number from 1 to 9',
+					}],
+				},
+			});
+		});
+	}
+
 	it('prefers the flag over the environment variable', () => {
 		const outcome = readSettings('test', schema, ['--worker-count', '3', '--shared-secret=long enough'], {
 			AMARANTHSAIL_WORKER_COUNT: '4',
--- a/packages/standin/src/bin.ts
+++ b/packages/standin/src/bin.ts
@@ -1,8 +1,7 @@
 #!/usr/bin/env node
-import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {
-	createLogger, EXIT_INVALID_SETTINGS, formatAddress, readSettings, type SettingsOf,
+	createLogger, formatAddress, readProgramSettings, type SettingsOf,
 } from '@amaranthsail/core';
 import {standinSettings} from './standin-settings.js';
 import {startPlatform} from './start-platform.js';
@@ -55,20 +54,9 @@
 	logger.info('ready', {role: settings.role, ...started.addresses});
 }
 
-// `readSettings` gives every flag a value.
+// Every flag has a value; this one may be given without.
 const argumentTexts = process.argv.slice(2).map(text => text === '--fail-everything' ? '--fail-everything=true' : text);
-const outcome = readSettings(PROGRAM, standinSettings, argumentTexts, process.env);
-if (!outcome.ok) {
-	for (const {setting, message} of outcome.error.problems) {
-		process.stderr.write(`${setting}: ${message}\n`);
-	}
-
-	process.exitCode = EXIT_INVALID_SETTINGS;
-} else if (outcome.value.kind === 'help') {
-	process.stdout.write(outcome.value.text);
-} else if (outcome.value.kind === 'version') {
-	const {version} = JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8')) as {version: string};
-	process.stdout.write(`${version}\n`);
-} else {
-	await run(outcome.value.settings);
+const settings = readProgramSettings(PROGRAM, standinSettings, import.meta.url, argumentTexts);
+if (settings) {
+	await run(settings);
 }
