Use live entries in the scenarios, and test when a new owner decides

Cause: store-down called an entry that an earlier scenario had killed, so it failed with a refused connection in a run of all scenarios; operators-race found its entries in a roundabout way. The wait of a new owner for its agents had only the run of real processes as its test. Change: both scenarios take entries that run; a test of the owner core expects no decision within one heartbeat interval of the first heartbeat.

--- a/packages/owner/tests/owner-recovery.test.ts
+++ b/packages/owner/tests/owner-recovery.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	FENCE_MARGIN_MS, LEASE_EXTENSION_LIMIT_MS, TASK_LEASE_MS, type JobSpec,
+	FENCE_MARGIN_MS, HEARTBEAT_INTERVAL_MS, LEASE_EXTENSION_LIMIT_MS, TASK_LEASE_MS, type JobSpec,
 } from '@amaranthsail/core';
 import {CoreWorld, type TestOwner} from './core-world.js';
 import type {FakeAgent} from './fake-agent.js';
@@ -41,6 +41,19 @@
 		expect(world.row('job')).to.include({state: 'completed', attempt: 1});
 	});
 
+	// Guards against decisions while most workers have not reported to a new owner: a reclaim would stop running work although others are idle.
+	it('decides only after the agents had one heartbeat interval to report', () => {
+		const {world, owner} = startRunning();
+		owner.isPaused = true;
+		world.run(4000);
+		const {core} = world.claim({isPreviousGone: true});
+		world.submit('later');
+		world.runUntil(() => core.status(world.nowMs).workers > 0, 3000);
+		world.run(HEARTBEAT_INTERVAL_MS - 20);
+		expect(world.row('later').state).to.equal('waiting');
+		world.runUntil(() => world.row('later').state === 'running', 1000);
+	});
+
 	// Guards against a gang of which only some members run after a crash between decision and release.
 	const crashes: ReadonlyArray<{readonly name: string; readonly isMemberLost: boolean; readonly running: readonly number[]}> = [
 		{name: 'releases a decided gang whose members all report', isMemberLost: false, running: [1, 1]},
--- a/packages/proof/src/runs/scenarios/operators-race.ts
+++ b/packages/proof/src/runs/scenarios/operators-race.ts
@@ -1,3 +1,4 @@
+import {formatAddress} from '@amaranthsail/core';
 import type {ApiReply} from '@amaranthsail/quickstart';
 import type {Scenario} from '../scenario.js';
 import {check} from '../violation.js';
@@ -34,7 +35,7 @@
 			const record = `proof-race-${system.newKey()}`;
 			const path = `/v1/records/ClientAccount/${record}`;
 			const replies = await Promise.all(operators.map(async (name, index) => {
-				const address = system.local.entryAddresses.filter(each => system.liveEntries.some(({address: {port}}) => each.endsWith(`:${port}`)))[index]!;
+				const address = formatAddress(system.liveEntries[index]!.address);
 				return {name, reply: await system.operator(name).callAt(address, 'PUT', path, {body: {record: recordWith(record, weights[name])}})};
 			}));
 			const winners = replies.filter(({reply}) => reply.status === 200);
--- a/packages/proof/src/runs/scenarios/store-failures.ts
+++ b/packages/proof/src/runs/scenarios/store-failures.ts
@@ -1,4 +1,4 @@
-import {jobIdOf} from '@amaranthsail/core';
+import {formatAddress, jobIdOf} from '@amaranthsail/core';
 import {checkCompletedOnce} from '../check-executions.js';
 import type {JobHandle} from '../job-handle.js';
 import {monotonicNowMs} from '../monotonic-now.js';
@@ -20,7 +20,7 @@
 
 async function submitOnce(system: ProofSystem, entryIndex: number): Promise<RefusedSubmit> {
 	const key = system.newKey();
-	const address = system.local.entryAddresses[entryIndex]!;
+	const address = formatAddress(system.liveEntries[entryIndex]!.address);
 	const {body} = await system.account(ACCOUNT).callAt(address, 'POST', '/v1/jobs', {
 		key, body: system.bodyOf({operation: 'quote-batching', runMs: 100}), timeoutMs: 20_000,
 	});
