--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -6,6 +6,12 @@
 /** Load of a failure domain, from the last renewal of its owner. */
 export type DomainLoad = SchedulerLoad & {readonly failureDomain: string};
 
+/** Jobs that may wait in one failure domain for each accelerator, beyond which new ones are refused. */
+const MAX_WAITING_PER_ACCELERATOR = 100;
+
+/** Why no failure domain takes a job at the moment. */
+export type LoadRefusal = 'account_limit' | 'overloaded';
+
 /** Chooses the failure domain that runs a job. */
 export class Router {
 	readonly #loads: () => readonly DomainLoad[];
@@ -44,4 +50,51 @@
 		});
 		return scored.map(({name}) => name);
 	}
+
+	/**
+	 * Tells whether a failure domain is too loaded for one more job of an account. Judged before acceptance,
+	 * since an accepted job is not refused any more.
+	 *
+	 * @param account - The client account.
+	 * @param failureDomain - The failure domain.
+	 * @param catalog - The configuration in force.
+	 * @returns The reason to refuse, or undefined.
+	 */
+	loadRefusal(account: string, failureDomain: string, catalog: Catalog): LoadRefusal | undefined {
+		const load = this.#loads().find(candidate => candidate.failureDomain === failureDomain);
+		if (!load) {
+			return undefined;
+		}
+
+		if ((load.waitingByAccount[account] ?? 0) >= catalog.policyOf(failureDomain).maxWaitingPerAccount) {
+			return 'account_limit';
+		}
+
+		return load.waitingJobs >= MAX_WAITING_PER_ACCELERATOR * Math.max(1, load.totalAccelerators) ? 'overloaded' : undefined;
+	}
+
+	/**
+	 * Tells whether a job can run where it is, with the workers that are there now.
+	 *
+	 * @param spec - The job's specification.
+	 * @param failureDomain - The failure domain.
+	 * @returns False when its service does not run there or too few accelerators are left; true when nothing is known.
+	 */
+	canRunNow(spec: JobSpec, failureDomain: string): boolean {
+		const load = this.#loads().find(candidate => candidate.failureDomain === failureDomain);
+		return !load || (load.services.includes(spec.service) && load.totalAccelerators >= spec.taskCount * spec.shape.accelerators);
+	}
+
+	/**
+	 * Finds another failure domain that can run a job.
+	 *
+	 * @param spec - The job's specification.
+	 * @param failureDomain - Where the job is.
+	 * @param catalog - The configuration in force.
+	 * @returns The best other one that has an owner and runs the service, or undefined.
+	 */
+	alternativeTo(spec: JobSpec, failureDomain: string, catalog: Catalog): string | undefined {
+		const owned = new Set(this.#loads().map(load => load.failureDomain));
+		return this.rank(spec, catalog).find(name => name !== failureDomain && owned.has(name) && this.canRunNow(spec, name));
+	}
 }
--- a/packages/owner/src/job-results.ts
+++ b/packages/owner/src/job-results.ts
@@ -131,7 +131,9 @@
 		this.#dropped(job, nowMs);
 		job.row = row;
 		job.version = version;
-		if (FINAL_JOB_STATES.has(row.state)) {
+		// An entry that could not reach this owner leaves a cancellation in the row.
+		job.cancelRequested ||= row.cancelRequested;
+		if (FINAL_JOB_STATES.has(row.state) || row.failureDomain !== this.#context.options.failureDomain) {
 			this.#end(job, nowMs);
 			return;
 		}
@@ -179,6 +181,7 @@
 		job.row = {...next, writeId: writeId!};
 		job.version = version;
 		switch (kind) {
+			case 'moved':
 			case 'final': {
 				this.#end(job, nowMs);
 				return;
@@ -191,8 +194,9 @@
 
 			case 'decision': {
 				job.attempt!.decision = 'durable';
+				job.attempt!.decidedAtMs = nowMs;
 				job.undecidedAttempts = 0;
-				this.#context.measure('owner.accepted_to_decided', {valueMs: this.#context.wallMs(nowMs) - job.row.acceptedAtMs}, {workClass: job.row.spec.workClass});
+				this.#context.measure('owner.accepted_to_decided', {valueMs: this.#context.wallMs(nowMs) - job.row.acceptedAtMs}, {account: job.row.spec.account, workClass: job.row.spec.workClass});
 				break;
 			}
 
@@ -222,7 +226,8 @@
 			this.#context.measure('owner.stop_to_waiting', {valueMs: nowMs - attempt.stopSinceMs}, {cause: attempt.stopCause?.kind ?? 'none'});
 		}
 
-		job.requeueAtMs = nowMs;
+		// A cancellation may have come while the write was under way; the scheduler must not place the job then.
+		job.requeueAtMs = job.cancelRequested ? undefined : nowMs;
 	}
 
 	#end(job: JobRecord, nowMs: number): void {
@@ -242,7 +247,7 @@
 		this.#context.jobs.delete(jobId);
 		this.noteEnded(jobId, job.version);
 
-		this.#context.measure('owner.job_ended', {count: 1, valueMs: this.#context.wallMs(nowMs) - acceptedAtMs}, {state, workClass: spec.workClass});
+		this.#context.measure('owner.job_ended', {count: 1, valueMs: this.#context.wallMs(nowMs) - acceptedAtMs}, {state, account: spec.account, workClass: spec.workClass});
 		this.#context.answer(this.#context.waiters.answer(jobId, FINAL_JOB_STATES.has(state) ? job.row : undefined));
 	}
 }
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -4,7 +4,7 @@
 	OPEN_JOBS_SCAN_INTERVAL_MS, type Clock, type ControlMessage, type Logger,
 } from '@amaranthsail/core';
 import type {TableStore} from '@amaranthsail/platform';
-import type {Explanation, SchedulerConfig} from '@amaranthsail/scheduler';
+import type {Explanation, GuaranteeAlarm, SchedulerConfig} from '@amaranthsail/scheduler';
 import type {OwnerCoreOptions} from './core-context.js';
 import type {DurableWriter} from './durable-writer.js';
 import {JobReader} from './job-reader.js';
@@ -119,6 +119,26 @@
 		return Promise.all(answers);
 	}
 
+	/**
+	 * Lists the jobs that have waited for long without an attempt.
+	 *
+	 * @param waitedMs - How long at least.
+	 * @returns Their rows.
+	 */
+	waitingFor(waitedMs: number): readonly OwnedJobRow[] {
+		return this.#core.waitingSince(this.#options.clock.wallMs() - waitedMs);
+	}
+
+	/**
+	 * Hands waiting jobs over to another failure domain.
+	 *
+	 * @param jobIds - The jobs.
+	 * @param failureDomain - The failure domain that takes them.
+	 */
+	move(jobIds: readonly string[], failureDomain: string): void {
+		this.#input({kind: 'move', jobIds, failureDomain});
+	}
+
 	/**
 	 * Explains why a job waits.
 	 *
@@ -165,6 +185,15 @@
 		this.#input({kind: 'previousOwnerGone'});
 	}
 
+	/**
+	 * Lists the guarantees that cannot be kept on the workers known now.
+	 *
+	 * @returns The alarms.
+	 */
+	alarms(): readonly GuaranteeAlarm[] {
+		return this.#options.core.scheduler.alarms();
+	}
+
 	/**
 	 * Counts what the owner holds.
 	 *
--- a/packages/owner/src/owner-host.ts
+++ b/packages/owner/src/owner-host.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import PQueue from 'p-queue';
 import {
-	newId, type Clock, type ControlMessage, type Heartbeat, type Logger, type MessageCodec,
+	newId, OWNERSHIP_RENEWAL_INTERVAL_MS, type Clock, type ControlMessage, type Heartbeat, type Logger, type MessageCodec,
 } from '@amaranthsail/core';
 import type {Row, TableStore, Transaction} from '@amaranthsail/platform';
 import type {Scheduler, SchedulerConfig} from '@amaranthsail/scheduler';
@@ -66,9 +66,9 @@
 	readonly #write: DurableWriter;
 	readonly #held = new Map<string, Held>();
 	readonly #configs = new Map<string, DomainConfig>();
-	readonly #domainOfWorker = new Map<string, string>();
 	readonly #inputs = new PQueue({concurrency: 1});
 	readonly #writesUnderWay = new Set<Promise<void>>();
+	#loadsDueAtMs = Number.NEGATIVE_INFINITY;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
 
@@ -87,7 +87,7 @@
 	/** Starts to watch and claim the configured failure domains. */
 	start(): void {
 		this.#timer = setInterval(() => {
-			this.#reportLoads();
+			this.#reportLoadsWhenDue();
 			this.#enqueue(() => this.#manager.tick(this.#nowMs()));
 		}, MANAGER_TICK_MS);
 	}
@@ -205,25 +205,7 @@
 			return;
 		}
 
-		if (message.facts !== undefined) {
-			this.#domainOfWorker.set(message.workerId, message.facts.failureDomain);
-		}
-
-		this.#driverOf(message)?.handleDatagram(message, remote);
-	}
-
-	/**
-	 * Finds the owner for a heartbeat. The first heartbeat, which names the failure domain, may have been lost; the agent
-	 * has then learned the epoch from an entry, and an epoch that only one failure domain held here has tells which it is.
-	 */
-	#driverOf({workerId, epoch}: Heartbeat): OwnerDriver | undefined {
-		const failureDomain = this.#domainOfWorker.get(workerId);
-		if (failureDomain !== undefined) {
-			return this.#held.get(failureDomain)?.driver;
-		}
-
-		const matching = [...this.#held.values()].filter(held => held.epoch === epoch);
-		return matching.length === 1 ? matching[0]!.driver : undefined;
+		this.#held.get(message.failureDomain)?.driver.handleDatagram(message, remote);
 	}
 
 	#nowMs(): number {
@@ -250,7 +232,13 @@
 		});
 	}
 
-	#reportLoads(): void {
+	#reportLoadsWhenDue(): void {
+		const nowMs = this.#nowMs();
+		if (nowMs < this.#loadsDueAtMs) {
+			return;
+		}
+
+		this.#loadsDueAtMs = nowMs + OWNERSHIP_RENEWAL_INTERVAL_MS;
 		for (const [failureDomain, {scheduler}] of this.#held) {
 			this.#handle({
 				kind: 'load', failureDomain, load: scheduler.load(), revision: this.#configs.get(failureDomain)?.revision ?? 0,
--- a/packages/scheduler/src/scheduler-state.ts
+++ b/packages/scheduler/src/scheduler-state.ts
@@ -82,8 +82,14 @@
 		this.ordering = this.#fixedOrdering ?? POLICIES[config.policy.ordering](config.policy);
 		this.#weights.clear();
 		this.#maxAccelerators.clear();
+		let weightSum = 0;
+		for (const {weight} of config.accounts) {
+			weightSum += weight;
+		}
+
 		for (const {account, weight, maxAccelerators} of config.accounts) {
-			this.#weights.set(account, weight);
+			// An account of mean weight has weight 1, like an account without a record.
+			this.#weights.set(account, weight * config.accounts.length / Math.max(Number.EPSILON, weightSum));
 			if (maxAccelerators !== undefined) {
 				this.#maxAccelerators.set(account, maxAccelerators);
 			}
@@ -197,7 +203,11 @@
 	 * @returns Whether its account may reclaim for it.
 	 */
 	isInside(spec: JobSpec): boolean {
-		const shapes = this.guard.shapes().filter(shape => shape.account === spec.account);
+		const shapes = this.guard.shapesOf(spec.account);
+		if (shapes.length === 0) {
+			return false;
+		}
+
 		const running = [...this.#insideJobs.get(spec.account) ?? []].map(entry => entry.spec);
 		return fitsInsideGuarantee(spec, shapes, running, this.cluster.capacity().perAccelerator);
 	}
