Name the failure domain in heartbeats of emulated agents

Cause: heartbeats now carry the failure domain. The load tool was written before that, so the merge did not compile, and an owner dropped the heartbeats of the old build.

Change: the emulated agent sends its failure domain.

Conclusion: the tool follows the protocol of the merged code.

--- a/packages/bench/src/load/emulated-agent.ts
+++ b/packages/bench/src/load/emulated-agent.ts
@@ -124,6 +124,7 @@
 			header: {
 				type: 'heartbeat',
 				workerId: facts.workerId,
+				failureDomain: facts.failureDomain,
 				incarnation: this.#incarnation,
 				sentAtMs,
 				epoch: this.#epoch,
