Stop attempts that run longer than their operation allows

Cause: the Service record promises that a task which runs longer than maxRunMs is stopped, but nothing did so, and a straggler could hold its accelerators for ever. Change: the job carries the limit; the owner stops such an attempt and ends the job as failed with run_time_exceeded. A non-repeatable job whose agent does not confirm the stop ends as unknown. The time counts from the start in the row, so a change of owner does not restart it. Conclusion: stragglers are bounded; second attempts for them are still not carried out.

--- a/packages/core/src/job.ts
+++ b/packages/core/src/job.ts
@@ -31,6 +31,8 @@
 	readonly checkpointable: boolean;
 	/** The caller's estimate of the run time; never trusted. */
 	readonly expectedRunMs?: number;
+	/** Longest run time of an attempt; it is stopped after that. Absent for no limit. */
+	readonly maxRunMs?: number;
 	/** Wall-clock time by which the job has to be finished. */
 	readonly deadlineAtMs?: number;
 	/** Failure domains the job may run in; absent means any. */
--- a/packages/entry/src/catalog.ts
+++ b/packages/entry/src/catalog.ts
@@ -9,6 +9,8 @@
 	readonly shape: Resources;
 	readonly adjacency: Adjacency;
 	readonly maxTaskCount: number;
+	/** Longest run time of an attempt. */
+	readonly maxRunMs: number;
 	readonly limits: {readonly maxAccelerators?: number; readonly maxInputBytes: number};
 };
 
--- a/packages/entry/src/job-spec.ts
+++ b/packages/entry/src/job-spec.ts
@@ -59,6 +59,7 @@
 		repeatable: request.repeatable ?? operation.repeatable,
 		checkpointable: request.checkpointable ?? operation.checkpointable,
 		expectedRunMs: request.expectedRunMs,
+		maxRunMs: operation.maxRunMs,
 		deadlineAtMs: request.deadlineMs === undefined ? undefined : nowMs + request.deadlineMs,
 		failureDomains: request.failureDomains,
 		inlineInput: inputText !== undefined && isInlineInput(inputText) ? inputText : undefined,
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -11,6 +11,7 @@
 	shape: {slots: 1, connections: 1, processors: 1, memoryMb: 1024, accelerators: 1},
 	adjacency: 'failureDomain',
 	maxTaskCount: 64,
+	maxRunMs: 60_000,
 	limits: {maxInputBytes: 1000},
 };
 
--- a/packages/owner/src/attempt.ts
+++ b/packages/owner/src/attempt.ts
@@ -33,7 +33,7 @@
 
 /** Why an attempt is stopped. */
 export type StopCause = {
-	readonly kind: 'cancelled' | 'preempted' | 'member_failed' | 'member_lost';
+	readonly kind: 'cancelled' | 'preempted' | 'timed_out' | 'member_failed' | 'member_lost';
 	readonly message: string;
 };
 
--- a/packages/owner/src/conclusion.ts
+++ b/packages/owner/src/conclusion.ts
@@ -77,6 +77,11 @@
 	};
 }
 
+/** All members are known to be stopped, so the job has certainly run and ended. */
+function endOfTimedOut(attempt: Attempt): JobEnd {
+	return {state: 'failed', outcome: 'failed', reason: {code: 'run_time_exceeded', message: attempt.stopCause!.message}};
+}
+
 function endOfNonRepeatable(attempt: Attempt): JobEnd {
 	const message = attempt.stopCause?.message ?? 'The attempt ended early.';
 	const isAllReported = attempt.members.every(member => member.end === 'reported' && member.everStarted !== undefined);
@@ -85,6 +90,10 @@
 		return {state: 'failed', outcome: 'failed', reason: {code: 'task_failed', message}};
 	}
 
+	if (isAllReported && attempt.stopCause?.kind === 'timed_out') {
+		return endOfTimedOut(attempt);
+	}
+
 	if (isAllReported && attempt.stopCause?.kind === 'cancelled') {
 		return {state: 'cancelled', outcome: 'failed', reason: {code: 'cancelled', message: 'The job was stopped while it ran.'}};
 	}
@@ -140,6 +149,10 @@
 		return finalWrite(counted, endOfCancelled(attempt), wallMs);
 	}
 
+	if (attempt.stopCause?.kind === 'timed_out') {
+		return finalWrite(counted, endOfTimedOut(attempt), wallMs);
+	}
+
 	const end = neverRuns(counted, attempt.stopCause?.message ?? '');
 	if (end !== undefined) {
 		return finalWrite(counted, end, wallMs);
--- a/packages/owner/src/job-driver.ts
+++ b/packages/owner/src/job-driver.ts
@@ -76,15 +76,24 @@
 		: undefined;
 }
 
-function chosenCause(job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
+function timeoutCause(context: CoreContext, {row}: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
+	const {maxRunMs} = row.spec;
+	// After a takeover the row knows the start; the attempt was first seen running only now.
+	const startedAtMs = row.state === 'running' && row.startedAtMs !== undefined ? row.startedAtMs - context.options.wallOffsetMs : attempt.startedAtMs;
+	return maxRunMs === undefined || startedAtMs === undefined || nowMs - startedAtMs < maxRunMs
+		? undefined
+		: {kind: 'timed_out', message: `The job ran longer than the ${maxRunMs} ms that its operation allows.`};
+}
+
+function chosenCause(context: CoreContext, job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
 	return job.cancelRequested
 		? {kind: 'cancelled', message: 'The job was cancelled.'}
-		: preemptionCause(job, attempt, nowMs) ?? startCause(job, attempt, nowMs);
+		: timeoutCause(context, job, attempt, nowMs) ?? preemptionCause(job, attempt, nowMs) ?? startCause(job, attempt, nowMs);
 }
 
 function findStopCause(context: CoreContext, job: JobRecord, attempt: Attempt, nowMs: number): StopCause | undefined {
 	// Nothing is stopped by choice while another process may own the job: it would not know why and start it again.
-	const chosen = context.gate.canWrite(nowMs) ? chosenCause(job, attempt, nowMs) : undefined;
+	const chosen = context.gate.canWrite(nowMs) ? chosenCause(context, job, attempt, nowMs) : undefined;
 	if (chosen !== undefined) {
 		return chosen;
 	}
