Keep the job row, its first state and checkpoint keys in one place

Cause: owners extended the job row with fields of their own, the first row of a job was written out in two places, and two packages built the key of a checkpoint. Change: the fields, newJobRow and checkpointObjectKey are in core; nothing changes in behaviour.

--- a/packages/core/src/job.ts
+++ b/packages/core/src/job.ts
@@ -100,6 +100,34 @@
 	readonly answers: readonly AnswerReference[];
 	readonly startedAtMs?: number;
 	readonly finishedAtMs?: number;
+	/** Attempt whose checkpoints the next attempt continues from. */
+	readonly checkpointAttempt?: number;
+	/** Attempts that ended because a task failed or was refused. */
+	readonly failedAttempts?: number;
+	/** Whether a task of an earlier attempt has started, or may have. */
+	readonly ranBefore?: boolean;
 	/** Id of the last write, for reading back after a lost acknowledgement. */
 	readonly writeId: string;
 };
+
+/** What is known of a job when it is accepted. */
+export type AcceptedJob = Pick<JobRow, 'jobId' | 'spec' | 'bodyDigest' | 'failureDomain' | 'acceptedAtMs' | 'writeId'>;
+
+/**
+ * Makes the first row of a job.
+ *
+ * @param accepted - What is known at acceptance.
+ * @returns The row of a waiting job without an attempt.
+ */
+export function newJobRow(accepted: AcceptedJob): JobRow {
+	return {
+		...accepted,
+		state: 'waiting',
+		attempt: 0,
+		members: [],
+		startConsumed: false,
+		failedWorkers: [],
+		cancelRequested: false,
+		answers: [],
+	};
+}
--- a/packages/core/src/task-key.ts
+++ b/packages/core/src/task-key.ts
@@ -19,3 +19,13 @@
 export function answerObjectKey(key: TaskKey): string {
 	return `answers/${formatTaskKey(key)}`;
 }
+
+/**
+ * Names the object that holds the checkpoint of a task.
+ *
+ * @param key - The task of the attempt that wrote the checkpoint.
+ * @returns The object key.
+ */
+export function checkpointObjectKey(key: TaskKey): string {
+	return `checkpoints/${formatTaskKey(key)}`;
+}
--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -2,6 +2,7 @@
 	err,
 	jobIdOf,
 	newId,
+	newJobRow,
 	ok,
 	type Clock,
 	type JobRow,
@@ -27,7 +28,7 @@
 };
 
 /** A job that is in the tables, and whether this request has put it there. */
-export type AcceptedJob = {readonly row: JobRow; readonly isNew: boolean};
+export type IntakeResult = {readonly row: JobRow; readonly isNew: boolean};
 
 /** Accepts jobs: one conditional transaction on a key that the account and its idempotency key determine. */
 export class JobIntake {
@@ -50,7 +51,7 @@
 	 * @param checked - The checked request.
 	 * @returns The job, or the error with its outcome.
 	 */
-	async accept(account: string, checked: CheckedJobRequest): Promise<Result<AcceptedJob, ApiError>> {
+	async accept(account: string, checked: CheckedJobRequest): Promise<Result<IntakeResult, ApiError>> {
 		const catalog = this.#options.catalog();
 		if (!catalog) {
 			return err(apiError('not_ready', 'This entry has not confirmed its configuration yet.', {outcome: 'unknown'}));
@@ -112,23 +113,9 @@
 			: err(apiError('store_unavailable', `The input was not stored (${stored.error.message}); send the request again.`));
 	}
 
-	async #write(jobId: string, failureDomain: string, spec: JobSpec, checked: CheckedJobRequest): Promise<Result<AcceptedJob, ApiError>> {
+	async #write(jobId: string, failureDomain: string, spec: JobSpec, checked: CheckedJobRequest): Promise<Result<IntakeResult, ApiError>> {
 		const acceptedAtMs = this.#options.clock.wallMs();
-		const row: JobRow = {
-			jobId,
-			spec,
-			bodyDigest: checked.bodyDigest,
-			failureDomain,
-			state: 'waiting',
-			acceptedAtMs,
-			attempt: 0,
-			members: [],
-			startConsumed: false,
-			failedWorkers: [],
-			cancelRequested: false,
-			answers: [],
-			writeId: newId(),
-		};
+		const row = newJobRow({jobId, spec, bodyDigest: checked.bodyDigest, failureDomain, acceptedAtMs, writeId: newId()});
 		const transaction: Transaction = {
 			writeId: row.writeId,
 			conditions: [{table: JOBS_TABLE, key: jobId, version: 0}],
--- a/packages/owner/src/index.ts
+++ b/packages/owner/src/index.ts
@@ -1,4 +1,4 @@
-export * from './owned-job-row.js';
+export * from './owner-tables.js';
 export type * from './owner-events.js';
 export * from './owner-core.js';
 export type {OwnerCoreOptions} from './core-context.js';
--- a/packages/owner/src/job-intake.ts
+++ b/packages/owner/src/job-intake.ts
@@ -1,10 +1,9 @@
-import {FINAL_JOB_STATES} from '@amaranthsail/core';
+import {FINAL_JOB_STATES, type JobRow} from '@amaranthsail/core';
 import type {Refusal} from '@amaranthsail/scheduler';
 import type {CoreContext} from './core-context.js';
 import {driveJob} from './job-driver.js';
 import {createJobRecord, toSchedulerJob, type JobRecord} from './job-record.js';
 import type {JobResults} from './job-results.js';
-import type {OwnedJobRow} from './owned-job-row.js';
 import {restoreAttempt} from './recovery.js';
 
 /** Delay before a job that the scheduler refused for the moment is submitted again. */
@@ -58,7 +57,7 @@
  * @param input - The row and its version.
  * @param nowMs - Monotonic milliseconds.
  */
-export function takeJobRow(context: CoreContext, results: JobResults, input: {readonly row: OwnedJobRow; readonly version: number}, nowMs: number): void {
+export function takeJobRow(context: CoreContext, results: JobResults, input: {readonly row: JobRow; readonly version: number}, nowMs: number): void {
 	const {row, version} = input;
 	const known = context.jobs.get(row.jobId);
 	if (known !== undefined) {
--- a/packages/owner/src/job-reader.ts
+++ b/packages/owner/src/job-reader.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {FINAL_JOB_STATES, newId} from '@amaranthsail/core';
+import {FINAL_JOB_STATES, newId, type JobRow} from '@amaranthsail/core';
 import type {TableStore} from '@amaranthsail/platform';
-import {OWNER_TABLES, type OwnedJobRow} from './owned-job-row.js';
+import {OWNER_TABLES} from './owner-tables.js';
 import type {OwnerEvent} from './owner-events.js';
 
 /** Delay before a read that failed is repeated. */
@@ -94,7 +94,7 @@
 		}));
 		const failed = new Set(reads.filter(({isRead}) => !isRead).map(({jobId}) => jobId));
 		const conditions = reads
-			.filter(({isRead, row}) => isRead && !FINAL_JOB_STATES.has((row?.value as OwnedJobRow | undefined)?.state ?? 'waiting'))
+			.filter(({isRead, row}) => isRead && !FINAL_JOB_STATES.has((row?.value as JobRow | undefined)?.state ?? 'waiting'))
 			.map(({jobId, row}) => ({table: OWNER_TABLES.jobs, key: jobId, version: row?.version ?? 0}));
 		if (conditions.length > 0) {
 			const confirmation = await run(async () => tables.transact({writeId: newId(), conditions, writes: []}));
@@ -107,7 +107,7 @@
 		for (const {jobId, row} of reads.filter(read => !failed.has(read.jobId) && !this.#isStopped)) {
 			onRow(row === undefined
 				? {kind: 'jobAbsent', jobId}
-				: {kind: 'jobRow', row: row.value as unknown as OwnedJobRow, version: row.version});
+				: {kind: 'jobRow', row: row.value as unknown as JobRow, version: row.version});
 		}
 
 		if (failed.size > 0) {
--- a/packages/owner/src/job-record.ts
+++ b/packages/owner/src/job-record.ts
@@ -1,7 +1,6 @@
-import type {CallerOutcome, JobState} from '@amaranthsail/core';
+import type {JobRow, CallerOutcome, JobState} from '@amaranthsail/core';
 import type {Refusal, SchedulerJob} from '@amaranthsail/scheduler';
 import type {Attempt} from './attempt.js';
-import type {OwnedJobRow} from './owned-job-row.js';
 
 /** What a durable write does to a job. */
 export type JobWriteKind = 'decision' | 'running' | 'cancel_mark' | 'waiting' | 'moved' | 'final';
@@ -9,7 +8,7 @@
 /** A durable write of one job, queued or sent. */
 export type JobWrite = {
 	readonly kind: JobWriteKind;
-	readonly next: OwnedJobRow;
+	readonly next: JobRow;
 	/** Id of the transaction that carries it; undefined while it is queued and may still be dropped. */
 	writeId: string | undefined;
 };
@@ -17,7 +16,7 @@
 /** A job of the failure domain and everything that is not yet in its row. */
 export type JobRecord = {
 	/** The row as last confirmed. */
-	row: OwnedJobRow;
+	row: JobRow;
 	version: number;
 	attempt: Attempt | undefined;
 	write: JobWrite | undefined;
@@ -60,7 +59,7 @@
  * @param isRecovered - Whether it is read in a recovery.
  * @returns A record without an attempt.
  */
-export function createJobRecord(row: OwnedJobRow, version: number, isRecovered: boolean): JobRecord {
+export function createJobRecord(row: JobRow, version: number, isRecovered: boolean): JobRecord {
 	return {
 		row,
 		version,
@@ -113,7 +112,7 @@
  * @param changes - Fields that the write changes.
  * @returns The row to write, without a write id.
  */
-export function nextRow(job: JobRecord, changes: Partial<OwnedJobRow>): OwnedJobRow {
+export function nextRow(job: JobRecord, changes: Partial<JobRow>): JobRow {
 	return {
 		...job.row,
 		cancelRequested: job.cancelRequested,
--- a/packages/owner/src/job-results.ts
+++ b/packages/owner/src/job-results.ts
@@ -1,4 +1,4 @@
-import {FINAL_JOB_STATES} from '@amaranthsail/core';
+import {FINAL_JOB_STATES, type JobRow} from '@amaranthsail/core';
 import type {CoreContext} from './core-context.js';
 import {
 	driveJob, endKindOf, endPlacement,
@@ -6,7 +6,6 @@
 import type {JobRecord} from './job-record.js';
 import {restoreAttempt} from './recovery.js';
 import {sendForgets} from './member-commands.js';
-import type {OwnedJobRow} from './owned-job-row.js';
 import type {WriteResult} from './owner-events.js';
 import {WRITE_RETRY_MS} from './write-queue.js';
 
@@ -116,7 +115,7 @@
 	 * @param version - Its version.
 	 * @param nowMs - Monotonic milliseconds.
 	 */
-	readBack(job: JobRecord, row: OwnedJobRow, version: number, nowMs: number): void {
+	readBack(job: JobRecord, row: JobRow, version: number, nowMs: number): void {
 		if (version < job.minimumVersion) {
 			// An out-of-date read; the sweep asks again.
 			return;
--- a/packages/owner/src/member-commands.ts
+++ b/packages/owner/src/member-commands.ts
@@ -1,10 +1,9 @@
 import {
-	FENCE_MARGIN_MS, TASK_LEASE_MS, type CommandKind, type TaskAssignment,
+	checkpointObjectKey, FENCE_MARGIN_MS, TASK_LEASE_MS, type CommandKind, type TaskAssignment,
 } from '@amaranthsail/core';
 import {isReported, type Attempt, type Member} from './attempt.js';
 import {taskKeyOf, type CoreContext} from './core-context.js';
 import type {JobRecord} from './job-record.js';
-import {checkpointObjectKey} from './owned-job-row.js';
 
 /** Delay before a command whose effect was not reported is sent again; a lost datagram then costs less than one heartbeat. */
 export const COMMAND_RESEND_MS = 200;
@@ -50,7 +49,7 @@
 		checkpointable: spec.checkpointable,
 		...(spec.inlineInput !== undefined && {inlineInput: spec.inlineInput}),
 		...(spec.inputKey !== undefined && {inputKey: spec.inputKey}),
-		...(job.checkpointAttempt !== undefined && {checkpointKey: checkpointObjectKey(jobId, job.checkpointAttempt, taskIndex)}),
+		...(job.checkpointAttempt !== undefined && {checkpointKey: checkpointObjectKey({jobId, attempt: job.checkpointAttempt, taskIndex})}),
 	};
 }
 
--- a/packages/owner/src/owner-core.ts
+++ b/packages/owner/src/owner-core.ts
@@ -1,3 +1,4 @@
+import type {JobRow} from '@amaranthsail/core';
 import type {Explanation, SchedulerConfig} from '@amaranthsail/scheduler';
 import {CoreContext, type OwnerCoreOptions} from './core-context.js';
 import {decide} from './decisions.js';
@@ -5,7 +6,6 @@
 import {driveJob} from './job-driver.js';
 import {cancelJobs, moveJobs, resubmitDue, takeJobRow} from './job-intake.js';
 import {JobResults} from './job-results.js';
-import type {OwnedJobRow} from './owned-job-row.js';
 import type {OwnerEffect, OwnerEvent} from './owner-events.js';
 
 /** Longest time between two sweeps over all jobs and workers; fences and repeated commands are found by a sweep. */
@@ -123,7 +123,7 @@
 	 * @param jobId - The job.
 	 * @returns The row, or undefined when the job is not held.
 	 */
-	rowOf(jobId: string): OwnedJobRow | undefined {
+	rowOf(jobId: string): JobRow | undefined {
 		return this.#context.jobs.get(jobId)?.row;
 	}
 
@@ -133,7 +133,7 @@
 	 * @param acceptedBeforeMs - Wall-clock time; only jobs accepted before it.
 	 * @returns Their rows.
 	 */
-	waitingSince(acceptedBeforeMs: number): readonly OwnedJobRow[] {
+	waitingSince(acceptedBeforeMs: number): readonly JobRow[] {
 		return [...this.#context.jobs.values()]
 			.filter(({attempt, row, moveTo}) => attempt === undefined && moveTo === undefined && row.state === 'waiting' && row.acceptedAtMs < acceptedBeforeMs)
 			.map(({row}) => row);
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -1,14 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import PQueue from 'p-queue';
 import {
-	OPEN_JOBS_SCAN_INTERVAL_MS, type Clock, type ControlMessage, type Logger,
+	OPEN_JOBS_SCAN_INTERVAL_MS, type Clock, type ControlMessage, type Logger, type JobRow,
 } from '@amaranthsail/core';
 import type {TableStore} from '@amaranthsail/platform';
 import type {Explanation, GuaranteeAlarm, SchedulerConfig} from '@amaranthsail/scheduler';
 import type {OwnerCoreOptions} from './core-context.js';
 import type {DurableWriter} from './durable-writer.js';
 import {JobReader} from './job-reader.js';
-import type {OwnedJobRow} from './owned-job-row.js';
 import {OwnerCore, type OwnerCoreStatus} from './owner-core.js';
 import type {
 	OwnerEffect, OwnerEvent, OwnerMetric, OwnershipValidity,
@@ -44,7 +43,7 @@
 	readonly #inputs = new PQueue({concurrency: 1});
 	readonly #store = new PQueue({concurrency: STORE_CONCURRENCY});
 	readonly #reader: JobReader;
-	readonly #waiters = new Map<string, (row: OwnedJobRow | undefined) => void>();
+	readonly #waiters = new Map<string, (row: JobRow | undefined) => void>();
 	#waiterCount = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#scanTimer: NodeJS.Timeout | undefined;
@@ -99,7 +98,7 @@
 	 * @param timeoutMs - Longest time to wait.
 	 * @returns The final row, or undefined when the time is over, the job is unknown or the ownership was lost.
 	 */
-	async waitForJob(jobId: string, timeoutMs: number): Promise<OwnedJobRow | undefined> {
+	async waitForJob(jobId: string, timeoutMs: number): Promise<JobRow | undefined> {
 		return this.#wait(jobId, timeoutMs, false);
 	}
 
@@ -110,7 +109,7 @@
 	 * @param timeoutMs - Longest time to wait for the rows.
 	 * @returns For each job its row once the cancellation is durable or the job final; undefined when that was not seen in time.
 	 */
-	async cancel(jobIds: readonly string[], timeoutMs = 5000): Promise<ReadonlyArray<OwnedJobRow | undefined>> {
+	async cancel(jobIds: readonly string[], timeoutMs = 5000): Promise<ReadonlyArray<JobRow | undefined>> {
 		// A job that was accepted a moment ago may not have been read yet.
 		const unknown = jobIds.filter(jobId => this.#core.rowOf(jobId) === undefined);
 		await Promise.race([this.#reader.readJobs(unknown), delay(timeoutMs, undefined, {ref: false})]);
@@ -125,7 +124,7 @@
 	 * @param waitedMs - How long at least.
 	 * @returns Their rows.
 	 */
-	waitingFor(waitedMs: number): readonly OwnedJobRow[] {
+	waitingFor(waitedMs: number): readonly JobRow[] {
 		return this.#core.waitingSince(this.#options.clock.wallMs() - waitedMs);
 	}
 
@@ -329,7 +328,7 @@
 		}, OPEN_JOBS_SCAN_INTERVAL_MS);
 	}
 
-	async #wait(jobId: string, timeoutMs: number, forCancel: boolean): Promise<OwnedJobRow | undefined> {
+	async #wait(jobId: string, timeoutMs: number, forCancel: boolean): Promise<JobRow | undefined> {
 		if (this.#isStopped) {
 			return undefined;
 		}
--- a/packages/owner/src/owner-events.ts
+++ b/packages/owner/src/owner-events.ts
@@ -1,7 +1,6 @@
-import type {Command, Heartbeat, HeartbeatAck} from '@amaranthsail/core';
+import type {JobRow, Command, Heartbeat, HeartbeatAck} from '@amaranthsail/core';
 import type {RowCondition, Transaction} from '@amaranthsail/platform';
 import type {SchedulerConfig} from '@amaranthsail/scheduler';
-import type {OwnedJobRow} from './owned-job-row.js';
 
 /** What became of a durable transaction. */
 export type WriteResult
@@ -23,7 +22,7 @@
 export type OwnerEvent
 	= | {readonly kind: 'heartbeat'; readonly message: Heartbeat; readonly host: string}
 	/** A row as read, after an acceptance, a scan or a `read` effect. */
-		| {readonly kind: 'jobRow'; readonly row: OwnedJobRow; readonly version: number}
+		| {readonly kind: 'jobRow'; readonly row: JobRow; readonly version: number}
 		| {readonly kind: 'jobAbsent'; readonly jobId: string}
 		| {readonly kind: 'cancel'; readonly jobIds: readonly string[]}
 	/** Asks for the row once it is final, or with `forCancel` once the cancellation is durable. */
@@ -53,7 +52,7 @@
 		| {readonly kind: 'write'; readonly transaction: Transaction}
 	/** Read job rows and return `jobRow` or `jobAbsent` for each. */
 		| {readonly kind: 'read'; readonly jobIds: readonly string[]}
-		| {readonly kind: 'answer'; readonly waiterId: string; readonly row: OwnedJobRow | undefined}
+		| {readonly kind: 'answer'; readonly waiterId: string; readonly row: JobRow | undefined}
 		| {readonly kind: 'metric'; readonly metric: OwnerMetric}
 	/** A write showed that another process owns the failure domain. */
 		| {readonly kind: 'ownershipLost'};
--- a/packages/owner/src/owner-host.ts
+++ b/packages/owner/src/owner-host.ts
@@ -8,7 +8,7 @@
 import {createDurableWriter, type DurableWriter} from './durable-writer.js';
 import {withoutDuplicates} from './owner-core.js';
 import {OwnerDriver} from './owner-driver.js';
-import {OWNER_TABLES} from './owned-job-row.js';
+import {OWNER_TABLES} from './owner-tables.js';
 import type {OwnerMetric} from './owner-events.js';
 import type {OwnershipEffect, OwnershipEvent} from './ownership-events.js';
 import {OwnershipManager} from './ownership-manager.js';
--- a/packages/owner/src/ownership-transactions.ts
+++ b/packages/owner/src/ownership-transactions.ts
@@ -1,5 +1,5 @@
 import type {Transaction} from '@amaranthsail/platform';
-import {OWNER_TABLES} from './owned-job-row.js';
+import {OWNER_TABLES} from './owner-tables.js';
 import type {OwnershipRow, RenewalRow} from './ownership-rows.js';
 
 /**
--- a/packages/owner/src/waiters.ts
+++ b/packages/owner/src/waiters.ts
@@ -1,4 +1,4 @@
-import type {OwnedJobRow} from './owned-job-row.js';
+import type {JobRow} from '@amaranthsail/core';
 
 /** Someone who waits for a job. */
 type Waiter = {
@@ -9,7 +9,7 @@
 };
 
 /** An answer for one waiter; undefined when the time is over or the job is unknown. */
-export type WaiterAnswer = {readonly waiterId: string; readonly row: OwnedJobRow | undefined};
+export type WaiterAnswer = {readonly waiterId: string; readonly row: JobRow | undefined};
 
 /** Callers that wait for jobs. */
 export class Waiters {
@@ -33,7 +33,7 @@
 	 * @param onlyForCancel - Whether the row is not final and only records a cancellation.
 	 * @returns The answers to give.
 	 */
-	answer(jobId: string, row: OwnedJobRow | undefined, onlyForCancel = false): readonly WaiterAnswer[] {
+	answer(jobId: string, row: JobRow | undefined, onlyForCancel = false): readonly WaiterAnswer[] {
 		const waiters = this.#byJob.get(jobId) ?? [];
 		this.#keep(jobId, waiters.filter(waiter => onlyForCancel && !waiter.forCancel));
 		return waiters.filter(waiter => !onlyForCancel || waiter.forCancel).map(({waiterId}) => ({waiterId, row}));
--- a/packages/owner/src/write-queue.ts
+++ b/packages/owner/src/write-queue.ts
@@ -1,7 +1,7 @@
 import {DECISION_BATCH_MS, FINAL_JOB_STATES} from '@amaranthsail/core';
 import type {RowCondition, RowWrite, Transaction} from '@amaranthsail/platform';
 import type {JobRecord, JobWrite} from './job-record.js';
-import {OWNER_TABLES, openJobKey} from './owned-job-row.js';
+import {OWNER_TABLES, openJobKey} from './owner-tables.js';
 import type {WriteResult} from './owner-events.js';
 
 /** Largest number of rows that one transaction writes. */
--- a/packages/owner/tests/core-world.ts
+++ b/packages/owner/tests/core-world.ts
@@ -1,10 +1,10 @@
-import {HEARTBEAT_INTERVAL_MS, OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_VALIDITY_MS, type JobSpec} from '@amaranthsail/core';
+import {HEARTBEAT_INTERVAL_MS, OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_VALIDITY_MS, type JobSpec, type JobRow} from '@amaranthsail/core';
 import type {Row, Transaction} from '@amaranthsail/platform';
 import type {Scheduler} from '@amaranthsail/scheduler';
 import {FakeAgent} from './fake-agent.js';
 import {FirstFitScheduler} from './first-fit-scheduler.js';
 import {MemoryTables} from './memory-tables.js';
-import {OwnerCore, openJobKey, type OwnedJobRow, type OwnerEffect, type OwnerEvent, type WriteResult} from '@amaranthsail/owner';
+import {OwnerCore, openJobKey, type OwnerEffect, type OwnerEvent, type WriteResult} from '@amaranthsail/owner';
 
 const STEP_MS = 10;
 
@@ -31,7 +31,7 @@
 	readonly tables = new MemoryTables();
 	readonly agents: FakeAgent[] = [];
 	readonly owners: TestOwner[] = [];
-	readonly answers = new Map<string, OwnedJobRow | undefined>();
+	readonly answers = new Map<string, JobRow | undefined>();
 	readonly metrics: string[] = [];
 	/** Write ids of all decisions that were sent, whether or not they took effect. */
 	readonly decisionIds = new Set<string>();
@@ -88,7 +88,7 @@
 
 	/** Accepts a job as an entry does, and notifies the owner. */
 	submit(jobId: string, spec: Partial<JobSpec> = {}): void {
-		const row: OwnedJobRow = {
+		const row: JobRow = {
 			jobId, spec: {...SPEC, ...spec}, bodyDigest: '', failureDomain: 'catania', state: 'waiting', acceptedAtMs: this.nowMs, attempt: 0,
 			members: [], startConsumed: false, failedWorkers: [], cancelRequested: false, answers: [], writeId: `accept-${jobId}`,
 		};
@@ -100,8 +100,8 @@
 		this.notify(jobId);
 	}
 
-	row(jobId: string): OwnedJobRow {
-		return this.tables.row('jobs', jobId)!.value as unknown as OwnedJobRow;
+	row(jobId: string): JobRow {
+		return this.tables.row('jobs', jobId)!.value as unknown as JobRow;
 	}
 
 	openJobs(): readonly string[] {
@@ -118,7 +118,7 @@
 		this.staleReads.delete(jobId);
 		this.input(owner, read === undefined
 			? {kind: 'jobAbsent', jobId}
-			: {kind: 'jobRow', row: read.value as unknown as OwnedJobRow, version: read.version});
+			: {kind: 'jobRow', row: read.value as unknown as JobRow, version: read.version});
 	}
 
 	input(owner: TestOwner, event: OwnerEvent): void {
--- a/packages/owner/tests/owner-host.test.ts
+++ b/packages/owner/tests/owner-host.test.ts
@@ -1,12 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import {MessageCodec, SystemClock, silentLogger, type Command, type HeartbeatAck} from '@amaranthsail/core';
+import {MessageCodec, SystemClock, silentLogger, type Command, type HeartbeatAck, type JobRow} from '@amaranthsail/core';
 import type {SchedulerConfig} from '@amaranthsail/scheduler';
 import {SPEC} from './core-world.js';
 import {FakeAgent} from './fake-agent.js';
 import {FirstFitScheduler} from './first-fit-scheduler.js';
 import {MemoryTables} from './memory-tables.js';
-import {OwnerHost, openJobKey, type OwnedJobRow} from '@amaranthsail/owner';
+import {OwnerHost, openJobKey} from '@amaranthsail/owner';
 
 const CONFIG: SchedulerConfig = {
 	policy: {
@@ -59,7 +59,7 @@
 	}
 
 	function accept(jobId: string): void {
-		const row: OwnedJobRow = {
+		const row: JobRow = {
 			jobId, spec: SPEC, bodyDigest: '', failureDomain: 'catania', state: 'waiting', acceptedAtMs: clock.wallMs(), attempt: 0, members: [],
 			startConsumed: false, failedWorkers: [], cancelRequested: false, answers: [], writeId: 'accept',
 		};
--- a/packages/platform/src/emulated-task.ts
+++ b/packages/platform/src/emulated-task.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {formatTaskKey, type TaskAssignment, type TaskKey} from '@amaranthsail/core';
+import {checkpointObjectKey, type TaskAssignment, type TaskKey} from '@amaranthsail/core';
 import {makeAnswer, NEVER_RUNS_OPERATION, readTaskBehaviour, type TaskBehaviour} from './task-emulation.js';
 import type {RuntimeTask, RuntimeTaskState} from './worker-runtime.js';
 
@@ -23,16 +23,6 @@
 	readonly checkpoints: Map<string, number>;
 };
 
-/**
- * Names the checkpoint of a task.
- *
- * @param key - The task of an attempt.
- * @returns The object key.
- */
-export function checkpointObjectKey(key: TaskKey): string {
-	return `checkpoints/${formatTaskKey(key)}`;
-}
-
 /** One task that a worker has started, with its progress as a function of time. */
 export class EmulatedTask {
 	readonly key: TaskKey;
--- a/packages/proof/src/sim-entry.ts
+++ b/packages/proof/src/sim-entry.ts
@@ -1,9 +1,9 @@
-import type {Address, Heartbeat} from '@amaranthsail/core';
+import type {JobRow, Address, Heartbeat} from '@amaranthsail/core';
 import {
 	OWNER_TABLES,
 	OwnerCore,
 	OwnershipManager,
-	type OwnedJobRow,
+
 	type OwnerEffect,
 	type OwnerEvent,
 	type OwnershipEffect,
@@ -301,7 +301,7 @@
 
 			this.#isRead.add(`${this.#epoch}/${jobId}`);
 			this.#input(row.value
-				? {kind: 'jobRow', row: row.value.value as OwnedJobRow, version: row.value.version}
+				? {kind: 'jobRow', row: row.value.value as JobRow, version: row.value.version}
 				: {kind: 'jobAbsent', jobId});
 		});
 	}
--- a/packages/proof/src/world.ts
+++ b/packages/proof/src/world.ts
@@ -1,4 +1,4 @@
-import {jobIdOf, type Address, type JobRow, type JobSpec, type Resources} from '@amaranthsail/core';
+import {jobIdOf, newJobRow, type Address, type JobSpec, type Resources} from '@amaranthsail/core';
 import {OWNER_TABLES, openJobKey} from '@amaranthsail/owner';
 import {
 	MemoryObjectStore,
@@ -112,7 +112,8 @@
 	async submit(job: FuzzJob): Promise<string | undefined> {
 		const jobId = jobIdOf(job.account, `key-${this.accepted.length}-${this.time.nowMs}`);
 		const writeId = this.#newId();
-		const row = waitingRow(jobId, specOf(job), this.time.nowMs, writeId);
+		const {failureDomain} = DOMAIN;
+		const row = newJobRow({jobId, spec: specOf(job), bodyDigest: 'digest', failureDomain, acceptedAtMs: this.time.nowMs, writeId});
 		await this.tables.transact({
 			writeId,
 			conditions: [{table: OWNER_TABLES.jobs, key: jobId, version: 0}],
@@ -271,21 +272,3 @@
 		inlineInput: JSON.stringify({runMs: job.runMs, ignoreStop: job.ignoresStop, ...(job.fails ? {fail: 'wrong data'} : {})}),
 	};
 }
-
-function waitingRow(jobId: string, spec: JobSpec, acceptedAtMs: number, writeId: string): JobRow {
-	return {
-		jobId,
-		spec,
-		bodyDigest: 'digest',
-		failureDomain: DOMAIN.failureDomain,
-		state: 'waiting',
-		acceptedAtMs,
-		attempt: 0,
-		members: [],
-		startConsumed: false,
-		failedWorkers: [],
-		cancelRequested: false,
-		answers: [],
-		writeId,
-	};
-}
