Keep no lane for short work in the cooperative

Cause: a lane of 0.15 of all accelerators withheld more than short work used once a burst was over, and idle accelerators counted while gangs waited.

Change: the cooperative's policy record has a shortLaneShare of 0.

--- a/packages/bench/src/division.ts
+++ b/packages/bench/src/division.ts
@@ -103,7 +103,7 @@
 			operation: 'dispatch', weight: 40, workClass: 'urgent', repeatable: false, meanRunMs: 3000, runSigma: 0.5, forms: SINGLE,
 		},
 	],
-	policy: {...POLICY, weights: {completion: 1, fragmentation: 1, peak: 3, shortWork: 3}, shortLaneShare: 0.15},
+	policy: {...POLICY, weights: {completion: 1, fragmentation: 1, peak: 3, shortWork: 3}, shortLaneShare: 0},
 };
 
 /** The divisions, by name. */
