Exit with 2 when the agent's settings are wrong

Cause: process.exit(undefined) resets the exit code that readProgramSettings has set. Change: the agent exits by itself only after it has run.

--- a/packages/agent/src/bin.ts
+++ b/packages/agent/src/bin.ts
@@ -31,6 +31,8 @@
 	}
 }
 
-// Calls that are still under way must not hold up the exit.
 const settings = readProgramSettings(PROGRAM, AGENT_SETTINGS, import.meta.url);
-process.exit(settings && await run(settings));
+if (settings) {
+	// Calls that are still under way must not hold up the exit.
+	process.exit(await run(settings));
+}
