--- a/packages/bench/src/bin.ts
+++ b/packages/bench/src/bin.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {EXIT_INVALID_SETTINGS, readSettings} from '@amaranthsail/core';
+import {readProgramSettings} from '@amaranthsail/core';
 import {CAPACITY_SIZES, measureCapacity} from './capacity.js';
 import {BENCH_SETTINGS, FIRST_SEED} from './bench-settings.js';
 import {DIVISIONS} from './division.js';
@@ -15,18 +15,8 @@
 	writeFileSync(`${RESULTS_DIRECTORY}/${name}.json`, `${JSON.stringify(content, undefined, '\t')}\n`);
 }
 
-const outcome = readSettings('amaranthsail-bench', BENCH_SETTINGS, process.argv.slice(2), process.env);
-if (!outcome.ok) {
-	for (const {setting, message} of outcome.error.problems) {
-		console.error(`${setting}: ${message}`);
-	}
-
-	process.exitCode = EXIT_INVALID_SETTINGS;
-} else if (outcome.value.kind === 'help') {
-	console.log(outcome.value.text);
-} else if (outcome.value.kind === 'version') {
-	console.log('0.1.0');
-} else if (outcome.value.settings.mode === 'capacity') {
+const settings = readProgramSettings('amaranthsail-bench', BENCH_SETTINGS, import.meta.url);
+if (settings?.mode === 'capacity') {
 	const all = CAPACITY_SIZES.map(workers => {
 		const figures = measureCapacity(workers);
 		console.log(`${workers} workers, ${figures.runningTasks} running tasks, ${figures.waitingJobs} waiting jobs: `
@@ -34,8 +24,7 @@
 		return figures;
 	});
 	writeResults('capacity', all);
-} else {
-	const {settings} = outcome.value;
+} else if (settings) {
 	const seeds = Array.from({length: settings.seedCount}, (_, index) => FIRST_SEED[settings.seeds] + index);
 	const all: PolicyFigures[] = [];
 	console.log(HEADS);
--- a/packages/bench/src/load-bin.ts
+++ b/packages/bench/src/load-bin.ts
@@ -2,7 +2,7 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {loadavg} from 'node:os';
 import process from 'node:process';
-import {EXIT_INVALID_SETTINGS, readSettings, type SettingsOf} from '@amaranthsail/core';
+import {readProgramSettings, type SettingsOf} from '@amaranthsail/core';
 import {
 	formatAgents, formatConfig, formatPath, LOAD_SETTINGS, measureAgents, measureConfig, measurePath,
 } from './load/index.js';
@@ -33,19 +33,8 @@
 	}
 }
 
-const outcome = readSettings('amaranthsail-load', LOAD_SETTINGS, process.argv.slice(2), process.env);
-if (!outcome.ok) {
-	for (const {setting, message} of outcome.error.problems) {
-		console.error(`${setting}: ${message}`);
-	}
-
-	process.exitCode = EXIT_INVALID_SETTINGS;
-} else if (outcome.value.kind === 'help') {
-	console.log(outcome.value.text);
-} else if (outcome.value.kind === 'version') {
-	console.log('0.1.0');
-} else {
-	const {settings} = outcome.value;
+const settings = readProgramSettings('amaranthsail-load', LOAD_SETTINGS, import.meta.url);
+if (settings) {
 	const timer = setTimeout(() => {
 		console.error(`not finished after ${RUN_TIMEOUT_MS} ms`);
 		process.exit(1);
--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -8,7 +8,7 @@
 
 /** Drains a failure domain or a process. */
 export class DrainCommand extends ApiCommand {
-	static override description = 'Gives a failure domain or a process no new work; running work continues.';
+	static override description = 'Hands a failure domain to another entry, or shuts an entry down gracefully; running work continues.';
 	static override args = {target: Args.string({description: 'Name of a failure domain, or id of a process.', required: true})};
 
 	async run(): Promise<unknown> {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -4,6 +4,7 @@
 	secretSetting,
 	textSetting,
 	LOG_LEVELS,
+	type Address,
 	type LogLevel,
 	type SettingDefinition,
 	type SettingsOf,
@@ -45,6 +46,19 @@
 	};
 }
 
+/** Other processes are told these addresses, so a wildcard address would send them to themselves. */
+function reachableAddressSetting(description: string, defaultText: string): SettingDefinition<Address> {
+	const definition = addressSetting(description, defaultText);
+	return {
+		...definition,
+		expected: 'host:port that other processes can reach, not a wildcard address',
+		parse(text) {
+			const address = definition.parse(text);
+			return address?.host === '0.0.0.0' ? undefined : address;
+		},
+	};
+}
+
 const logLevelSetting: SettingDefinition<LogLevel> = {
 	description: 'Least important level of log lines that are written.',
 	defaultText: 'info',
@@ -54,8 +68,8 @@
 
 /** Settings of `amaranthsail-entry`. */
 export const ENTRY_SETTINGS = {
-	listenAddress: addressSetting('Address of the HTTP API and of the calls between entries.', '127.0.0.1:7400'),
-	datagramAddress: addressSetting('UDP address for the datagrams of agents.', '127.0.0.1:7400'),
+	listenAddress: reachableAddressSetting('Address of the HTTP API and of the calls between entries.', '127.0.0.1:7400'),
+	datagramAddress: reachableAddressSetting('UDP address for the datagrams of agents.', '127.0.0.1:7400'),
 	storeAddress: addressSetting('Address of the platform\'s tables and objects.'),
 	region: textSetting('Region of this process.'),
 	failureDomain: textSetting('Failure domain of this process.'),
@@ -64,7 +78,7 @@
 	operatorTokens: tokensSetting('Tokens of the operators.'),
 	statsdAddress: addressSetting('Where StatsD metrics are sent.', '127.0.0.1:8125'),
 	storeTimeoutMs: integerSetting('Longest wait for one call to the store, in milliseconds.', [50, 60_000], 2000),
-	drainTimeoutMs: integerSetting('Longest time a drain waits for open requests, in milliseconds.', [0, 600_000], 25_000),
+	drainTimeoutMs: integerSetting('Longest time a drain waits for open requests, in milliseconds. Longer than the longest wait of a caller.', [0, 600_000], 30_000),
 	logLevel: logLevelSetting,
 } as const;
 
--- a/packages/proof/src/failure-runs.ts
+++ b/packages/proof/src/failure-runs.ts
@@ -2,7 +2,7 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {
-	EXIT_INVALID_SETTINGS, integerSetting, readSettings, type SettingDefinition,
+	integerSetting, readProgramSettings, type SettingDefinition,
 } from '@amaranthsail/core';
 import {formatFigures, runScenarios, SCENARIOS, type Scenario} from './runs/index.js';
 
@@ -28,22 +28,12 @@
 }
 
 async function main(): Promise<void> {
-	const outcome = readSettings('failure-runs', SETTINGS, process.argv.slice(2), process.env);
-	if (!outcome.ok) {
-		for (const problem of outcome.error.problems) {
-			process.stderr.write(`${problem.setting}: ${problem.message}\n`);
-		}
-
-		process.exitCode = EXIT_INVALID_SETTINGS;
-		return;
-	}
-
-	if (outcome.value.kind !== 'run') {
-		print(outcome.value.kind === 'help' ? outcome.value.text : '0.1.0');
+	const settings = readProgramSettings('failure-runs', SETTINGS, import.meta.url);
+	if (!settings) {
 		return;
 	}
 
-	const {scenario, repeats} = outcome.value.settings;
+	const {scenario, repeats} = settings;
 	const report = await runScenarios(scenario, repeats, print);
 	for (const line of formatFigures(report.figures)) {
 		print(line);
--- a/packages/proof/src/fuzz.ts
+++ b/packages/proof/src/fuzz.ts
@@ -1,11 +1,7 @@
 #!/usr/bin/env node
 import process from 'node:process';
 import fc from 'fast-check';
-import {
-	EXIT_INVALID_SETTINGS,
-	integerSetting,
-	readSettings,
-} from '@amaranthsail/core';
+import {integerSetting, readProgramSettings} from '@amaranthsail/core';
 import {fuzzCommands, runHistory} from './commands.js';
 
 const SETTINGS = {
@@ -18,22 +14,12 @@
 const RUNS_PER_SEED = 20;
 
 async function main(): Promise<void> {
-	const outcome = readSettings('fuzz', SETTINGS, process.argv.slice(2), process.env);
-	if (!outcome.ok) {
-		for (const problem of outcome.error.problems) {
-			process.stderr.write(`${problem.setting}: ${problem.message}\n`);
-		}
-
-		process.exitCode = EXIT_INVALID_SETTINGS;
-		return;
-	}
-
-	if (outcome.value.kind !== 'run') {
-		process.stdout.write(outcome.value.kind === 'help' ? outcome.value.text : '0.1.0\n');
+	const settings = readProgramSettings('fuzz', SETTINGS, import.meta.url);
+	if (!settings) {
 		return;
 	}
 
-	const {durationMs, commands, seed: firstSeed} = outcome.value.settings;
+	const {durationMs, commands, seed: firstSeed} = settings;
 	const untilMs = performance.now() + durationMs;
 	let seed = firstSeed === 0 ? Date.now() % 2_147_483_647 : firstSeed;
 	let histories = 0;
--- a/packages/proof/src/runs/scenarios/rolling-replacement.ts
+++ b/packages/proof/src/runs/scenarios/rolling-replacement.ts
@@ -3,7 +3,7 @@
 import {SteadyLoad} from '../steady-load.js';
 import {check} from '../violation.js';
 
-/** Longest drain; above the 25,000 ms after which an entry cuts open requests. */
+/** Longest drain; longer than the longest wait of a caller. */
 const DRAIN_TIMEOUT_MS = 30_000;
 
 /** Every entry is replaced by a new one under load: the new one starts first, then the old one gets SIGTERM. */
--- a/packages/proof/src/sim-entry.ts
+++ b/packages/proof/src/sim-entry.ts
@@ -3,6 +3,7 @@
 	OWNER_TABLES,
 	OwnerCore,
 	OwnershipManager,
+	writeResultOf,
 
 	type OwnerEffect,
 	type OwnerEvent,
@@ -243,7 +244,7 @@
 			: await this.#options.tables.transact(transaction);
 		this.#options.time.after(STORE_CALL_MS, () => {
 			this.node.deliver(() => {
-				answer(toWriteResult(result));
+				answer(writeResultOf(result));
 			});
 		});
 	}
@@ -306,24 +307,3 @@
 		});
 	}
 }
-
-function toWriteResult(result: Awaited<ReturnType<MemoryTableStore['transact']>>): WriteResult {
-	if (result.ok) {
-		return {kind: 'committed', versions: result.value};
-	}
-
-	switch (result.error.kind) {
-		case 'condition_failed': {
-			return {kind: 'conditionFailed', failed: result.error.failed};
-		}
-
-		case 'outcome_unknown': {
-			return {kind: 'unknown', message: result.error.message};
-		}
-
-		case 'unavailable':
-		case 'rejected': {
-			return {kind: 'unavailable', message: result.error.message};
-		}
-	}
-}
