Prepare the key of datagrams once

Cause: a profile of the owner shows 0.85 points of a core in createHmac; the secret was converted for every datagram. Change: the codec keeps a key object. The six tests of the codec pass.

--- a/packages/core/src/message-codec.ts
+++ b/packages/core/src/message-codec.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {createHmac, timingSafeEqual} from 'node:crypto';
+import {createHmac, createSecretKey, timingSafeEqual, type KeyObject} from 'node:crypto';
 import type {ControlMessage} from './messages.js';
 import {err, ok, type Result} from './result.js';
 import {MAX_DATAGRAM_BYTES} from './timing.js';
@@ -20,13 +20,14 @@
 
 /** Encodes and authenticates the datagrams between agent and owner. */
 export class MessageCodec {
-	readonly #secret: string;
+	/** Prepared once: a secret given as text is converted again for every datagram. */
+	readonly #key: KeyObject;
 
 	/**
 	 * @param secret - The secret that all processes share by their settings.
 	 */
 	constructor(secret: string) {
-		this.#secret = secret;
+		this.#key = createSecretKey(Buffer.from(secret, 'utf8'));
 	}
 
 	/**
@@ -70,7 +71,7 @@
 	}
 
 	#mac(body: Uint8Array): Uint8Array {
-		return createHmac('sha256', this.#secret).update(body).digest().subarray(0, MAC_BYTES);
+		return createHmac('sha256', this.#key).update(body).digest().subarray(0, MAC_BYTES);
 	}
 }
 
