Use the owner's table names in the entry

Cause: the entry defined the names of the job tables and the key of the index of open jobs again, and had two copies of sleep. Change: it uses OWNER_TABLES and openJobKey of the owner package, and one sleep. Behaviour is the same. Conclusion: the index key is built in one place.

--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -9,13 +9,15 @@
 	type JobSpec,
 	type Result,
 } from '@amaranthsail/core';
+import {openJobKey, OWNER_TABLES} from '@amaranthsail/owner';
 import {commitDurably, type ObjectStore, type TableStore, type Transaction} from '@amaranthsail/platform';
 import {apiError, type ApiError} from './api-error.js';
 import type {Catalog} from './catalog.js';
 import type {CheckedJobRequest} from './job-request.js';
 import {specOf} from './job-spec.js';
-import {ACCOUNT_JOBS_TABLE, accountJobKey, JOBS_TABLE, OPEN_JOBS_TABLE, readFailure} from './job-store.js';
+import {ACCOUNT_JOBS_TABLE, accountJobKey, readFailure} from './job-store.js';
 import type {Router} from './router.js';
+import {sleep} from './sleep.js';
 
 /** What the intake needs. */
 export type JobIntakeOptions = {
@@ -87,7 +89,7 @@
 	}
 
 	async #find(jobId: string, checked: CheckedJobRequest): Promise<Result<JobRow | undefined, ApiError>> {
-		const found = await this.#options.tables.get(JOBS_TABLE, jobId);
+		const found = await this.#options.tables.get(OWNER_TABLES.jobs, jobId);
 		if (!found.ok) {
 			return err(readFailure(found.error));
 		}
@@ -118,10 +120,10 @@
 		const row = newJobRow({jobId, spec, bodyDigest: checked.bodyDigest, failureDomain, acceptedAtMs, writeId: newId()});
 		const transaction: Transaction = {
 			writeId: row.writeId,
-			conditions: [{table: JOBS_TABLE, key: jobId, version: 0}],
+			conditions: [{table: OWNER_TABLES.jobs, key: jobId, version: 0}],
 			writes: [
-				{table: JOBS_TABLE, key: jobId, value: row},
-				{table: OPEN_JOBS_TABLE, key: `${failureDomain}/${jobId}`, value: {jobId, writeId: row.writeId}},
+				{table: OWNER_TABLES.jobs, key: jobId, value: row},
+				{table: OWNER_TABLES.openJobs, key: openJobKey(failureDomain, jobId), value: {jobId, writeId: row.writeId}},
 				{table: ACCOUNT_JOBS_TABLE, key: accountJobKey(spec.account, acceptedAtMs, jobId), value: {jobId, writeId: row.writeId}},
 			],
 		};
@@ -155,12 +157,6 @@
 	}
 }
 
-async function sleep(delayMs: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, delayMs);
-	});
-}
-
 function unknownOutcome(jobId: string): Result<never, ApiError> {
 	const message = 'The store did not confirm the request. Send it again with the same key, or ask for the job.';
 	return err(apiError('outcome_unknown', message, {outcome: 'unknown', details: {jobId, href: `/v1/jobs/${jobId}`}}));
--- a/packages/entry/src/job-routes.ts
+++ b/packages/entry/src/job-routes.ts
@@ -1,4 +1,5 @@
 import {err, FINAL_JOB_STATES, newId, ok, type Clock, type JobRow, type Result} from '@amaranthsail/core';
+import {OWNER_TABLES} from '@amaranthsail/owner';
 import type {TableStore} from '@amaranthsail/platform';
 import type {Admission} from './admission.js';
 import type {AnswerReader} from './answer-reader.js';
@@ -6,7 +7,7 @@
 import type {ApiRequest, ApiResponse, Route} from './http-server.js';
 import type {JobIntake} from './job-intake.js';
 import {checkJobRequest, MAX_WAIT_MS} from './job-request.js';
-import {JOBS_TABLE, type JobStore} from './job-store.js';
+import type {JobStore} from './job-store.js';
 import {viewOf} from './job-view.js';
 import type {Metrics} from './metrics.js';
 import type {OwnerGateway} from './owner-gateway.js';
@@ -190,8 +191,8 @@
 		const writeId = newId();
 		const written = await this.#options.tables.transact({
 			writeId,
-			conditions: [{table: JOBS_TABLE, key: jobId, version}],
-			writes: [{table: JOBS_TABLE, key: jobId, value: {...row, cancelRequested: true, writeId}}],
+			conditions: [{table: OWNER_TABLES.jobs, key: jobId, version}],
+			writes: [{table: OWNER_TABLES.jobs, key: jobId, value: {...row, cancelRequested: true, writeId}}],
 		});
 		return written.ok
 			? ok(undefined)
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -1,13 +1,8 @@
 import {err, ok, type JobRow, type Result} from '@amaranthsail/core';
+import {OWNER_TABLES} from '@amaranthsail/owner';
 import type {Row, RowValue, TableError, TableStore} from '@amaranthsail/platform';
 import {apiError, type ApiError} from './api-error.js';
 
-/** Table of the jobs. */
-export const JOBS_TABLE = 'jobs';
-
-/** Table of the jobs that are not final, by failure domain. */
-export const OPEN_JOBS_TABLE = 'open_jobs';
-
 /** Table that lists the jobs of each client account. */
 export const ACCOUNT_JOBS_TABLE = 'account_jobs';
 
@@ -44,7 +39,7 @@
 	 * @returns The row with its version; `not_found` also for the job of another account.
 	 */
 	async read(account: string, jobId: string): Promise<Result<{readonly row: JobRow; readonly version: number}, ApiError>> {
-		const result = await this.#tables.get(JOBS_TABLE, jobId);
+		const result = await this.#tables.get(OWNER_TABLES.jobs, jobId);
 		if (!result.ok) {
 			return err(readFailure(result.error));
 		}
@@ -69,7 +64,7 @@
 			return err(readFailure(index.error));
 		}
 
-		const reads = await Promise.all(index.value.map(async entry => this.#tables.get(JOBS_TABLE, String(entry.value.jobId))));
+		const reads = await Promise.all(index.value.map(async entry => this.#tables.get(OWNER_TABLES.jobs, String(entry.value.jobId))));
 		const failed = reads.find(read => !read.ok);
 		if (failed && !failed.ok) {
 			return err(readFailure(failed.error));
--- a/packages/entry/src/owner-gateway.ts
+++ b/packages/entry/src/owner-gateway.ts
@@ -2,6 +2,7 @@
 import type {JobStore} from './job-store.js';
 import type {PeerCall, PeerClients} from './peer-client.js';
 import type {PeerService} from './peer-router.js';
+import {sleep} from './sleep.js';
 
 /** Longest wait for a short call to another entry. */
 const PEER_CALL_TIMEOUT_MS = 1500;
@@ -145,9 +146,3 @@
 		return owner && peers.call(owner.control, timeoutMs, askPeer);
 	}
 }
-
-async function sleep(durationMs: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
