--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,3 +10,4 @@
 export * from './program-settings.js';
 export * from './logger.js';
 export * from './task-key.js';
+export * from './json-http.js';
--- /dev/null
+++ b/packages/pool-agent/src/agent-program.ts
@@ -0,0 +1,154 @@
+import {createServer, type Server} from 'node:http';
+import {
+	JsonClient, type Logger, parseJson, SystemClock,
+} from '@amaranthsail/core';
+import {
+	decodeHeartbeat, type NodeSettings, parseWorkerCall, RowStore, WorkerClient,
+} from '@amaranthsail/platform-adapter';
+import {
+	leaseMsWithin, type LeaderRow, LEADER_KEY, type PoolStore, TABLES,
+} from '@amaranthsail/pool';
+import {
+	listen, type ProcessMetrics, readBody, type RouteHandler, sendJson, serveJson, sleep,
+} from '@amaranthsail/pool-runtime';
+import {AgentCore} from './agent-core.js';
+import {
+	AGENT_PATHS, ANNOUNCE_PATH, type AnnounceRequest, type OrderRequest, type WatchRequest,
+} from './agent-messages.js';
+
+/** Pause between two attempts to find a leader. */
+const ANNOUNCE_INTERVAL_MS = 700;
+
+/** Without a call of a leader for this time, the agent announces itself. */
+const ANNOUNCE_AFTER_MS = 900;
+
+const STORE_TIMEOUT_MS = 1500;
+
+/** An entry answers an announcement at once. */
+const ANNOUNCE_TIMEOUT_MS = 800;
+
+/** A running agent. */
+export type RunningAgent = {
+	/** Stops serving; work at the worker goes on under its lease. */
+	stop(): Promise<void>;
+};
+
+/**
+ * Runs the agent of a worker.
+ *
+ * @param settings - Place in the deployment.
+ * @param logger - Takes log lines.
+ * @param metrics - Takes counters.
+ * @returns Once it serves.
+ */
+export async function runAgent(settings: NodeSettings, logger: Logger, metrics: ProcessMetrics): Promise<RunningAgent> {
+	const store = new RowStore(settings.storeAddress);
+	const core = new AgentCore({
+		clock: new SystemClock(),
+		logger,
+		store,
+		worker: new WorkerClient(settings.workerAddress!),
+		leaseMs: leaseMsWithin(settings.bounds.maxLeaseMs),
+		incarnation: `${settings.name}/${Date.now()}`,
+		sleep,
+	});
+	const address = `${settings.ip}:${settings.peerPort}`;
+	const answer = async <Request>(body: unknown, handle: (request: Request) => Promise<object>): Promise<{status: number; body: unknown}> => {
+		if (typeof body !== 'object' || body === null) {
+			return {status: 400, body: {problem: 'expected a JSON object'}};
+		}
+
+		return {status: 200, body: await handle(body as Request)};
+	};
+
+	const routes: Record<string, RouteHandler> = {
+		[AGENT_PATHS.watch]: async body => answer<WatchRequest>(body, async request => core.onWatch(request)),
+		[AGENT_PATHS.order]: async body => answer<OrderRequest>(body, async request => {
+			metrics.count('orders_relayed', {kind: request.order.kind});
+			return core.onOrder(request);
+		}),
+	};
+	const servers: Server[] = [
+		await serveJson(address, routes),
+		await listen(controlServer(core, logger, metrics), settings.controlAddress!),
+		await metrics.serve(`${settings.ip}:${settings.metricsPort}`),
+	];
+	let isStopped = false;
+	const announcements = (async () => {
+		await registerMember(store, settings.name, address, logger);
+		while (!isStopped) {
+			if (core.leaderSilentMs > ANNOUNCE_AFTER_MS) {
+				await announce(store, settings, {agent: settings.name, address}, logger);
+			}
+
+			await sleep(ANNOUNCE_INTERVAL_MS);
+		}
+	})();
+	const looks = core.run();
+	return {
+		async stop() {
+			isStopped = true;
+			core.stop();
+			for (const server of servers) {
+				server.close();
+				server.closeIdleConnections();
+			}
+
+			await Promise.all([announcements, looks]);
+		},
+	};
+}
+
+/** Stores where the agent listens, so that a new leader finds it at once. */
+async function registerMember(store: PoolStore, name: string, address: string, logger: Logger): Promise<void> {
+	const stored = await store.transact([], [{table: TABLES.members, key: name, value: {address}}], STORE_TIMEOUT_MS);
+	if (!stored.ok) {
+		logger.warn('member not registered', {error: stored.error.kind});
+	}
+}
+
+/** Tells the leader where the agent listens; by the store, or by the seeds when the store does not answer. */
+async function announce(store: PoolStore, settings: NodeSettings, request: AnnounceRequest, logger: Logger): Promise<void> {
+	const page = await store.read(TABLES.leader, {from: LEADER_KEY}, STORE_TIMEOUT_MS);
+	const leader = page.ok ? page.value.rows[0]?.value as LeaderRow | undefined : undefined;
+	const addresses = leader && leader.holder !== '' ? [leader.address] : settings.seedIps.map(ip => `${ip}:${settings.peerPort}`);
+	for (const address of addresses) {
+		const client = new JsonClient(address, 1);
+		const answer = await client.call({method: 'POST', path: ANNOUNCE_PATH, body: request, timeoutMs: ANNOUNCE_TIMEOUT_MS});
+		client.close();
+		logger.info('announced', {to: address, epoch: leader?.epoch ?? 0, outcome: answer.ok ? answer.value.status : answer.error.kind});
+		if (answer.ok && answer.value.status === 200) {
+			return;
+		}
+	}
+}
+
+/** Serves the worker on the same VM. */
+function controlServer(core: AgentCore, logger: Logger, metrics: ProcessMetrics): Server {
+	return createServer(async (message, response) => {
+		const text = await readBody(message);
+		const call = parseWorkerCall(message.method ?? '', message.url ?? '');
+		if (!call) {
+			sendJson(response, {status: 404});
+			return;
+		}
+
+		if (call.kind === 'leave') {
+			core.onLeave(call.workerId);
+			sendJson(response, {status: 200, body: {}});
+			return;
+		}
+
+		const heartbeat = decodeHeartbeat(call.workerId, text === undefined ? undefined : parseJson(text));
+		if ('problem' in heartbeat) {
+			logger.warn('heartbeat refused', {worker: call.workerId, problem: heartbeat.problem});
+			metrics.count('heartbeats', {outcome: 'refused'});
+			sendJson(response, {status: 400, body: heartbeat});
+			return;
+		}
+
+		metrics.count('heartbeats', {outcome: 'taken'});
+		core.onHeartbeat(heartbeat.facts, heartbeat.sequence, heartbeat.bornMs);
+		sendJson(response, {status: 200, body: {}});
+	});
+}
--- /dev/null
+++ b/packages/pool-agent/src/bin.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env -S node --max-semi-space-size=1
+import process from 'node:process';
+import {readNodeSettings} from '@amaranthsail/platform-adapter';
+import {ProcessLog, ProcessMetrics} from '@amaranthsail/pool-runtime';
+import {runAgent} from './agent-program.js';
+
+const settings = readNodeSettings();
+const logger = new ProcessLog('pool-agent', settings.name);
+if (settings.workerAddress === undefined || settings.controlAddress === undefined) {
+	logger.error('settings wrong', {expected: 'a worker address and a control address'});
+	process.exit(2);
+}
+
+logger.info('starting', {ip: settings.ip, failureDomain: settings.failureDomain});
+const agent = await runAgent(settings, logger, new ProcessMetrics());
+process.once('SIGTERM', async () => {
+	logger.info('stopping', {signal: 'SIGTERM'});
+	await agent.stop();
+	process.exit(0);
+});
+process.on('SIGHUP', () => {
+	logger.info('reload', {changed: 'nothing; addresses are read at start'});
+});
--- /dev/null
+++ b/packages/pool-agent/src/index.ts
@@ -0,0 +1,2 @@
+export * from './agent-core.js';
+export * from './agent-messages.js';
--- /dev/null
+++ b/packages/pool-entry/src/bin.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env -S node --max-semi-space-size=1
+import process from 'node:process';
+import {readNodeSettings} from '@amaranthsail/platform-adapter';
+import {ProcessLog, ProcessMetrics} from '@amaranthsail/pool-runtime';
+import {EntryProgram} from './entry-program.js';
+
+const settings = readNodeSettings();
+const logger = new ProcessLog('pool-entry', settings.name);
+if (settings.callerAddress === undefined || settings.readinessAddress === undefined) {
+	logger.error('settings wrong', {expected: 'a caller address and a readiness address'});
+	process.exit(2);
+}
+
+logger.info('starting', {ip: settings.ip, failureDomain: settings.failureDomain});
+const entry = new EntryProgram(settings, logger, new ProcessMetrics());
+await entry.start();
+process.once('SIGTERM', () => {
+	logger.info('stopping', {signal: 'SIGTERM'});
+	void entry.stop();
+});
+process.on('SIGHUP', () => {
+	logger.info('reload', {changed: 'nothing; addresses are read at start'});
+});
--- /dev/null
+++ b/packages/pool-entry/src/config-follower.ts
@@ -0,0 +1,160 @@
+import type {Clock, Logger} from '@amaranthsail/core';
+import type {PoolConfig, PoolStore, StoredRow} from '@amaranthsail/pool';
+import {sleep} from '@amaranthsail/pool-runtime';
+
+/** Where the configuration lies and how it is decoded. */
+export type ConfigSource = {
+	readonly table: string;
+	readonly key: string;
+	readonly decode: (row: StoredRow) => PoolConfig | undefined;
+};
+
+/** The configuration in force at this process. */
+export type KnownConfig = {
+	readonly config: PoolConfig;
+	/** The row that it was decoded from; its version is the condition of acceptances. */
+	readonly row: StoredRow;
+};
+
+/** Longest wait of a feed call; also how soon a silent connection shows. */
+const FOLLOW_WAIT_MS = 700;
+
+/** Pause after a failed call of the store. */
+const RETRY_MS = 150;
+
+const READ_TIMEOUT_MS = 800;
+
+/** Keeps the newest configuration. It never steps back, whatever the store's feed or a peer says. */
+export class ConfigFollower {
+	readonly #store: PoolStore;
+	readonly #source: ConfigSource;
+	readonly #clock: Clock;
+	readonly #logger: Logger;
+	#known: KnownConfig | undefined;
+	#confirmedAtMs = Number.NEGATIVE_INFINITY;
+	#onChange: (config: PoolConfig) => void = () => undefined;
+	#isStopped = false;
+
+	/**
+	 * @param store - Where the configuration lies.
+	 * @param source - Row and format.
+	 * @param clock - Source of time.
+	 * @param logger - Takes a line for each version.
+	 */
+	constructor(store: PoolStore, source: ConfigSource, clock: Clock, logger: Logger) {
+		this.#store = store;
+		this.#source = source;
+		this.#clock = clock;
+		this.#logger = logger;
+	}
+
+	/** The configuration in force, or undefined before the first. */
+	get known(): KnownConfig | undefined {
+		return this.#known;
+	}
+
+	/** Milliseconds since the store or a peer confirmed that the known configuration is the newest. */
+	get ageMs(): number {
+		return this.#clock.monotonicMs() - this.#confirmedAtMs;
+	}
+
+	/** @param listener - Called with each new configuration. */
+	onChange(listener: (config: PoolConfig) => void): void {
+		this.#onChange = listener;
+		if (this.#known) {
+			listener(this.#known.config);
+		}
+	}
+
+	/**
+	 * Takes a configuration row from any source.
+	 *
+	 * @param row - The row; ignored when it is not newer than the known one.
+	 * @param origin - Where it comes from, for the log.
+	 */
+	offer(row: StoredRow, origin: string): void {
+		if (row.table !== this.#source.table || row.key !== this.#source.key || row.version <= (this.#known?.row.version ?? 0)) {
+			return;
+		}
+
+		const config = this.#source.decode(row);
+		if (!config) {
+			this.#logger.error('configuration unreadable', {rowVersion: row.version, origin});
+			return;
+		}
+
+		if (config.version <= (this.#known?.config.version ?? Number.NEGATIVE_INFINITY)) {
+			return;
+		}
+
+		this.#logger.info('configuration in force', {
+			version: config.version, previous: this.#known?.config.version ?? 'none', rowVersion: row.version, origin, queues: config.queues.length, accounts: config.accounts.length,
+		});
+		this.#known = {config, row};
+		this.#onChange(config);
+	}
+
+	/** Records that the known configuration is the newest as of now. */
+	confirm(): void {
+		this.#confirmedAtMs = this.#clock.monotonicMs();
+	}
+
+	/**
+	 * Reads the configuration now.
+	 *
+	 * @param timeoutMs - Timeout of the read.
+	 * @returns Newest version of the store, or undefined when it did not answer.
+	 */
+	async refresh(timeoutMs = READ_TIMEOUT_MS): Promise<number | undefined> {
+		const {table, key} = this.#source;
+		const sentAtMs = this.#clock.monotonicMs();
+		const page = await this.#store.read(table, {from: key, to: `${key}\0`}, timeoutMs);
+		if (!page.ok) {
+			return undefined;
+		}
+
+		for (const row of page.value.rows) {
+			this.offer(row, 'read');
+		}
+
+		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentAtMs);
+		return page.value.version;
+	}
+
+	/** Follows the store until {@link ConfigFollower.stop} is called. */
+	async run(): Promise<void> {
+		let version: number | undefined;
+		let isStoreReached = true;
+		while (!this.#isStopped) {
+			if (version === undefined) {
+				version = await this.refresh();
+			} else {
+				const page = await this.#store.follow(this.#source.table, version, FOLLOW_WAIT_MS);
+				if (page.ok) {
+					for (const row of page.value.rows) {
+						this.offer(row, 'feed');
+					}
+
+					version = Math.max(version, page.value.version);
+					this.confirm();
+				} else {
+					version = undefined;
+				}
+			}
+
+			if ((version !== undefined) !== isStoreReached) {
+				isStoreReached = version !== undefined;
+				this.#logger.info(isStoreReached ? 'store reached again' : 'store not reached', {purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(this.ageMs)});
+			}
+
+			if (version === undefined) {
+				await sleep(RETRY_MS);
+			}
+		}
+	}
+
+	/** Ends {@link ConfigFollower.run}. */
+	stop(): void {
+		this.#isStopped = true;
+	}
+}
--- /dev/null
+++ b/packages/pool-entry/src/index.ts
@@ -0,0 +1,1 @@
+export * from './entry-program.js';
--- /dev/null
+++ b/packages/pool-runtime/src/index.ts
@@ -0,0 +1,4 @@
+export * from './process-log.js';
+export * from './json-server.js';
+export * from './metrics.js';
+export * from './sleep.js';
--- /dev/null
+++ b/packages/pool-runtime/src/json-server.ts
@@ -0,0 +1,93 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {parseJson} from '@amaranthsail/core';
+import polka from 'polka';
+
+/** What a route answers. */
+export type RouteAnswer = {readonly status: number; readonly body?: unknown};
+
+/** Answers a call with a JSON body; `body` is undefined for one that cannot be read. */
+export type RouteHandler = (body: unknown) => Promise<RouteAnswer> | RouteAnswer;
+
+/** Calls between the system's own processes stay below this size. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Kept connections outlive the pauses between calls, so that a caller does not write to one that is being closed. */
+const KEEP_ALIVE_MS = 60_000;
+
+/**
+ * Reads a request body.
+ *
+ * @param message - The request.
+ * @param maxBytes - Largest body.
+ * @returns The text, or undefined when it is too large or the caller broke off.
+ */
+export async function readBody(message: IncomingMessage, maxBytes = MAX_BODY_BYTES): Promise<string | undefined> {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	return new Promise(resolve => {
+		message.on('data', (chunk: Buffer) => {
+			bytes += chunk.length;
+			if (bytes <= maxBytes) {
+				chunks.push(chunk);
+			}
+		});
+		message.on('end', () => {
+			resolve(bytes <= maxBytes ? Buffer.concat(chunks).toString() : undefined);
+		});
+		message.on('error', () => {
+			resolve(undefined);
+		});
+	});
+}
+
+/**
+ * Writes an answer with a JSON body.
+ *
+ * @param response - Where it goes.
+ * @param answer - Status and body.
+ * @param headers - Further headers.
+ */
+export function sendJson(response: ServerResponse, answer: RouteAnswer, headers: Readonly<Record<string, string>> = {}): void {
+	const text = answer.body === undefined ? '' : JSON.stringify(answer.body);
+	response.writeHead(answer.status, {...headers, 'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
+	response.end(text);
+}
+
+/**
+ * Serves calls between the system's own processes.
+ *
+ * @param address - `host:port` to listen on.
+ * @param routes - Handlers of `POST`, by path.
+ * @returns The server, once it listens.
+ */
+export async function serveJson(address: string, routes: Readonly<Record<string, RouteHandler>>): Promise<Server> {
+	const app = polka();
+	for (const [path, handler] of Object.entries(routes)) {
+		app.post(path, async (message, response) => {
+			const text = await readBody(message);
+			const answer = await handler(text === undefined ? undefined : parseJson(text));
+			sendJson(response, answer);
+		});
+	}
+
+	return listen(createServer(app.handler as (message: IncomingMessage, response: ServerResponse) => void), address);
+}
+
+/**
+ * Makes a server listen.
+ *
+ * @param server - The server.
+ * @param address - `host:port`.
+ * @returns The server, once it listens.
+ */
+export async function listen(server: Server, address: string): Promise<Server> {
+	const colon = address.lastIndexOf(':');
+	server.keepAliveTimeout = KEEP_ALIVE_MS;
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), 512, () => {
+			resolve(server);
+		});
+	});
+}
--- /dev/null
+++ b/packages/pool-runtime/src/metrics.ts
@@ -0,0 +1,84 @@
+import {createServer, type Server} from 'node:http';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {listen} from './json-server.js';
+
+/** Seconds; from a call within a region to the longest wait of a caller. */
+const LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
+
+/** Counters and latency histograms of a process, served as text. Labels take values of the configuration only. */
+export class ProcessMetrics {
+	readonly #registry = new Registry();
+	readonly #counters = new Map<string, Counter>();
+	readonly #gauges = new Map<string, Gauge>();
+	readonly #histograms = new Map<string, Histogram>();
+
+	/**
+	 * Counts an event.
+	 *
+	 * @param name - Name of the counter, without prefix and unit.
+	 * @param labels - Labels; always the same names for one counter.
+	 */
+	count(name: string, labels: Readonly<Record<string, string>> = {}): void {
+		let counter = this.#counters.get(name);
+		if (!counter) {
+			counter = new Counter({name: `amaranthsail_${name}_total`, help: name, labelNames: Object.keys(labels), registers: [this.#registry]});
+			this.#counters.set(name, counter);
+		}
+
+		counter.inc(labels);
+	}
+
+	/**
+	 * Records a duration.
+	 *
+	 * @param name - Name of the histogram, without prefix and unit.
+	 * @param ms - The duration in milliseconds.
+	 * @param labels - Labels; always the same names for one histogram.
+	 */
+	observe(name: string, ms: number, labels: Readonly<Record<string, string>> = {}): void {
+		let histogram = this.#histograms.get(name);
+		if (!histogram) {
+			histogram = new Histogram({
+				name: `amaranthsail_${name}_seconds`, help: name, labelNames: Object.keys(labels), buckets: LATENCY_BUCKETS_S, registers: [this.#registry],
+			});
+			this.#histograms.set(name, histogram);
+		}
+
+		histogram.observe(labels, ms / 1000);
+	}
+
+	/**
+	 * Sets a current value.
+	 *
+	 * @param name - Name of the gauge, without prefix.
+	 * @param value - The value.
+	 */
+	set(name: string, value: number): void {
+		let gauge = this.#gauges.get(name);
+		if (!gauge) {
+			gauge = new Gauge({name: `amaranthsail_${name}`, help: name, registers: [this.#registry]});
+			this.#gauges.set(name, gauge);
+		}
+
+		gauge.set(value);
+	}
+
+	/** @returns All metrics in the text format of Prometheus. */
+	async text(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	/**
+	 * Serves the metrics on every path.
+	 *
+	 * @param address - `host:port` to listen on.
+	 * @returns The server, once it listens.
+	 */
+	async serve(address: string): Promise<Server> {
+		const server = createServer(async (_message, response) => {
+			response.writeHead(200, {'content-type': this.#registry.contentType});
+			response.end(await this.text());
+		});
+		return listen(server, address);
+	}
+}
--- /dev/null
+++ b/packages/pool-runtime/src/sleep.ts
@@ -0,0 +1,6 @@
+/** @returns After `ms` milliseconds. */
+export async function sleep(ms: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/pool/src/index.ts
@@ -0,0 +1,10 @@
+export * from './capacity.js';
+export * from './model.js';
+export type * from './ports.js';
+export * from './rows.js';
+export * from './task-name.js';
+export * from './pool-limits.js';
+export * from './pool-core.js';
+export type {Commit} from './commit-log.js';
+export type {OrderEffect} from './pool-context.js';
+export type {AgentReport} from './worker-registry.js';
--- /dev/null
+++ b/packages/pool/src/job-lifecycle.ts
@@ -0,0 +1,159 @@
+import {createOccurrence, FINAL_STATES, isStepDone, type Job} from './job-table.js';
+import {JOB_STATES, type JobState} from './model.js';
+import type {PoolContext} from './pool-context.js';
+import type {RowWrite} from './ports.js';
+import {cancelKey, type JobRow, TABLES} from './rows.js';
+import type {RunLifecycle} from './run-lifecycle.js';
+
+/** Most rows that one clean-up transaction removes. */
+const CLEAN_UP_ROWS = 80;
+
+/** Brings jobs from acceptance to their final state. */
+export class JobLifecycle {
+	readonly #context: PoolContext;
+	readonly #runs: RunLifecycle;
+
+	/**
+	 * @param context - State of the pool.
+	 * @param runs - Stops the runs of jobs that end early.
+	 */
+	constructor(context: PoolContext, runs: RunLifecycle) {
+		this.#context = context;
+		this.#runs = runs;
+	}
+
+	/**
+	 * Takes a job row as it stands in the store.
+	 *
+	 * @param id - The job.
+	 * @param row - Its row.
+	 * @returns The job; the one that is known already when the row comes again.
+	 */
+	learn(id: string, row: JobRow): Job {
+		const known = this.#context.jobs.get(id);
+		if (known) {
+			return known;
+		}
+
+		const job: Job = {
+			id,
+			queueName: row.queue,
+			account: row.account,
+			spec: row.spec,
+			acceptedAtMs: row.acceptedAtMs,
+			knownAtMs: this.#context.nowMs(),
+			occurrences: [],
+			state: row.finalState ?? JOB_STATES.queued,
+			isCancelled: false,
+			isEnding: false,
+		};
+		this.#context.jobs.set(id, job);
+		if (!FINAL_STATES.has(job.state)) {
+			this.#openOccurrences(job);
+			this.#context.needsRound = true;
+			this.#context.log('job known', {job: id, queue: row.queue, account: row.account, steps: row.spec?.steps.length ?? 0});
+		}
+
+		return job;
+	}
+
+	/**
+	 * Records that a job's cancellation is stored.
+	 *
+	 * @param id - The job.
+	 */
+	cancel(id: string): void {
+		const job = this.#context.jobs.get(id);
+		if (!job || job.isCancelled || job.isEnding || FINAL_STATES.has(job.state)) {
+			return;
+		}
+
+		job.isCancelled = true;
+		this.#end(job, JOB_STATES.cancelled);
+	}
+
+	/**
+	 * Ends the job if all its tasks are done or one has failed too often.
+	 *
+	 * @param job - The job whose tasks changed.
+	 */
+	settle(job: Job): void {
+		if (job.isEnding || !job.spec || FINAL_STATES.has(job.state)) {
+			return;
+		}
+
+		const maxAttempts = this.#context.queueOf(job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
+		const steps = job.occurrences.flatMap(occurrence => occurrence.steps);
+		if (steps.some(step => !step.spec.isLasting && step.tasks.some(task => task.failures >= maxAttempts))) {
+			this.#end(job, JOB_STATES.failed);
+			return;
+		}
+
+		const isComplete = job.occurrences.length === (job.spec.recurrence?.count ?? 1) && steps.every(step => isStepDone(step));
+		if (isComplete) {
+			this.#end(job, JOB_STATES.completed);
+		}
+	}
+
+	/** Opens the occurrences of recurring jobs that are due. */
+	openDueOccurrences(): void {
+		for (const job of this.#context.jobs.values()) {
+			if (job.spec?.recurrence && !job.isEnding && !FINAL_STATES.has(job.state)) {
+				this.#openOccurrences(job);
+			}
+		}
+	}
+
+	#openOccurrences(job: Job): void {
+		if (!job.spec) {
+			return;
+		}
+
+		const {recurrence} = job.spec;
+		const wallMs = this.#context.clock.wallMs();
+		const count = recurrence?.count ?? 1;
+		while (job.occurrences.length < count) {
+			const number = job.occurrences.length;
+			if (recurrence && recurrence.startAtMs + (number * recurrence.intervalMs) > wallMs) {
+				return;
+			}
+
+			job.occurrences.push(createOccurrence(job, number));
+			this.#context.needsRound = true;
+		}
+	}
+
+	#end(job: Job, state: JobState): void {
+		job.isEnding = true;
+		const tasks = job.occurrences.flatMap(occurrence => occurrence.steps.flatMap(step => step.tasks));
+		const isOwnFault = state === JOB_STATES.failed;
+		for (const task of tasks) {
+			if (task.run) {
+				this.#runs.stop(task.run, `job ${state}`);
+			}
+		}
+
+		if (isOwnFault) {
+			for (const worker of this.#context.workers.values()) {
+				worker.failedJobs.delete(job.id);
+			}
+		}
+
+		const row: JobRow = {queue: job.queueName, account: job.account, acceptedAtMs: job.acceptedAtMs, finalState: state};
+		this.#context.commits.enqueue([{table: TABLES.jobs, key: job.id, value: row}], () => {
+			job.state = state;
+			this.#context.needsRound = true;
+			this.#context.log('job ended', {job: job.id, state, sinceKnownMs: Math.round(this.#context.nowMs() - job.knownAtMs)});
+		});
+		const removals: RowWrite[] = tasks.filter(task => task.lastRun > 0).map(task => ({table: TABLES.runs, key: task.name, value: undefined}));
+		if (job.isCancelled) {
+			removals.push({table: TABLES.jobs, key: cancelKey(job.id), value: undefined});
+		}
+
+		for (let start = 0; start < removals.length; start += CLEAN_UP_ROWS) {
+			this.#context.commits.enqueue(removals.slice(start, start + CLEAN_UP_ROWS), () => {
+				this.#context.needsRound = true;
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/pool/src/job-table.ts
@@ -0,0 +1,170 @@
+import type {
+	JobSpec, JobState, Queue, StepSpec,
+} from './model.js';
+import {JOB_STATES} from './model.js';
+import {formatTaskName} from './task-name.js';
+
+/** Phases of a run as its leader sees it. */
+export const RUN_PHASES = {
+	/** Its row is being stored; nothing has been sent. */
+	recording: 'recording',
+	/** Stored; the worker has not confirmed the start. */
+	starting: 'starting',
+	running: 'running',
+	/** It is to end; the worker has not listed the end. */
+	stopping: 'stopping',
+} as const;
+
+/** One of {@link RUN_PHASES}. */
+export type RunPhase = (typeof RUN_PHASES)[keyof typeof RUN_PHASES];
+
+/** One run of a task on a worker. */
+export type Run = {
+	readonly task: Task;
+	readonly number: number;
+	readonly life: string;
+	phase: RunPhase;
+	readonly placedAtMs: number;
+	/** Start orders may have reached the worker. */
+	wasOrdered: boolean;
+	/** The worker acknowledged a stop of this run, after this many orders of its agent. */
+	stopAcknowledgedAtOrder?: number;
+	startConfirmedAtOrder?: number;
+	nextOrderAtMs: number;
+	isOrderUnderWay: boolean;
+	/** Since when starts have been sent without an answer. */
+	unansweredSinceMs?: number;
+	percent: number;
+	progressAtMs: number;
+	startedAtMs?: number;
+	checkpoint: string;
+	/** Time at which the newest checkpoint was first seen. */
+	savedAtMs: number;
+};
+
+/** One task of a step in one occurrence of a job. */
+export type Task = {
+	readonly name: string;
+	readonly step: StepState;
+	readonly index: number;
+	isDone: boolean;
+	failures: number;
+	/** Number of the newest run. */
+	lastRun: number;
+	/** Highest run whose failure has been counted. */
+	lastFailedRun: number;
+	run?: Run;
+	checkpoint: string;
+	/** Ids of workers on which the task failed. */
+	readonly failedOn: Set<string>;
+};
+
+/** One step in one occurrence of a job. */
+export type StepState = {
+	readonly job: Job;
+	readonly occurrence: number;
+	readonly number: number;
+	readonly spec: StepSpec;
+	readonly tasks: Task[];
+	/** Since when its tasks may run. */
+	readyAtMs?: number;
+};
+
+/** One occurrence of a job's steps. */
+export type Occurrence = {readonly number: number; readonly dueAtWallMs: number; readonly steps: StepState[]};
+
+/** A job that the pool has accepted. */
+export type Job = {
+	readonly id: string;
+	readonly queueName: string;
+	readonly account: string;
+	readonly spec: JobSpec | undefined;
+	readonly acceptedAtMs: number;
+	/** Leader's clock when it learned of the job. */
+	readonly knownAtMs: number;
+	readonly occurrences: Occurrence[];
+	/** State as far as it is stored. */
+	state: JobState;
+	isCancelled: boolean;
+	/** Its final row is being stored. */
+	isEnding: boolean;
+};
+
+/** States in which nothing more happens to a job. */
+export const FINAL_STATES: ReadonlySet<JobState> = new Set([JOB_STATES.completed, JOB_STATES.failed, JOB_STATES.cancelled]);
+
+/**
+ * Makes the state of one occurrence of a job.
+ *
+ * @param job - The job; it has a spec.
+ * @param number - Number of the occurrence, from 0.
+ * @returns The occurrence with tasks that have never run.
+ */
+export function createOccurrence(job: Job, number: number): Occurrence {
+	const {recurrence, steps} = job.spec!;
+	const occurrence: Occurrence = {
+		number,
+		dueAtWallMs: recurrence ? recurrence.startAtMs + (number * recurrence.intervalMs) : 0,
+		steps: [],
+	};
+	for (const [stepNumber, spec] of steps.entries()) {
+		const step: StepState = {job, occurrence: number, number: stepNumber, spec, tasks: []};
+		for (let index = 0; index < spec.taskCount; index++) {
+			step.tasks.push({
+				name: formatTaskName({jobId: job.id, occurrence: number, step: stepNumber, index}),
+				step,
+				index,
+				isDone: false,
+				failures: 0,
+				lastRun: 0,
+				lastFailedRun: 0,
+				checkpoint: '',
+				failedOn: new Set(),
+			});
+		}
+
+		occurrence.steps.push(step);
+	}
+
+	return occurrence;
+}
+
+/** @returns Whether all tasks of a step are done. */
+export function isStepDone(step: StepState): boolean {
+	return step.tasks.every(task => task.isDone);
+}
+
+/** @returns Whether the steps before this one in its occurrence are done. */
+export function isStepReady(step: StepState, occurrence: Occurrence): boolean {
+	return step.spec.after.every(number => {
+		const earlier = occurrence.steps[number];
+		return earlier !== undefined && isStepDone(earlier);
+	});
+}
+
+/**
+ * Estimates the longest chain of work through a job's steps.
+ *
+ * @param spec - The job.
+ * @returns Milliseconds by the caller's estimates.
+ */
+export function longestChainMs(spec: JobSpec): number {
+	const endsMs: number[] = [];
+	for (const step of spec.steps) {
+		const beforeMs = Math.max(0, ...step.after.map(number => endsMs[number] ?? 0));
+		endsMs.push(beforeMs + step.estimatedMs);
+	}
+
+	return Math.max(0, ...endsMs);
+}
+
+/**
+ * Time by which a job is on time.
+ *
+ * @param job - The job; it has a spec.
+ * @param queue - Its queue; undefined when no configuration names it any more.
+ * @returns Leader's clock in milliseconds.
+ */
+export function objectiveAtMs(job: Job, queue: Queue | undefined): number {
+	return job.knownAtMs + ((queue?.stretch ?? 3) * longestChainMs(job.spec!)) + (queue?.targetLatencyMs ?? 0);
+}
--- /dev/null
+++ b/packages/pool/src/rows.ts
@@ -0,0 +1,86 @@
+import type {JobSpec, JobState} from './model.js';
+
+/** Tables of a pool. */
+export const TABLES = {
+	leader: 'leader',
+	jobs: 'jobs',
+	runs: 'runs',
+	members: 'members',
+	suspects: 'suspects',
+} as const;
+
+/** Key of the only row of the leader table. */
+export const LEADER_KEY = 'region';
+
+/** The row of the leader table. */
+export type LeaderRow = {
+	/** Identifies the process that leads, not only its VM; empty after a resignation. */
+	readonly holder: string;
+	/** Address of the leader's API for peers and agents. */
+	readonly address: string;
+	/** Fencing token; grows with every change of the leader. */
+	readonly epoch: number;
+	/** Number of the leader's last transaction. */
+	readonly commit: number;
+};
+
+/** A row of the jobs table: an accepted job, or one that has ended. */
+export type JobRow = {
+	readonly queue: string;
+	readonly account: string;
+	readonly acceptedAtMs: number;
+	/** Absent once the job has ended. */
+	readonly spec?: JobSpec;
+	/** Present once the job has ended. */
+	readonly finalState?: JobState;
+};
+
+/** A row of the runs table. */
+export type RunRow = {
+	/** Number of the newest run of the task. */
+	readonly run: number;
+	/** Worker life of the newest run, while that run has not ended. */
+	readonly life?: string;
+	readonly isDone?: boolean;
+	/** Number of runs that failed. */
+	readonly failures?: number;
+	/** Checkpoint that the next run continues from. */
+	readonly checkpoint?: string;
+};
+
+/** A row of the members table. */
+export type MemberRow = {readonly address: string};
+
+const CANCEL_SUFFIX = '~cancel';
+
+/**
+ * Names the row that records the cancellation of a job.
+ *
+ * @param jobId - The job.
+ * @returns The key in the jobs table.
+ */
+export function cancelKey(jobId: string): string {
+	return jobId + CANCEL_SUFFIX;
+}
+
+/**
+ * Splits a key of the jobs table.
+ *
+ * @param key - The key.
+ * @returns The job, and whether the row records its cancellation.
+ */
+export function parseJobKey(key: string): {readonly jobId: string; readonly isCancel: boolean} {
+	return key.endsWith(CANCEL_SUFFIX)
+		? {jobId: key.slice(0, -CANCEL_SUFFIX.length), isCancel: true}
+		: {jobId: key, isCancel: false};
+}
+
+/**
+ * Range of the keys that begin with a prefix.
+ *
+ * @param prefix - A prefix that ends with an ASCII character.
+ * @returns The range for a read.
+ */
+export function prefixRange(prefix: string): {readonly from: string; readonly to: string} {
+	return {from: prefix, to: prefix.slice(0, -1) + String.fromCodePoint(prefix.codePointAt(prefix.length - 1)! + 1)};
+}
--- /dev/null
+++ b/packages/pool/src/run-lifecycle.ts
@@ -0,0 +1,420 @@
+import type {Job, Run, Task} from './job-table.js';
+import {RUN_PHASES} from './job-table.js';
+import {
+	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
+} from './model.js';
+import type {PoolContext} from './pool-context.js';
+import type {RowWrite} from './ports.js';
+import {type RunRow, TABLES} from './rows.js';
+import type {WorkerEntry} from './worker-entry.js';
+
+/** Failed jobs in a row after which a worker gets nothing for a while. */
+const QUARANTINE_JOBS = 2;
+
+/** Weight of a new observation of a worker's slowness. */
+const SLOWNESS_SMOOTHING = 0.5;
+
+/** Starts, stops and ends the runs of tasks. */
+export class RunLifecycle {
+	readonly #context: PoolContext;
+	readonly #onTaskEnded: (job: Job) => void;
+
+	/**
+	 * @param context - State of the pool.
+	 * @param onTaskEnded - Called when a task of the job is done or has failed.
+	 */
+	constructor(context: PoolContext, onTaskEnded: (job: Job) => void) {
+		this.#context = context;
+		this.#onTaskEnded = onTaskEnded;
+	}
+
+	/**
+	 * Starts a task, or all members of a gang, once the decision is stored.
+	 *
+	 * @param tasks - The task or the members of the gang.
+	 * @param lives - The worker's life for each.
+	 */
+	start(tasks: readonly Task[], lives: readonly string[]): void {
+		const nowMs = this.#context.nowMs();
+		const number = Math.max(...tasks.map(task => task.lastRun)) + 1;
+		const runs = tasks.map((task, index) => {
+			const run: Run = {
+				task,
+				number,
+				life: lives[index]!,
+				phase: RUN_PHASES.recording,
+				placedAtMs: nowMs,
+				wasOrdered: false,
+				nextOrderAtMs: nowMs,
+				isOrderUnderWay: false,
+				percent: 0,
+				progressAtMs: nowMs,
+				checkpoint: '',
+				savedAtMs: nowMs,
+			};
+			task.lastRun = number;
+			task.run = run;
+			this.#context.workers.get(run.life)!.runs.set(task.name, run);
+			return run;
+		});
+		const [first] = tasks;
+		this.#context.log('task placed', {
+			job: first!.step.job.id, task: first!.name, members: tasks.length, run: number, workers: lives, waitedMs: Math.round(nowMs - (first!.step.readyAtMs ?? nowMs)),
+		});
+		this.#context.commits.enqueue(tasks.map(task => this.#rowOf(task)), () => {
+			for (const run of runs) {
+				if (run.phase === RUN_PHASES.recording) {
+					run.phase = RUN_PHASES.starting;
+					this.sendDueOrder(run);
+				}
+			}
+		});
+	}
+
+	/**
+	 * Stops a run; it keeps its room until its end is known.
+	 *
+	 * @param run - The run.
+	 * @param reason - For the log.
+	 */
+	stop(run: Run, reason: string): void {
+		if (run.phase === RUN_PHASES.stopping) {
+			return;
+		}
+
+		this.#context.log('run stopping', {job: run.task.step.job.id, task: run.task.name, run: run.number, worker: run.life, reason});
+		run.phase = RUN_PHASES.stopping;
+		run.nextOrderAtMs = this.#context.nowMs();
+		if (!run.wasOrdered) {
+			// No start has been sent, so there is nothing at the worker to stop.
+			this.end(run, RUN_OUTCOMES.stopped, '');
+			return;
+		}
+
+		this.sendDueOrder(run);
+	}
+
+	/**
+	 * Stops a run and, if it belongs to a gang, the other members.
+	 *
+	 * @param run - The run.
+	 * @param reason - For the log.
+	 */
+	stopUnit(run: Run, reason: string): void {
+		if (!run.task.step.spec.isGang) {
+			this.stop(run, reason);
+			return;
+		}
+
+		for (const task of run.task.step.tasks) {
+			if (task.run) {
+				this.stop(task.run, reason);
+			}
+		}
+	}
+
+	/**
+	 * Sends the order that a run's phase asks for, if it is due.
+	 *
+	 * @param run - The run.
+	 */
+	sendDueOrder(run: Run): void {
+		const worker = this.#context.workers.get(run.life);
+		const nowMs = this.#context.nowMs();
+		if (!worker || run.isOrderUnderWay || run.nextOrderAtMs > nowMs) {
+			return;
+		}
+
+		if (run.phase === RUN_PHASES.starting && worker.isKnown && !worker.suspicion) {
+			run.isOrderUnderWay = true;
+			run.wasOrdered = true;
+			this.#context.send({
+				agent: worker.agent,
+				life: run.life,
+				order: {
+					kind: 'start',
+					task: run.task.name,
+					run: run.number,
+					payload: run.task.step.job.spec!.payload,
+					leaseUntilMs: Math.floor(worker.clockMs + this.#context.limits.leaseMs),
+					checkpoint: run.task.checkpoint,
+				},
+			});
+		} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedAtOrder === undefined) {
+			run.isOrderUnderWay = true;
+			this.#context.send({agent: worker.agent, life: run.life, order: {kind: 'stop', task: run.task.name, run: run.number}});
+		}
+	}
+
+	/**
+	 * Takes the outcome of an order.
+	 *
+	 * @param life - The worker's life that the order was for.
+	 * @param order - The order.
+	 * @param outcome - What became of it.
+	 * @param orderCount - The agent's count of orders after this one.
+	 */
+	onOrderOutcome(life: string, order: WorkerOrder, outcome: OrderOutcome, orderCount: number): void {
+		const run = this.#context.workers.get(life)?.runs.get(order.task);
+		this.#context.log('order answered', {
+			task: order.task, run: order.run, worker: life, order: order.kind, outcome: outcome.kind, ...(outcome.kind === 'refused' && {reason: outcome.reason}), ...(outcome.kind === 'unknown' && {error: outcome.message}),
+		});
+		if (outcome.kind === 'refused' && outcome.reason === REFUSALS.fenced) {
+			this.#context.isFenced = true;
+			return;
+		}
+
+		if (!run || run.number !== order.run) {
+			return;
+		}
+
+		run.isOrderUnderWay = false;
+		run.nextOrderAtMs = this.#context.nowMs() + this.#context.limits.orderRetryMs;
+		if (order.kind === 'stop') {
+			if (outcome.kind === 'done' || (outcome.kind === 'refused' && outcome.reason === REFUSALS.superseded)) {
+				run.stopAcknowledgedAtOrder = orderCount;
+			}
+		} else if (run.phase === RUN_PHASES.stopping) {
+			run.nextOrderAtMs = this.#context.nowMs();
+			this.sendDueOrder(run);
+		} else {
+			this.#onStartOutcome(run, outcome, orderCount);
+		}
+	}
+
+	/**
+	 * Compares the runs that a worker lists with those that are expected there.
+	 *
+	 * @param worker - The worker; its `ordersBefore` belongs to the lists.
+	 * @param running - What it lists as running.
+	 */
+	reconcile(worker: WorkerEntry, running: readonly ListedRun[]): void {
+		const nowMs = this.#context.nowMs();
+		const listed = new Map(running.map(entry => [entry.task, entry]));
+		for (const run of [...worker.runs.values()]) {
+			const entry = listed.get(run.task.name);
+			if (entry?.run === run.number) {
+				listed.delete(run.task.name);
+				this.#noteProgress(run, entry, nowMs);
+			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedAtOrder !== undefined && run.stopAcknowledgedAtOrder <= worker.ordersBefore) {
+				this.end(run, RUN_OUTCOMES.stopped, '');
+			} else if (run.phase === RUN_PHASES.running && (run.startConfirmedAtOrder ?? 0) <= worker.ordersBefore) {
+				this.#context.log('run vanished', {task: run.task.name, run: run.number, worker: worker.life});
+				this.end(run, RUN_OUTCOMES.lapsed, '');
+			}
+		}
+
+		worker.hasUnknownRuns = listed.size > 0;
+		for (const entry of listed.values()) {
+			this.#context.log('unknown run', {task: entry.task, run: entry.run, worker: worker.life});
+			this.#context.send({agent: worker.agent, life: worker.life, order: {kind: 'stop', task: entry.task, run: entry.run}});
+		}
+	}
+
+	/**
+	 * Takes an end that a worker lists.
+	 *
+	 * @param worker - The worker.
+	 * @param listed - The end; not seen before.
+	 */
+	onListedEnd(worker: WorkerEntry, listed: ListedEnd): void {
+		const run = worker.runs.get(listed.task);
+		if (run?.number === listed.run) {
+			this.end(run, listed.outcome, listed.checkpoint);
+		} else {
+			this.#onStaleEnd(worker, listed);
+		}
+
+		// An end may be acknowledged only after its outcome is stored.
+		this.#context.commits.enqueue([], () => {
+			worker.ackSequence = Math.max(worker.ackSequence, listed.sequence);
+		});
+	}
+
+	/**
+	 * Takes the end of a run, as listed by its worker or concluded from its absence.
+	 *
+	 * @param run - The run.
+	 * @param outcome - How it ended.
+	 * @param checkpoint - Newest checkpoint, or an empty string.
+	 */
+	end(run: Run, outcome: RunOutcome, checkpoint: string): void {
+		const {task} = run;
+		const {step} = task;
+		const worker = this.#context.workers.get(run.life);
+		worker?.runs.delete(task.name);
+		if (task.run === run) {
+			task.run = undefined;
+		}
+
+		this.#context.needsRound = true;
+		this.#context.log('run ended', {
+			job: step.job.id, task: task.name, run: run.number, worker: run.life, outcome, ranMs: Math.round(this.#context.nowMs() - (run.startedAtMs ?? run.placedAtMs)), percent: run.percent,
+		});
+		const saved = checkpoint === '' ? run.checkpoint : checkpoint;
+		if (saved !== '') {
+			for (const member of unitOf(task)) {
+				member.checkpoint = saved;
+			}
+		}
+
+		if (outcome === RUN_OUTCOMES.done && !step.spec.isLasting) {
+			this.#noteSuccess(run, worker);
+			this.#markDone(task);
+		} else if (outcome === RUN_OUTCOMES.failed && !step.spec.isLasting) {
+			this.#noteFailure(task, run.number, worker);
+		}
+
+		if (outcome !== RUN_OUTCOMES.done && step.spec.isGang && !task.isDone) {
+			this.stopUnit(run, `a member of the gang ended as ${outcome}`);
+		}
+
+		this.#store(task);
+	}
+
+	#onStartOutcome(run: Run, outcome: OrderOutcome, orderCount: number): void {
+		const nowMs = this.#context.nowMs();
+		if (outcome.kind === 'done') {
+			run.startConfirmedAtOrder = orderCount;
+			this.#confirm(run, nowMs);
+			return;
+		}
+
+		if (outcome.kind === 'unknown' || outcome.kind === 'gone') {
+			run.unansweredSinceMs ??= nowMs;
+			if (nowMs - run.unansweredSinceMs >= this.#context.limits.startGiveUpMs) {
+				this.stopUnit(run, 'start without an answer');
+			}
+
+			return;
+		}
+
+		if (outcome.reason === REFUSALS.late) {
+			run.nextOrderAtMs = nowMs;
+			return;
+		}
+
+		const worker = this.#context.workers.get(run.life);
+		if (outcome.reason === REFUSALS.unhealthy && worker) {
+			worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + this.#context.limits.startGiveUpMs);
+		}
+
+		this.stopUnit(run, `start refused: ${outcome.reason}`);
+	}
+
+	#confirm(run: Run, nowMs: number): void {
+		run.unansweredSinceMs = undefined;
+		if (run.phase === RUN_PHASES.starting) {
+			run.phase = RUN_PHASES.running;
+			run.startedAtMs = nowMs;
+			run.progressAtMs = nowMs;
+			run.savedAtMs = nowMs;
+		}
+	}
+
+	#noteProgress(run: Run, entry: ListedRun, nowMs: number): void {
+		run.wasOrdered = true;
+		this.#confirm(run, nowMs);
+		if (entry.percent !== run.percent) {
+			run.percent = entry.percent;
+			run.progressAtMs = nowMs;
+		}
+
+		if (entry.checkpoint !== '' && entry.checkpoint !== run.checkpoint) {
+			run.checkpoint = entry.checkpoint;
+			run.savedAtMs = nowMs;
+		}
+	}
+
+	#onStaleEnd(worker: WorkerEntry, listed: ListedEnd): void {
+		const task = this.#context.findTask(listed.task);
+		if (!task || task.isDone || task.step.spec.isLasting) {
+			return;
+		}
+
+		this.#context.log('late end', {task: listed.task, run: listed.run, worker: worker.life, outcome: listed.outcome});
+		if (listed.outcome === RUN_OUTCOMES.done) {
+			this.#markDone(task);
+			for (const member of unitOf(task)) {
+				if (member.run) {
+					this.stop(member.run, 'done by an earlier run');
+				}
+			}
+		} else if (listed.outcome === RUN_OUTCOMES.failed) {
+			this.#noteFailure(task, listed.run, worker);
+		}
+
+		this.#store(task);
+	}
+
+	#markDone(task: Task): void {
+		for (const member of unitOf(task)) {
+			member.isDone = true;
+		}
+
+		this.#onTaskEnded(task.step.job);
+	}
+
+	#noteSuccess(run: Run, worker: WorkerEntry | undefined): void {
+		if (!worker) {
+			return;
+		}
+
+		worker.failedJobs.clear();
+		worker.quarantinedUntilMs = 0;
+		const ranMs = this.#context.nowMs() - (run.startedAtMs ?? run.placedAtMs);
+		const {estimatedMs} = run.task.step.spec;
+		if (estimatedMs > 0) {
+			worker.slowness += SLOWNESS_SMOOTHING * (Math.min(ranMs / estimatedMs, 4) - worker.slowness);
+		}
+	}
+
+	#noteFailure(task: Task, runNumber: number, worker: WorkerEntry | undefined): void {
+		const members = unitOf(task);
+		if (members.some(member => member.lastFailedRun >= runNumber)) {
+			return;
+		}
+
+		for (const member of members) {
+			member.lastFailedRun = runNumber;
+			member.failures++;
+		}
+
+		if (worker) {
+			task.failedOn.add(worker.facts.id);
+			worker.failedJobs.add(task.step.job.id);
+			if (worker.failedJobs.size >= QUARANTINE_JOBS) {
+				worker.quarantinedUntilMs = this.#context.nowMs() + this.#context.limits.quarantineMs;
+				this.#context.log('worker quarantined', {worker: worker.life, failedJobs: worker.failedJobs.size, forMs: this.#context.limits.quarantineMs});
+			}
+		}
+
+		this.#onTaskEnded(task.step.job);
+	}
+
+	#store(task: Task): void {
+		if (task.step.job.isEnding) {
+			return;
+		}
+
+		this.#context.commits.enqueue(unitOf(task).map(member => this.#rowOf(member)), () => {
+			this.#context.needsRound = true;
+		});
+	}
+
+	#rowOf(task: Task): RowWrite {
+		const row: RunRow = {
+			run: task.lastRun,
+			...(task.run && {life: task.run.life}),
+			...(task.isDone && {isDone: true}),
+			...(task.failures > 0 && {failures: task.failures}),
+			...(task.checkpoint !== '' && {checkpoint: task.checkpoint}),
+		};
+		return {table: TABLES.runs, key: task.name, value: row};
+	}
+}
+
+/** @returns The members of the task's gang, or the task alone. */
+export function unitOf(task: Task): readonly Task[] {
+	return task.step.spec.isGang ? task.step.tasks : [task];
+}
