Take no report before the stored state is read

Ruled out: a lost commit (the rows were right). Links now open after recovery, and the core ignores reports before it. The test failed first. Guaranteed urgent work also goes before other urgent work, and stops others only as far as they are beyond their guarantees (test failed first).

--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -37,6 +37,8 @@
 	readonly #leadership: Leadership;
 	readonly #commits: CommitLoop;
 	readonly #links = new Map<string, AgentLink>();
+	/** Agents that announced themselves while the stored state was being read. */
+	readonly #announced = new Map<string, string>();
 	#storeOkAtMs: number;
 	#peerOkAtMs: number;
 	#isStopped = false;
@@ -105,6 +107,11 @@
 	 * @param address - Its address.
 	 */
 	addAgent(name: string, address: string): void {
+		if (!this.#isRecovered) {
+			this.#announced.set(name, address);
+			return;
+		}
+
 		const known = this.#links.get(name);
 		if (known?.address === address || this.#isStopped) {
 			return;
@@ -160,7 +167,11 @@
 		this.core.recover({jobs: jobs.rows, runs: runs.rows});
 		this.#isRecovered = true;
 		for (const member of members.rows) {
-			this.addAgent(member.key, (member.value as MemberRow).address);
+			this.#announced.set(member.key, this.#announced.get(member.key) ?? (member.value as MemberRow).address);
+		}
+
+		for (const [name, address] of this.#announced) {
+			this.addAgent(name, address);
 		}
 
 		void this.#tickLoop();
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -25,6 +25,7 @@
 	readonly #jobs: JobLifecycle;
 	readonly #workers: WorkerRegistry;
 	readonly #round: SchedulingRound;
+	#isRecovered = false;
 
 	/**
 	 * @param clock - Source of time.
@@ -48,6 +49,7 @@
 
 	/** @param state - Rows as read after the takeover. */
 	recover(state: StoredState): void {
+		this.#isRecovered = true;
 		recover(state, {context: this.#context, jobs: this.#jobs, workers: this.#workers});
 	}
 
@@ -72,13 +74,15 @@
 	}
 
 	/**
-	 * Takes a report from an agent.
+	 * Takes a report from an agent. Before the stored state is read, every run in it would look unknown.
 	 *
 	 * @param agent - Name of the agent.
 	 * @param report - What it says of its worker.
 	 */
 	onReport(agent: string, report: AgentReport): void {
-		this.#workers.onReport(agent, report);
+		if (this.#isRecovered) {
+			this.#workers.onReport(agent, report);
+		}
 	}
 
 	/** @param life - A worker's life that has ended in an orderly way. */
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -17,6 +17,9 @@
 /** Share of the remote factor's extra time that a task waits for room near its data. */
 const REMOTE_PATIENCE = 0.5;
 
+/** Core-seconds that put urgent work behind all less urgent work as a victim. */
+const URGENT_VICTIM_PENALTY = 1e5;
+
 /** A task, or all members of a gang, that wait for room. */
 type PendingUnit = {
 	readonly step: StepState;
@@ -24,6 +27,8 @@
 	readonly priority: number;
 	readonly service: string;
 	readonly objectiveMs: number;
+	/** The account's guarantee covers it together with what the account's urgent work uses. */
+	isOwed: boolean;
 };
 
 /** Room of a worker during one round. */
@@ -139,19 +144,38 @@
 			for (const step of pendingSteps(job, nowMs)) {
 				if (step.spec.isGang) {
 					if (step.tasks.every(task => !task.run)) {
-						units.push({step, tasks: step.tasks, ...common});
+						units.push({step, tasks: step.tasks, isOwed: false, ...common});
 					}
 				} else {
 					for (const task of step.tasks) {
 						if (!task.isDone && !task.run) {
-							units.push({step, tasks: [task], ...common});
+							units.push({step, tasks: [task], isOwed: false, ...common});
 						}
 					}
 				}
 			}
 		}
 
-		return units.sort((left, right) => left.priority - right.priority || left.objectiveMs - right.objectiveMs);
+		units.sort((left, right) => left.priority - right.priority || left.objectiveMs - right.objectiveMs);
+		this.#markOwed(units);
+		// What an account is owed goes before what others have beyond their guarantees.
+		return units.sort((left, right) => left.priority - right.priority || Number(right.isOwed) - Number(left.isOwed) || left.objectiveMs - right.objectiveMs);
+	}
+
+	#markOwed(units: readonly PendingUnit[]): void {
+		const inUse = new Map(this.#urgentAccelerators());
+		for (const unit of units) {
+			if (unit.priority !== URGENT_PRIORITY) {
+				return;
+			}
+
+			const {account} = unit.step.job;
+			const wanted = (inUse.get(account) ?? 0) + (unit.tasks.length * unit.step.spec.shape.accelerators);
+			unit.isOwed = wanted <= this.#guaranteeOf(account);
+			if (unit.isOwed) {
+				inUse.set(account, wanted);
+			}
+		}
 	}
 
 	#requestFor(unit: PendingUnit, nowMs: number): PlacementRequest {
@@ -172,46 +196,63 @@
 	/** Lists what may be stopped for an urgent unit: less urgent work, and urgent work beyond its account's guarantee. */
 	#victims(unit: PendingUnit): ReadonlyArray<{readonly victim: Victim; readonly run: Run}> {
 		const nowMs = this.#context.nowMs();
-		const found = new Map<string, {victim: Victim; run: Run}>();
-		const preemptibleAccounts = this.#isWithinGuarantee(unit) ? this.#accountsBeyondGuarantee(unit.step.job.account) : new Set<string>();
-		for (const worker of this.#context.workers.values()) {
-			for (const run of worker.runs.values()) {
-				const {step} = run.task;
-				const priority = this.#context.queueOf(step.job)?.priority ?? Number.POSITIVE_INFINITY;
-				const isPreemptible = priority > URGENT_PRIORITY || preemptibleAccounts.has(step.job.account);
-				if (!isPreemptible || run.phase === RUN_PHASES.stopping || worker.facts.service !== unit.service) {
+		const excess = unit.isOwed ? this.#excessOfOthers(unit.step.job.account) : new Map<string, number>();
+		const found: Array<{victim: Victim; run: Run}> = [];
+		for (const runs of this.#stoppableUnits(unit.service)) {
+			const [run] = runs;
+			const {job, spec} = run!.task.step;
+			const isUrgent = this.#context.queueOf(job)?.priority === URGENT_PRIORITY;
+			if (isUrgent) {
+				const left = (excess.get(job.account) ?? 0) - (runs.length * spec.shape.accelerators);
+				if (left < 0) {
 					continue;
 				}
 
-				const id = step.spec.isGang ? `${step.job.id}.${step.occurrence}.${step.number}` : run.task.name;
-				const previous = found.get(id);
-				const shapes = new Map(previous?.victim.shapes);
-				shapes.set(run.life, addShapes(shapes.get(run.life) ?? EMPTY_SHAPE, step.spec.shape));
-				// Less urgent work always goes first.
-				const penalty = priority > URGENT_PRIORITY ? 0 : 1e5;
-				found.set(id, {victim: {id, shapes, lostCoreSeconds: (previous?.victim.lostCoreSeconds ?? 0) + lostCoreSeconds(run, nowMs) + penalty}, run});
+				excess.set(job.account, left);
 			}
+
+			const shapes = new Map<string, TaskShape>();
+			let lost = isUrgent ? URGENT_VICTIM_PENALTY : 0;
+			for (const member of runs) {
+				shapes.set(member.life, addShapes(shapes.get(member.life) ?? EMPTY_SHAPE, spec.shape));
+				lost += lostCoreSeconds(member, nowMs);
+			}
+
+			found.push({victim: {id: unitIdOf(run!), shapes, lostCoreSeconds: lost}, run: run!});
 		}
 
-		return [...found.values()];
+		return found;
 	}
 
-	#isWithinGuarantee(unit: PendingUnit): boolean {
-		const {account} = unit.step.job;
-		const inUse = this.#urgentAccelerators().get(account) ?? 0;
-		const wanted = unit.tasks.length * unit.step.spec.shape.accelerators;
-		return inUse + wanted <= this.#guaranteeOf(account);
+	/** Runs of a service that are not being stopped, the members of a gang together, the newest job first. */
+	#stoppableUnits(service: string): ReadonlyArray<readonly Run[]> {
+		const units = new Map<string, Run[]>();
+		for (const worker of this.#context.workers.values()) {
+			if (worker.facts.service !== service) {
+				continue;
+			}
+
+			for (const run of worker.runs.values()) {
+				if (run.phase !== RUN_PHASES.stopping && !run.task.isDone) {
+					const id = unitIdOf(run);
+					units.set(id, [...(units.get(id) ?? []), run]);
+				}
+			}
+		}
+
+		return [...units.values()].sort((left, right) => right[0]!.task.step.job.knownAtMs - left[0]!.task.step.job.knownAtMs);
 	}
 
-	#accountsBeyondGuarantee(except: string): ReadonlySet<string> {
-		const beyond = new Set<string>();
-		for (const [account, inUse] of this.#urgentAccelerators()) {
-			if (account !== except && inUse > this.#guaranteeOf(account)) {
-				beyond.add(account);
+	/** Accelerators that accounts use for urgent work beyond their guarantees. */
+	#excessOfOthers(account: string): Map<string, number> {
+		const excess = new Map<string, number>();
+		for (const [other, inUse] of this.#urgentAccelerators()) {
+			if (other !== account && inUse > this.#guaranteeOf(other)) {
+				excess.set(other, inUse - this.#guaranteeOf(other));
 			}
 		}
 
-		return beyond;
+		return excess;
 	}
 
 	#guaranteeOf(account: string): number {
@@ -241,6 +282,11 @@
 		&& nowMs - worker.lastContactMs < silentAfterMs;
 }
 
+function unitIdOf(run: Run): string {
+	const {step} = run.task;
+	return step.spec.isGang ? `${step.job.id}.${step.occurrence}.${step.number}` : run.task.name;
+}
+
 function pendingSteps(job: Job, nowMs: number): readonly StepState[] {
 	const steps: StepState[] = [];
 	for (const occurrence of job.occurrences) {
--- /dev/null
+++ b/packages/pool/tests/pool-core.test.ts
@@ -0,0 +1,287 @@
+import {expect} from 'chai';
+import {REFUSALS, WORKER_STATES} from '@amaranthsail/pool';
+import {FakeWorker} from './support/fake-worker.js';
+import {makeStep, PoolWorld} from './support/pool-world.js';
+
+const WHOLE_WORKER = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
+
+describe('pool core', () => {
+	describe('a job', () => {
+		it('runs its steps in order and is completed once its last end is stored', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({taskCount: 2}), makeStep({after: [0]})]);
+			world.step();
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.1#1']);
+			worker.end('j1.0.0.0', 'done');
+			world.step();
+			expect(worker.started).to.have.length(2);
+			worker.end('j1.0.0.1', 'done');
+			world.step();
+			expect(worker.started.at(-1)).to.equal('j1.0.1.0#1');
+			worker.end('j1.0.1.0', 'done');
+			world.isStoreUp = false;
+			world.step();
+			expect(world.core.jobView('j1')?.state).to.equal('running');
+			expect(worker.ackSequence).to.equal(2);
+			world.isStoreUp = true;
+			world.step();
+			expect(world.core.jobView('j1')?.state).to.equal('completed');
+			expect(worker.ackSequence).to.equal(3);
+		});
+
+		it('sends no start before the placement is stored', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.isStoreUp = false;
+			world.submit('j1', 'normal', [makeStep()]);
+			world.advance(500);
+			expect(worker.started).to.deep.equal([]);
+			world.isStoreUp = true;
+			world.step();
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+		});
+
+		it('fails after as many failures as its queue allows, on different workers', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			const first = workers.find(worker => worker.runs.size > 0)!;
+			first.end('j1.0.0.0', 'failed');
+			world.step();
+			const second = workers.find(worker => worker.runs.size > 0)!;
+			expect(second).not.to.equal(first);
+			second.end('j1.0.0.0', 'failed');
+			world.step();
+			expect(world.core.jobView('j1')?.state).to.equal('failed');
+			world.advance(1000);
+			expect([...first.started, ...second.started]).to.have.length(2);
+		});
+
+		it('stops its runs when it is cancelled and starts nothing afterwards', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({taskCount: 9})]);
+			world.step();
+			expect(worker.runs.size).to.equal(8);
+			world.cancel('j1');
+			world.advance(300);
+			expect(worker.runs.size).to.equal(0);
+			expect(worker.started).to.have.length(8);
+			expect(world.core.jobView('j1')?.state).to.equal('cancelled');
+		});
+	});
+
+	describe('a gang', () => {
+		it('starts with one run number on all members, and again as a whole after a member was stopped', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({taskCount: 2, isGang: true, shape: WHOLE_WORKER})]);
+			world.step();
+			expect(workers.flatMap(worker => worker.started).sort()).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.1#1']);
+			const holder = workers.find(worker => worker.runs.has('j1.0.0.0'))!;
+			holder.end('j1.0.0.0', 'lapsed');
+			world.advance(300);
+			expect(workers.flatMap(worker => worker.started).slice().sort()).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.0#2', 'j1.0.0.1#1', 'j1.0.0.1#2']);
+		});
+
+		it('is not started while only some members fit', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'urgent', [makeStep({taskCount: 2, isGang: true, shape: WHOLE_WORKER})]);
+			world.advance(500);
+			expect(worker.started).to.deep.equal([]);
+		});
+
+		it('is done when one member is listed as done', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({taskCount: 2, isGang: true, shape: WHOLE_WORKER})]);
+			world.step();
+			workers[0]!.end([...workers[0]!.runs.keys()][0]!, 'done');
+			world.step();
+			expect(world.core.jobView('j1')?.state).to.equal('completed');
+		});
+	});
+
+	describe('an urgent job', () => {
+		it('gets the accelerators of less urgent work, and waits until the stop is listed', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('low', 'batch', [makeStep({shape: WHOLE_WORKER})]);
+			world.step();
+			expect(worker.started).to.deep.equal(['low.0.0.0#1']);
+			world.submit('high', 'urgent', [makeStep({shape: WHOLE_WORKER})]);
+			world.advance(300);
+			expect(worker.started).to.deep.equal(['low.0.0.0#1', 'high.0.0.0#1']);
+			worker.end('high.0.0.0', 'done');
+			world.advance(300);
+			expect(worker.started.at(-1)).to.equal('low.0.0.0#2');
+		});
+
+		it('within its guarantee takes back what an account beyond its own uses', () => {
+			const worker = new FakeWorker('w1', {capacity: {cpuMillis: 32_000, memoryMb: 65_536, accelerators: 16}});
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('beyond', 'urgent', [makeStep({taskCount: 16})], {account: 'south'});
+			world.step();
+			world.submit('owed', 'urgent', [makeStep({shape: WHOLE_WORKER})], {account: 'north'});
+			world.advance(300);
+			expect(worker.started.at(-1)).to.equal('owed.0.0.0#1');
+			expect([...worker.runs.keys()].filter(task => task.startsWith('beyond'))).to.have.length(8);
+		});
+	});
+
+	describe('a worker', () => {
+		it('that is silent keeps its tasks until its lease has passed since the mark was stored', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			const [silent, other] = workers[0]!.runs.size > 0 ? [workers[0]!, workers[1]!] : [workers[1]!, workers[0]!];
+			silent.isDeaf = true;
+			const lastLeaseMs = silent.leaseUntilMs;
+			world.advance(world.limits.suspectAfterMs + world.limits.leaseMs - 200);
+			expect(other.started).to.deep.equal([]);
+			expect(silent.leaseUntilMs).to.equal(lastLeaseMs);
+			world.advance(800);
+			expect(other.started).to.deep.equal(['j1.0.0.0#2']);
+			expect(world.clock.monotonicMs()).to.be.greaterThan(lastLeaseMs);
+		});
+
+		it('that comes back before that keeps its tasks', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			worker.isDeaf = true;
+			world.advance(4000);
+			worker.isDeaf = false;
+			world.advance(4000);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+		});
+
+		it('that drains gets nothing new, and a task that cannot end there moves', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({estimatedMs: 20_000})]);
+			world.step();
+			const leaving = workers.find(worker => worker.runs.size > 0)!;
+			leaving.facts = {...leaving.facts, state: WORKER_STATES.draining, remainingMs: 2000};
+			world.advance(500);
+			const other = workers.find(worker => worker !== leaving)!;
+			expect(other.started).to.deep.equal(['j1.0.0.0#2']);
+			world.submit('j2', 'normal', [makeStep({taskCount: 9})]);
+			world.advance(500);
+			expect(leaving.started).to.deep.equal(['j1.0.0.0#1']);
+		});
+
+		it('that fails the tasks of two jobs gets nothing for a while', () => {
+			const workers = [new FakeWorker('w1')];
+			const world = new PoolWorld(workers);
+			world.step();
+			for (const id of ['j1', 'j2']) {
+				world.submit(id, 'normal', [makeStep()]);
+				world.step();
+				workers[0]!.end(`${id}.0.0.0`, 'failed');
+			}
+
+			world.step();
+			const startedBefore = workers[0]!.started.length;
+			world.submit('j3', 'normal', [makeStep()]);
+			world.advance(1000);
+			expect(workers[0]!.started).to.have.length(startedBefore);
+			world.advance(world.limits.quarantineMs);
+			expect(workers[0]!.started.length).to.be.greaterThan(startedBefore);
+		});
+
+		it('that refuses a start for another life loses the run without a second one at the same time', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			worker.refusal = REFUSALS.unhealthy;
+			world.submit('j1', 'normal', [makeStep()]);
+			world.advance(300);
+			worker.refusal = undefined;
+			world.advance(2000);
+			expect(worker.runs.size).to.equal(1);
+		});
+	});
+
+	describe('a new leader', () => {
+		// A leader that took reports before it had read the rows stopped what ran and lost an end that was done.
+		it('takes no report before it has read the stored state', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({taskCount: 2})]);
+			world.step();
+			worker.end('j1.0.0.0', 'done');
+			world.replaceLeader();
+			world.report(worker);
+			expect(world.core.takeOrders()).to.deep.equal([]);
+			world.recoverLeader();
+			world.advance(500);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.1#1']);
+			worker.end('j1.0.0.1', 'done');
+			world.advance(300);
+			expect(world.core.jobView('j1')?.state).to.equal('completed');
+		});
+
+		it('starts a stored run that was never sent, under the same number', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.core.tick();
+			world.commit();
+			world.core.takeOrders();
+			world.replaceLeader();
+			world.recoverLeader();
+			world.advance(300);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+		});
+
+		it('places nothing on a worker whose lists it has not read', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			worker.isDeaf = true;
+			world.replaceLeader();
+			world.recoverLeader();
+			world.submit('j2', 'normal', [makeStep()]);
+			world.advance(2000);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+		});
+
+		it('counts the failures of earlier leaders', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			worker.end('j1.0.0.0', 'failed');
+			world.advance(300);
+			world.replaceLeader();
+			world.recoverLeader();
+			world.advance(300);
+			worker.end('j1.0.0.0', 'failed');
+			world.advance(300);
+			expect(world.core.jobView('j1')?.state).to.equal('failed');
+		});
+	});
+});
--- /dev/null
+++ b/packages/pool/tests/support/pool-world.ts
@@ -0,0 +1,156 @@
+import {ManualClock} from '@amaranthsail/core';
+import {
+	cancelKey, DEFAULT_LIMITS, type JobRow, type JobSpec, type PoolConfig, PoolCore, type PoolLimits, type Queue, type StepSpec, type StoredRow, TABLES,
+} from '@amaranthsail/pool';
+import type {FakeWorker} from './fake-worker.js';
+
+/** A step with defaults for what a test does not name. */
+export function makeStep(step: Partial<StepSpec> = {}): StepSpec {
+	return {
+		taskCount: 1,
+		shape: {cpuMillis: 1000, memoryMb: 1000, accelerators: 1},
+		estimatedMs: 3000,
+		after: [],
+		isGang: false,
+		prefersOneRack: false,
+		isCheckpointing: false,
+		isLasting: false,
+		...step,
+	};
+}
+
+function makeQueue(name: string, priority: number): Queue {
+	return {
+		name, host: 'h', pathPrefix: `/${name}/`, service: 'registry', priority, maxAttempts: 2, stretch: priority === 0 ? 1.5 : 3, targetLatencyMs: 250, isPublic: false,
+	};
+}
+
+/** Queues of three priorities and two accounts with guarantees. */
+export const TEST_CONFIG: PoolConfig = {
+	version: 1,
+	queues: [makeQueue('urgent', 0), makeQueue('normal', 1), makeQueue('batch', 2)],
+	accounts: [
+		{name: 'north', keys: ['n'], guaranteedAccelerators: 8},
+		{name: 'south', keys: ['s'], guaranteedAccelerators: 8},
+	],
+};
+
+/** A core on a virtual clock with a store and workers in memory. */
+export class PoolWorld {
+	readonly clock = new ManualClock(100_000);
+	readonly rows = new Map<string, StoredRow>();
+	readonly log: Array<{event: string; fields: Readonly<Record<string, unknown>>}> = [];
+	/** While false, commits wait. */
+	isStoreUp = true;
+	core: PoolCore;
+	#version = 1;
+
+	constructor(readonly workers: readonly FakeWorker[] = [], readonly limits: PoolLimits = DEFAULT_LIMITS) {
+		this.core = this.#createCore();
+		this.core.recover({jobs: [], runs: []});
+	}
+
+	/** Replaces the leader; the new one has not read the stored state yet. */
+	replaceLeader(): void {
+		this.core = this.#createCore();
+	}
+
+	recoverLeader(): void {
+		this.core.recover({jobs: this.table(TABLES.jobs), runs: this.table(TABLES.runs)});
+	}
+
+	submit(id: string, queue: string, steps: readonly StepSpec[], options: {account?: string; spec?: Partial<JobSpec>} = {}): void {
+		const row: JobRow = {queue, account: options.account ?? 'north', acceptedAtMs: 0, spec: {payload: `payload of ${id}`, steps, ...options.spec}};
+		this.write(TABLES.jobs, id, row);
+		this.core.onJobStored(id, row);
+	}
+
+	cancel(id: string): void {
+		this.write(TABLES.jobs, cancelKey(id), {});
+		this.core.onCancelStored(id);
+	}
+
+	/** Lets time pass in steps of 100 ms; agents of workers that are not deaf report in each. */
+	advance(byMs: number): void {
+		for (let passed = 0; passed < byMs; passed += 100) {
+			this.clock.advance(100);
+			this.step();
+		}
+	}
+
+	step(): void {
+		for (const worker of this.workers) {
+			this.report(worker);
+		}
+
+		for (let round = 0; round < 4; round++) {
+			this.core.tick();
+			this.commit();
+			for (const effect of this.core.takeOrders()) {
+				const worker = this.workers.find(candidate => candidate.facts.life === effect.life);
+				if (!worker || worker.isDeaf) {
+					this.core.onOrderOutcome(effect.life, effect.order, {kind: 'unknown', message: 'no answer'}, 0);
+				} else {
+					const {outcome, orderCount} = worker.order(effect.order);
+					this.core.onOrderOutcome(effect.life, effect.order, outcome, orderCount);
+				}
+			}
+
+			for (const worker of this.workers) {
+				this.report(worker);
+			}
+		}
+	}
+
+	report(worker: FakeWorker): void {
+		if (worker.isDeaf) {
+			return;
+		}
+
+		this.core.onReport(worker.agent, worker.report(this.clock.monotonicMs()));
+		const lease = this.core.leaseFor(worker.facts.life);
+		if (lease) {
+			worker.ackSequence = Math.max(worker.ackSequence, lease.ackSequence);
+			worker.leaseUntilMs = Math.max(worker.leaseUntilMs, lease.leaseUntilMs);
+		}
+	}
+
+	commit(): void {
+		if (!this.isStoreUp) {
+			return;
+		}
+
+		for (let commit = this.core.nextCommit(); commit; commit = this.core.nextCommit()) {
+			for (const {table, key, value} of commit.writes) {
+				this.write(table, key, value);
+			}
+
+			commit.complete();
+		}
+	}
+
+	write(table: string, key: string, value: unknown): void {
+		const id = `${table}/${key}`;
+		if (value === undefined) {
+			this.rows.delete(id);
+		} else {
+			this.rows.set(id, {table, key, value: structuredClone(value), version: ++this.#version, isRemoved: false});
+		}
+	}
+
+	table(table: string): StoredRow[] {
+		return [...this.rows.values()].filter(row => row.table === table).sort((left, right) => (left.key < right.key ? -1 : 1));
+	}
+
+	events(event: string): ReadonlyArray<Readonly<Record<string, unknown>>> {
+		return this.log.filter(entry => entry.event === event).map(entry => entry.fields);
+	}
+
+	#createCore(): PoolCore {
+		const core = new PoolCore(this.clock, this.limits, (event, fields) => {
+			this.log.push({event, fields});
+		});
+		core.setConfig(TEST_CONFIG);
+		return core;
+	}
+}
