Give up a stored life as soon as its agent reports a later one

The agent of each life is now stored in the lives table; a later life on the same VM ends the earlier ones. Ruled out: slow takeover (0.2 s after the entries start).

--- a/packages/pool-agent/src/agent-core.ts
+++ b/packages/pool-agent/src/agent-core.ts
@@ -7,7 +7,7 @@
 } from './agent-messages.js';
 
 /** A worker answers a look within this time unless a run ends earlier; also the age of its lists. */
-const HOLD_WAIT_MS = 800;
+const HOLD_WAIT_MS = 400;
 
 /** Pause after a look that the worker did not answer. */
 const HOLD_RETRY_MS = 150;
@@ -78,7 +78,8 @@
 	 */
 	onHeartbeat(facts: WorkerFacts, sequence: number, bornMs: number): void {
 		const known = this.#known;
-		if (known && (bornMs < known.bornMs || (bornMs === known.bornMs && sequence <= known.sequence))) {
+		const isEarlierLife = known !== undefined && bornMs < known.bornMs && this.#lists?.bornMs !== bornMs;
+		if (known && (isEarlierLife || (bornMs === known.bornMs && sequence <= known.sequence))) {
 			this.#deps.logger.info('heartbeat out of order', {worker: facts.life, sequence, known: known.facts.life, knownSequence: known.sequence});
 			return;
 		}
--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -138,7 +138,7 @@
 					version = Math.max(version, page.value.version);
 					this.confirm();
 				} else {
-					version = undefined;
+					version = page.error.kind === 'history_lost' ? await this.refresh() : undefined;
 				}
 			}
 
--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -159,12 +159,13 @@
 	async run(): Promise<void> {
 		let jobs = await this.#readTable(TABLES.jobs);
 		const runs = await this.#readTable(TABLES.runs);
+		const lives = await this.#readTable(TABLES.lives);
 		const members = await this.#readTable(TABLES.members);
 		if (this.#isStopped) {
 			return;
 		}
 
-		this.core.recover({jobs: jobs.rows, runs: runs.rows});
+		this.core.recover({jobs: jobs.rows, runs: runs.rows, lives: lives.rows});
 		this.#isRecovered = true;
 		for (const member of members.rows) {
 			this.#announced.set(member.key, this.#announced.get(member.key) ?? (member.value as MemberRow).address);
--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -128,7 +128,7 @@
 		const tasks = job.occurrences.flatMap(occurrence => occurrence.steps.flatMap(step => step.tasks));
 		const isOwnFault = state === JOB_STATES.failed;
 		for (const task of tasks) {
-			if (task.run) {
+			if (task.run && !task.isDone) {
 				this.#runs.stop(task.run, `job ${state}`);
 			}
 		}
--- a/packages/pool/src/recovery.ts
+++ b/packages/pool/src/recovery.ts
@@ -5,12 +5,13 @@
 import type {PoolContext} from './pool-context.js';
 import type {StoredRow} from './ports.js';
 import {
-	type JobRow, parseJobKey, type RunRow, TABLES,
+	type JobRow, type LifeRow, parseJobKey, type RunRow, TABLES,
 } from './rows.js';
+import type {WorkerEntry} from './worker-entry.js';
 import type {WorkerRegistry} from './worker-registry.js';
 
 /** Rows of the pool as a new leader reads them after its takeover. */
-export type StoredState = {readonly jobs: readonly StoredRow[]; readonly runs: readonly StoredRow[]};
+export type StoredState = {readonly jobs: readonly StoredRow[]; readonly runs: readonly StoredRow[]; readonly lives: readonly StoredRow[]};
 
 /** Parts of the leader that recovery fills. */
 export type RecoveryParts = {readonly context: PoolContext; readonly jobs: JobLifecycle; readonly workers: WorkerRegistry};
@@ -36,11 +37,12 @@
 		}
 	}
 
+	const agents = new Map(state.lives.map(row => [(row.value as LifeRow).life, row.key]));
 	const left: StoredRow[] = [];
 	for (const row of state.runs) {
 		const task = context.findTask(row.key);
 		if (task) {
-			restoreTask(task, row.value as RunRow, context, workers);
+			restoreTask(task, row.value as RunRow, context, life => workers.expect(life, agents.get(life) ?? ''));
 		} else {
 			left.push(row);
 		}
@@ -60,7 +62,7 @@
 	context.log('state recovered', {jobs: open.length, runs: state.runs.length, cancellations: cancelled.length, workers: context.workers.size});
 }
 
-function restoreTask(task: Task, row: RunRow, context: PoolContext, workers: WorkerRegistry): void {
+function restoreTask(task: Task, row: RunRow, context: PoolContext, workerOf: (life: string) => WorkerEntry): void {
 	const nowMs = context.nowMs();
 	task.lastRun = row.run;
 	task.isDone = row.isDone ?? false;
@@ -88,7 +90,7 @@
 		savedAtMs: nowMs,
 	};
 	task.run = run;
-	workers.expect(row.life).runs.set(task.name, run);
+	workerOf(row.life).runs.set(task.name, run);
 }
 
 /** A step with a run, past or present, has been ready since before this leader. */
--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -6,6 +6,7 @@
 	jobs: 'jobs',
 	runs: 'runs',
 	members: 'members',
+	lives: 'lives',
 	suspects: 'suspects',
 } as const;
 
@@ -48,6 +49,9 @@
 	readonly checkpoint?: string;
 };
 
+/** A row of the lives table, by agent: the newest life of the agent's worker that a leader has seen. */
+export type LifeRow = {readonly life: string};
+
 /** A row of the members table. */
 export type MemberRow = {readonly address: string};
 
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -2,7 +2,7 @@
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES, type WorkerFacts, WORKER_STATES} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
-import {TABLES} from './rows.js';
+import {type LifeRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {createWorkerEntry, type WorkerEntry} from './worker-entry.js';
 
@@ -51,15 +51,22 @@
 		const {facts, lists} = report;
 		const nowMs = this.#context.nowMs();
 		let worker = this.#context.workers.get(facts.life);
+		if (!worker && this.#hasLaterLife(agent, facts)) {
+			this.#context.log('report of an earlier life', {worker: facts.life, agent});
+			return;
+		}
+
 		if (!worker) {
 			worker = createWorkerEntry(facts, agent, nowMs);
 			this.#context.workers.set(facts.life, worker);
+			const row: LifeRow = {life: facts.life};
+			this.#context.commits.enqueue([{table: TABLES.lives, key: agent, value: row}], () => undefined);
 			this.#context.log('worker known', {worker: facts.life, agent, state: facts.state, labels: facts.labels, capacity: facts.capacity});
 		}
 
+		worker.agent = agent;
 		this.#giveUpEarlierLives(worker, facts);
 		this.#noteFacts(worker, facts, nowMs);
-		worker.agent = agent;
 		if (!lists) {
 			return;
 		}
@@ -104,9 +111,10 @@
 	 * Makes an entry for a worker that stored runs name, before it has reported.
 	 *
 	 * @param life - The life.
+	 * @param agent - Name of its agent, or an empty text when it is not known.
 	 * @returns The entry.
 	 */
-	expect(life: string): WorkerEntry {
+	expect(life: string, agent: string): WorkerEntry {
 		const known = this.#context.workers.get(life);
 		if (known) {
 			return known;
@@ -114,7 +122,7 @@
 
 		const worker = createWorkerEntry({
 			life, id: life.split('@')[0]!, service: '', failureDomain: '', state: WORKER_STATES.ready, capacity: {cpuMillis: 0, memoryMb: 0, accelerators: 0}, labels: [],
-		}, '', this.#context.nowMs());
+		}, agent, this.#context.nowMs());
 		this.#context.workers.set(life, worker);
 		return worker;
 	}
@@ -164,15 +172,21 @@
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.life, value: undefined}], () => undefined);
 	}
 
+	/** An agent's VM has one worker, so a later life there, or under the same id, ends the earlier ones. */
 	#giveUpEarlierLives(worker: WorkerEntry, facts: WorkerFacts): void {
 		for (const other of this.#context.workers.values()) {
-			if (other !== worker && other.facts.id === facts.id && bornOf(other.life) < bornOf(facts.life)) {
+			const isSameWorker = other.facts.id === facts.id || other.agent === worker.agent;
+			if (other !== worker && isSameWorker && bornOf(other.life) < bornOf(facts.life)) {
 				this.#giveUp(other, 'a new life of the worker has reported');
 				this.#context.workers.delete(other.life);
 			}
 		}
 	}
 
+	#hasLaterLife(agent: string, facts: WorkerFacts): boolean {
+		return [...this.#context.workers.values()].some(other => (other.agent === agent || other.facts.id === facts.id) && bornOf(other.life) > bornOf(facts.life));
+	}
+
 	#noteFacts(worker: WorkerEntry, facts: WorkerFacts, nowMs: number): void {
 		if (facts.state === WORKER_STATES.draining) {
 			if (worker.drainingSinceMs === undefined) {
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -268,6 +268,33 @@
 			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
 		});
 
+		// After a loss of power, workers come back under other ids; waiting for the old leases cost 9 s.
+		it('gives up a stored life as soon as its agent reports a later one under another id', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			worker.runs.clear();
+			worker.facts = {...worker.facts, id: 'w9', life: 'w9@2000'};
+			world.replaceLeader();
+			world.recoverLeader();
+			world.advance(300);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.0#2']);
+		});
+
+		it('ignores the report of an earlier life that was held up', () => {
+			const worker = new FakeWorker('w1', {id: 'w9', life: 'w9@2000'});
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			world.core.onReport('w1', {facts: {...worker.facts, id: 'w1', life: 'w1@1000'}});
+			world.advance(300);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+			expect(worker.runs.size).to.equal(1);
+		});
+
 		it('counts the failures of earlier leaders', () => {
 			const worker = new FakeWorker('w1');
 			const world = new PoolWorld([worker]);
--- a/packages/pool/tests/support/pool-world.ts
+++ b/packages/pool/tests/support/pool-world.ts
@@ -47,7 +47,7 @@
 
 	constructor(readonly workers: readonly FakeWorker[] = [], readonly limits: PoolLimits = DEFAULT_LIMITS) {
 		this.core = this.#createCore();
-		this.core.recover({jobs: [], runs: []});
+		this.core.recover({jobs: [], runs: [], lives: []});
 	}
 
 	/** Replaces the leader; the new one has not read the stored state yet. */
@@ -56,7 +56,7 @@
 	}
 
 	recoverLeader(): void {
-		this.core.recover({jobs: this.table(TABLES.jobs), runs: this.table(TABLES.runs)});
+		this.core.recover({jobs: this.table(TABLES.jobs), runs: this.table(TABLES.runs), lives: this.table(TABLES.lives)});
 	}
 
 	submit(id: string, queue: string, steps: readonly StepSpec[], options: {account?: string; spec?: Partial<JobSpec>} = {}): void {
