--- a/packages/agent/src/agent-driver.ts
+++ b/packages/agent/src/agent-driver.ts
@@ -4,7 +4,7 @@
 } from '@amaranthsail/core';
 import type {
 	ObjectError, ObjectStore, RuntimeError, WorkerRuntime,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 import PQueue from 'p-queue';
 import type {AgentCore} from './agent-core.js';
 import type {AgentEffect, AgentExitCode} from './agent-effect.js';
--- a/packages/agent/src/agent-event.ts
+++ b/packages/agent/src/agent-event.ts
@@ -3,7 +3,7 @@
 } from '@amaranthsail/core';
 import type {
 	ObjectError, RuntimeError, RuntimeFacts, RuntimeTask,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 
 /** The owner of a failure domain as an entry names it. */
 export type OwnerAnswer = {
--- a/packages/agent/src/agent-program.ts
+++ b/packages/agent/src/agent-program.ts
@@ -3,7 +3,7 @@
 import {
 	type Clock, type Logger, MessageCodec, newId,
 } from '@amaranthsail/core';
-import type {ObjectStore, WorkerRuntime} from '@amaranthsail/platform';
+import type {ObjectStore, WorkerRuntime} from '@amaranthsail/backing-services';
 import {AgentCore} from './agent-core.js';
 import {AgentDriver} from './agent-driver.js';
 import type {AgentExitCode} from './agent-effect.js';
--- a/packages/agent/src/measure-surroundings.ts
+++ b/packages/agent/src/measure-surroundings.ts
@@ -5,7 +5,7 @@
 import {
 	type Command, type ControlMessage, type Heartbeat, MessageCodec, SystemClock, type TaskAssignment, type TaskKey, type TaskReport,
 } from '@amaranthsail/core';
-import {MemoryWorkerRuntime} from '@amaranthsail/platform/memory-worker-runtime.js';
+import {MemoryWorkerRuntime} from '@amaranthsail/backing-services/memory-worker-runtime.js';
 
 const OWNER_ID = 'measuring-owner';
 const RUN_MS = 3_600_000;
--- a/packages/agent/src/platform-clients.ts
+++ b/packages/agent/src/platform-clients.ts
@@ -1,8 +1,8 @@
 import type {Address} from '@amaranthsail/core';
-import type {ObjectStore, WorkerRuntime} from '@amaranthsail/platform';
+import type {ObjectStore, WorkerRuntime} from '@amaranthsail/backing-services';
 // Deep paths, because the index of the platform package also loads clients that are too large for the agent.
-import {NodeHttpObjectStore} from '@amaranthsail/platform/node-http-object-store.js';
-import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {NodeHttpObjectStore} from '@amaranthsail/backing-services/node-http-object-store.js';
+import {HttpWorkerRuntime} from '@amaranthsail/backing-services/worker-runtime-client.js';
 
 /** Time the worker runtime gets to answer; longer than it takes to stop a task. */
 export const RUNTIME_TIMEOUT_MS = 2000;
--- a/packages/agent/src/task-progress.ts
+++ b/packages/agent/src/task-progress.ts
@@ -2,7 +2,7 @@
 import {
 	answerObjectKey, type Result, sha256Of, type TaskKey,
 } from '@amaranthsail/core';
-import type {ObjectError, RuntimeError, RuntimeTask} from '@amaranthsail/platform';
+import type {ObjectError, RuntimeError, RuntimeTask} from '@amaranthsail/backing-services';
 import type {AgentEffect} from './agent-effect.js';
 import {hasEnded, type HeldTask, isOnWorker} from './held-task.js';
 import type {TaskTable} from './task-table.js';
--- a/packages/agent/src/worker-leftovers.ts
+++ b/packages/agent/src/worker-leftovers.ts
@@ -1,5 +1,5 @@
 import {formatTaskKey, TASK_LEASE_MS, type TaskKey} from '@amaranthsail/core';
-import type {RuntimeTask} from '@amaranthsail/platform';
+import type {RuntimeTask} from '@amaranthsail/backing-services';
 import type {AgentEffect} from './agent-effect.js';
 
 /** Stops and clears tasks on the worker that the agent does not run, such as those of an earlier incarnation. */
--- a/packages/agent/src/worker-watch.ts
+++ b/packages/agent/src/worker-watch.ts
@@ -1,5 +1,5 @@
 import type {Result} from '@amaranthsail/core';
-import type {RuntimeError, RuntimeFacts, RuntimeTask} from '@amaranthsail/platform';
+import type {RuntimeError, RuntimeFacts, RuntimeTask} from '@amaranthsail/backing-services';
 import type {AgentEffect} from './agent-effect.js';
 
 /** How often the worker is asked for the state of running tasks. */
--- a/packages/agent/tests/agent-harness.ts
+++ b/packages/agent/tests/agent-harness.ts
@@ -2,7 +2,7 @@
 import {
 	type Command, type CommandKind, err, formatTaskKey, type Heartbeat, type HeartbeatAck, ok, type TaskAssignment, type TaskKey, type TaskReport,
 } from '@amaranthsail/core';
-import type {RuntimeError, RuntimeTask} from '@amaranthsail/platform';
+import type {RuntimeError, RuntimeTask} from '@amaranthsail/backing-services';
 import {
 	AgentCore, type AgentEffect, type AgentEvent, type AgentExitCode,
 } from '@amaranthsail/agent';
--- a/packages/agent/tests/agent-program.test.ts
+++ b/packages/agent/tests/agent-program.test.ts
@@ -6,8 +6,8 @@
 import {
 	type ControlMessage, type Heartbeat, MessageCodec, sha256Of, silentLogger, SystemClock,
 } from '@amaranthsail/core';
-import {MemoryObjectStore} from '@amaranthsail/platform/memory-object-store.js';
-import {MemoryWorkerRuntime} from '@amaranthsail/platform/memory-worker-runtime.js';
+import {MemoryObjectStore} from '@amaranthsail/backing-services/memory-object-store.js';
+import {MemoryWorkerRuntime} from '@amaranthsail/backing-services/memory-worker-runtime.js';
 import {ASSIGNMENT, TASK} from './agent-harness.js';
 import {type RunningAgent, runAgent} from '@amaranthsail/agent/agent-program.js';
 
--- a/packages/platform/tests/agent-imports.test.ts
+++ b/packages/backing-services/tests/agent-imports.test.ts
@@ -16,7 +16,7 @@
 	// Guards against a library in the agent, which has 32 MB: the index of core loads consola, the index of platform undici.
 	for (const file of ['worker-runtime-client.js', 'node-http-object-store.js']) {
 		it(`${file} imports only built-in modules and parts of core`, () => {
-			const names = importsOf(new URL(import.meta.resolve(`@amaranthsail/platform/${file}`)));
+			const names = importsOf(new URL(import.meta.resolve(`@amaranthsail/backing-services/${file}`)));
 			expect(names).to.include('node:http');
 			expect(names.filter(name => !name.startsWith('node:') && !name.startsWith('@amaranthsail/core/'))).to.deep.equal([]);
 		});
--- a/packages/platform/tests/commit-durably.test.ts
+++ b/packages/backing-services/tests/commit-durably.test.ts
@@ -3,7 +3,7 @@
 import {ManualClock, type Result} from '@amaranthsail/core';
 import {
 	commitDurably, MemoryTableStore, type CommitOptions, type Row, type RowValue, type TableError, type TableStore, type Transaction,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 
 /** What someone else does to the rows, or the network to the requests that it holds. */
 type Interference = {readonly kind: 'write' | 'delete'; readonly key: string} | {readonly kind: 'landLate'};
--- a/packages/platform/tests/fault-plan.test.ts
+++ b/packages/backing-services/tests/fault-plan.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {
 	chooseBySwitches, MemoryTableStore, type Fault, type FaultOperation, type FaultSwitches, type Transaction,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 
 const write: FaultOperation = {
 	service: 'tables', operation: 'transact', key: 'w', hasEffect: true, sequence: 1,
--- a/packages/platform/tests/http-clients.test.ts
+++ b/packages/backing-services/tests/http-clients.test.ts
@@ -3,9 +3,9 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {expect} from 'chai';
 import type {Address, Result} from '@amaranthsail/core';
-import {HttpObjectStore, HttpTableStore} from '@amaranthsail/platform';
-import {NodeHttpObjectStore} from '@amaranthsail/platform/node-http-object-store.js';
-import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {HttpObjectStore, HttpTableStore} from '@amaranthsail/backing-services';
+import {NodeHttpObjectStore} from '@amaranthsail/backing-services/node-http-object-store.js';
+import {HttpWorkerRuntime} from '@amaranthsail/backing-services/worker-runtime-client.js';
 
 /** Time for calls that get no answer; all other cases take {@link LONG_TIMEOUT_MS}, so that a busy machine does not change their result. */
 const TIMEOUT_MS = 300;
--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -104,8 +104,8 @@
 				fail(timeoutMessage === '' ? error.message : timeoutMessage, error.code);
 			});
 			outgoing.on('response', response => {
-				const chunks: Buffer[] = [];
-				response.on('data', (chunk: Buffer) => {
+				const chunks: Uint8Array[] = [];
+				response.on('data', (chunk: Uint8Array) => {
 					chunks.push(chunk);
 				});
 				response.on('error', error => {
--- a/packages/entry/src/answer-reader.ts
+++ b/packages/entry/src/answer-reader.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, sha256Of, type AnswerReference, type JobRow, type Result} from '@amaranthsail/core';
-import type {ObjectStore} from '@amaranthsail/platform';
+import type {ObjectStore} from '@amaranthsail/backing-services';
 import {apiError, type ApiError} from './api-error.js';
 
 /** The answer of one task. */
--- a/packages/entry/src/entry-program.ts
+++ b/packages/entry/src/entry-program.ts
@@ -8,7 +8,7 @@
 	type Logger,
 } from '@amaranthsail/core';
 import {OwnerHost, type OwnerMetric} from '@amaranthsail/owner';
-import {HttpObjectStore, HttpTableStore} from '@amaranthsail/platform';
+import {HttpObjectStore, HttpTableStore} from '@amaranthsail/backing-services';
 import {ConfigStore, ConfigWatcher, schedulerConfigOf, type ConfigSnapshot} from '@amaranthsail/records';
 import {checkGuarantees, createScheduler} from '@amaranthsail/scheduler';
 import {Admission} from './admission.js';
--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -10,7 +10,7 @@
 	type Result,
 } from '@amaranthsail/core';
 import {openJobKey, OWNER_TABLES} from '@amaranthsail/owner';
-import {commitDurably, type ObjectStore, type TableStore, type Transaction} from '@amaranthsail/platform';
+import {commitDurably, type ObjectStore, type TableStore, type Transaction} from '@amaranthsail/backing-services';
 import {apiError, type ApiError} from './api-error.js';
 import type {Catalog} from './catalog.js';
 import type {CheckedJobRequest} from './job-request.js';
--- a/packages/entry/src/job-routes.ts
+++ b/packages/entry/src/job-routes.ts
@@ -1,6 +1,6 @@
 import {err, FINAL_JOB_STATES, newId, ok, type Clock, type JobRow, type Result} from '@amaranthsail/core';
 import {OWNER_TABLES} from '@amaranthsail/owner';
-import type {TableStore} from '@amaranthsail/platform';
+import type {TableStore} from '@amaranthsail/backing-services';
 import type {Admission} from './admission.js';
 import type {AnswerReader} from './answer-reader.js';
 import {apiError, isApiErrorCode, type ApiError} from './api-error.js';
--- a/packages/entry/src/job-store.ts
+++ b/packages/entry/src/job-store.ts
@@ -1,6 +1,6 @@
 import {err, ok, type JobRow, type Result} from '@amaranthsail/core';
 import {OWNER_TABLES} from '@amaranthsail/owner';
-import type {Row, RowValue, TableError, TableStore} from '@amaranthsail/platform';
+import type {Row, RowValue, TableError, TableStore} from '@amaranthsail/backing-services';
 import {apiError, type ApiError} from './api-error.js';
 
 /** Table that lists the jobs of each client account. */
--- a/packages/entry/src/members.ts
+++ b/packages/entry/src/members.ts
@@ -1,5 +1,5 @@
 import {newId, type Address, type Clock, type Logger} from '@amaranthsail/core';
-import type {TableStore} from '@amaranthsail/platform';
+import type {TableStore} from '@amaranthsail/backing-services';
 
 /** Table of the entries. */
 export const MEMBERS_TABLE = 'members';
--- a/packages/entry/tests/answer-reader.test.ts
+++ b/packages/entry/tests/answer-reader.test.ts
@@ -1,5 +1,5 @@
 import {sha256Of, type JobRow} from '@amaranthsail/core';
-import {MemoryObjectStore} from '@amaranthsail/platform';
+import {MemoryObjectStore} from '@amaranthsail/backing-services';
 import {expect} from 'chai';
 import {jobRow} from './fixtures.js';
 import {AnswerReader} from '@amaranthsail/entry/answer-reader.js';
--- a/packages/entry/tests/owner-gateway.test.ts
+++ b/packages/entry/tests/owner-gateway.test.ts
@@ -1,4 +1,4 @@
-import {MemoryTableStore} from '@amaranthsail/platform';
+import {MemoryTableStore} from '@amaranthsail/backing-services';
 import {expect} from 'chai';
 import {OwnerGateway} from '@amaranthsail/entry/owner-gateway.js';
 import {JobStore} from '@amaranthsail/entry/job-store.js';
--- a/packages/owner/src/domain-state.ts
+++ b/packages/owner/src/domain-state.ts
@@ -1,4 +1,4 @@
-import type {Row} from '@amaranthsail/platform';
+import type {Row} from '@amaranthsail/backing-services';
 import type {DomainPlacement} from './ownership-events.js';
 import {
 	parseOwnershipRow, type LoadSummary, type OwnershipRow, type RenewalRow,
--- a/packages/owner/src/durable-writer.ts
+++ b/packages/owner/src/durable-writer.ts
@@ -1,5 +1,5 @@
 import type {Logger, Result} from '@amaranthsail/core';
-import type {TableError, TableStore, Transaction} from '@amaranthsail/platform';
+import type {TableError, TableStore, Transaction} from '@amaranthsail/backing-services';
 import type {WriteResult} from './owner-events.js';
 
 /** Commits one transaction. It may return `unknown`; the owner then sends the same transaction again and reads the rows back. */
--- a/packages/owner/src/job-reader.ts
+++ b/packages/owner/src/job-reader.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {FINAL_JOB_STATES, newId, type JobRow} from '@amaranthsail/core';
-import type {TableStore} from '@amaranthsail/platform';
+import type {TableStore} from '@amaranthsail/backing-services';
 import {OWNER_TABLES} from './owner-tables.js';
 import type {OwnerEvent} from './owner-events.js';
 
--- a/packages/owner/src/owner-driver.ts
+++ b/packages/owner/src/owner-driver.ts
@@ -3,7 +3,7 @@
 import {
 	OPEN_JOBS_SCAN_INTERVAL_MS, type Clock, type ControlMessage, type Logger, type JobRow,
 } from '@amaranthsail/core';
-import type {TableStore} from '@amaranthsail/platform';
+import type {TableStore} from '@amaranthsail/backing-services';
 import type {Explanation, GuaranteeAlarm, SchedulerConfig} from '@amaranthsail/scheduler';
 import type {OwnerCoreOptions} from './core-context.js';
 import type {DurableWriter} from './durable-writer.js';
--- a/packages/owner/src/owner-events.ts
+++ b/packages/owner/src/owner-events.ts
@@ -1,5 +1,5 @@
 import type {JobRow, Command, Heartbeat, HeartbeatAck} from '@amaranthsail/core';
-import type {RowCondition, Transaction} from '@amaranthsail/platform';
+import type {RowCondition, Transaction} from '@amaranthsail/backing-services';
 import type {SchedulerConfig} from '@amaranthsail/scheduler';
 
 /** What became of a durable transaction. */
--- a/packages/owner/src/owner-host.ts
+++ b/packages/owner/src/owner-host.ts
@@ -3,7 +3,7 @@
 import {
 	newId, OWNERSHIP_RENEWAL_INTERVAL_MS, type Clock, type ControlMessage, type Heartbeat, type Logger, type MessageCodec,
 } from '@amaranthsail/core';
-import type {Row, TableStore, Transaction} from '@amaranthsail/platform';
+import type {Row, TableStore, Transaction} from '@amaranthsail/backing-services';
 import type {Scheduler, SchedulerConfig} from '@amaranthsail/scheduler';
 import {createDurableWriter, type DurableWriter} from './durable-writer.js';
 import {withoutDuplicates} from './owner-core.js';
--- a/packages/owner/src/ownership-events.ts
+++ b/packages/owner/src/ownership-events.ts
@@ -1,4 +1,4 @@
-import type {Row, Transaction} from '@amaranthsail/platform';
+import type {Row, Transaction} from '@amaranthsail/backing-services';
 import type {OwnershipValidity, WriteResult} from './owner-events.js';
 import type {Address, LoadSummary, OwnershipRow} from './ownership-rows.js';
 
--- a/packages/owner/src/ownership-rows.ts
+++ b/packages/owner/src/ownership-rows.ts
@@ -1,4 +1,4 @@
-import type {RowValue} from '@amaranthsail/platform';
+import type {RowValue} from '@amaranthsail/backing-services';
 import type {SchedulerLoad} from '@amaranthsail/scheduler';
 
 /** Where a process takes connections or datagrams. */
--- a/packages/owner/src/ownership-transactions.ts
+++ b/packages/owner/src/ownership-transactions.ts
@@ -1,4 +1,4 @@
-import type {Transaction} from '@amaranthsail/platform';
+import type {Transaction} from '@amaranthsail/backing-services';
 import {OWNER_TABLES} from './owner-tables.js';
 import type {OwnershipRow, RenewalRow} from './ownership-rows.js';
 
--- a/packages/owner/src/write-queue.ts
+++ b/packages/owner/src/write-queue.ts
@@ -1,5 +1,5 @@
 import {DECISION_BATCH_MS, FINAL_JOB_STATES} from '@amaranthsail/core';
-import type {RowCondition, RowWrite, Transaction} from '@amaranthsail/platform';
+import type {RowCondition, RowWrite, Transaction} from '@amaranthsail/backing-services';
 import type {JobRecord, JobWrite} from './job-record.js';
 import {OWNER_TABLES, openJobKey} from './owner-tables.js';
 import type {WriteResult} from './owner-events.js';
--- a/packages/owner/tests/core-world.ts
+++ b/packages/owner/tests/core-world.ts
@@ -1,5 +1,5 @@
 import {HEARTBEAT_INTERVAL_MS, OWNERSHIP_RENEWAL_INTERVAL_MS, OWNERSHIP_VALIDITY_MS, type JobSpec, type JobRow} from '@amaranthsail/core';
-import type {Row, Transaction} from '@amaranthsail/platform';
+import type {Row, Transaction} from '@amaranthsail/backing-services';
 import type {Scheduler} from '@amaranthsail/scheduler';
 import {FakeAgent} from './fake-agent.js';
 import {FirstFitScheduler} from './first-fit-scheduler.js';
--- a/packages/owner/tests/job-reader.test.ts
+++ b/packages/owner/tests/job-reader.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {FaultPlan, MemoryTableStore, type FaultKind} from '@amaranthsail/platform';
+import {FaultPlan, MemoryTableStore, type FaultKind} from '@amaranthsail/backing-services';
 import type {OwnerEvent} from '@amaranthsail/owner';
 import {JobReader} from '@amaranthsail/owner/job-reader.js';
 
--- a/packages/owner/tests/memory-tables.ts
+++ b/packages/owner/tests/memory-tables.ts
@@ -1,7 +1,7 @@
 import {err, ok, type Result} from '@amaranthsail/core';
 import type {
 	Row, RowValue, TableError, TableStore, Transaction,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 
 /** What the store does with requests. */
 export type StoreFault = 'none' | 'down' | 'loseAcknowledgement' | 'loseRequest';
--- a/packages/owner/tests/ownership-manager.test.ts
+++ b/packages/owner/tests/ownership-manager.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {OWNERSHIP_CLAIM_AFTER_MS, OWNERSHIP_VALIDITY_MS} from '@amaranthsail/core';
-import type {Row} from '@amaranthsail/platform';
+import type {Row} from '@amaranthsail/backing-services';
 import {MemoryTables} from './memory-tables.js';
 import {OwnershipManager, type OwnershipEffect, type OwnershipEvent, type WriteResult} from '@amaranthsail/owner';
 import {claimDelayMs} from '@amaranthsail/owner/claim-preference.js';
--- a/packages/pool-agent/src/agent-program.ts
+++ b/packages/pool-agent/src/agent-program.ts
@@ -1,4 +1,6 @@
-import {createServer, type Server} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {
 	JsonClient, type Logger, parseJson, SystemClock,
 } from '@amaranthsail/core';
@@ -53,7 +55,7 @@
 		sleep,
 	});
 	const address = `${settings.ip}:${settings.peerPort}`;
-	const answer = async <Request>(body: unknown, handle: (request: Request) => Promise<object>): Promise<{status: number; body: unknown}> => {
+	const answer = async <Request>(body: unknown, handle: (request: Request) => Promise<Record<string, unknown>>): Promise<{status: number; body: unknown}> => {
 		if (typeof body !== 'object' || body === null) {
 			return {status: 400, body: {problem: 'expected a JSON object'}};
 		}
@@ -73,10 +75,10 @@
 		await listen(controlServer(core, logger, metrics), settings.controlAddress!),
 		await metrics.serve(`${settings.ip}:${settings.metricsPort}`),
 	];
-	let isStopped = false;
+	const stopping = new AbortController();
 	const announcements = (async () => {
 		await registerMember(store, settings.name, address, logger);
-		while (!isStopped) {
+		while (!stopping.signal.aborted) {
 			if (core.leaderSilentMs > ANNOUNCE_AFTER_MS) {
 				await announce(store, settings, {agent: settings.name, address}, logger);
 			}
@@ -87,7 +89,7 @@
 	const looks = core.run();
 	return {
 		async stop() {
-			isStopped = true;
+			stopping.abort();
 			core.stop();
 			for (const server of servers) {
 				server.close();
@@ -125,7 +127,11 @@
 
 /** Serves the worker on the same VM. */
 function controlServer(core: AgentCore, logger: Logger, metrics: ProcessMetrics): Server {
-	return createServer(async (message, response) => {
+	return createServer((message, response) => {
+		void serveWorker(message, response);
+	});
+
+	async function serveWorker(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const text = await readBody(message);
 		const call = parseWorkerCall(message.method ?? '', message.url ?? '');
 		if (!call) {
@@ -150,5 +156,5 @@
 		metrics.count('heartbeats', {outcome: 'taken'});
 		core.onHeartbeat(heartbeat.facts, heartbeat.sequence, heartbeat.bornMs);
 		sendJson(response, {status: 200, body: {}});
-	});
+	}
 }
--- a/packages/pool-agent/src/bin.ts
+++ b/packages/pool-agent/src/bin.ts
@@ -13,10 +13,12 @@
 
 logger.info('starting', {ip: settings.ip, failureDomain: settings.failureDomain});
 const agent = await runAgent(settings, logger, new ProcessMetrics());
-process.once('SIGTERM', async () => {
+process.once('SIGTERM', () => {
 	logger.info('stopping', {signal: 'SIGTERM'});
-	await agent.stop();
-	process.exit(0);
+	void (async () => {
+		await agent.stop();
+		process.exit(0);
+	})();
 });
 process.on('SIGHUP', () => {
 	logger.info('reload', {changed: 'nothing; addresses are read at start'});
--- a/packages/pool-agent/tests/agent-core.test.ts
+++ b/packages/pool-agent/tests/agent-core.test.ts
@@ -71,7 +71,7 @@
 		await run;
 	}
 
-	async watch(epoch: number, request: object = {}): Promise<WatchAnswer & StaleEpochAnswer> {
+	async watch(epoch: number, request: Record<string, unknown> = {}): Promise<WatchAnswer & StaleEpochAnswer> {
 		return await this.agent.onWatch({epoch, sinceVersion: -1, waitMs: 0, ...request}) as WatchAnswer & StaleEpochAnswer;
 	}
 }
--- a/packages/pool-entry/src/bin.ts
+++ b/packages/pool-entry/src/bin.ts
@@ -16,7 +16,10 @@
 await entry.start();
 process.once('SIGTERM', () => {
 	logger.info('stopping', {signal: 'SIGTERM'});
-	void entry.stop();
+	void (async () => {
+		await entry.stop();
+		process.exit(0);
+	})();
 });
 process.on('SIGHUP', () => {
 	logger.info('reload', {changed: 'nothing; addresses are read at start'});
--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -124,7 +124,7 @@
 				}
 
 				const row: JobRow = {queue: queue.name, account: accountName, acceptedAtMs: this.#deps.clock.wallMs(), spec};
-				return this.#deps.intake.submit(jobId, row, known.row, Math.min(SUBMIT_BUDGET_MS, remainingMs));
+				return this.#deps.intake.submit({jobId, row, configRow: known.row, budgetMs: Math.min(SUBMIT_BUDGET_MS, remainingMs)});
 			}
 
 			case 'GET': {
--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -32,7 +32,7 @@
 	readonly #logger: Logger;
 	#known: KnownConfig | undefined;
 	#confirmedAtMs = Number.NEGATIVE_INFINITY;
-	#onChange: (config: PoolConfig) => void = () => undefined;
+	#listener: ((config: PoolConfig) => void) | undefined;
 	#isStopped = false;
 
 	/**
@@ -60,7 +60,7 @@
 
 	/** @param listener - Called with each new configuration. */
 	onChange(listener: (config: PoolConfig) => void): void {
-		this.#onChange = listener;
+		this.#listener = listener;
 		if (this.#known) {
 			listener(this.#known.config);
 		}
@@ -91,7 +91,7 @@
 			version: config.version, previous: this.#known?.config.version ?? 'none', rowVersion: row.version, origin, queues: config.queues.length, accounts: config.accounts.length,
 		});
 		this.#known = {config, row};
-		this.#onChange(config);
+		this.#listener?.(config);
 	}
 
 	/** Records that the known configuration is the newest as of now. */
--- a/packages/pool-entry/src/entry-program.ts
+++ b/packages/pool-entry/src/entry-program.ts
@@ -1,5 +1,4 @@
 import {createServer, type Server} from 'node:http';
-import process from 'node:process';
 import {JsonClient, type Logger, SystemClock} from '@amaranthsail/core';
 import {
 	CONFIG_KEY, CONFIG_TABLE, decodeConfiguration, type NodeSettings, READINESS_PATH, RowStore,
@@ -126,7 +125,7 @@
 		void this.#follower.run();
 	}
 
-	/** Hands leadership over, lets callers finish, and ends the process. */
+	/** Hands leadership over and lets callers finish; the process may end afterwards. */
 	async stop(): Promise<void> {
 		this.#isStopping = true;
 		this.#follower.stop();
@@ -137,7 +136,6 @@
 		}));
 		await Promise.race([Promise.all(closed), sleep(this.#settings.bounds.shutdownGraceMs - DRAIN_MS - CONFIG_MARGIN_MS)]);
 		this.#logger.info('stopped', {});
-		process.exit(0);
 	}
 
 	#isReady(): boolean {
@@ -265,7 +263,7 @@
 
 	#otherEntries(): readonly string[] {
 		const leader = this.#follower.leaderAddress;
-		const others = [...this.#entries.entries()].sort((left, right) => right[1] - left[1]).map(([address]) => address);
+		const others = [...this.#entries.entries()].toSorted((left, right) => right[1] - left[1]).map(([address]) => address);
 		const seeds = this.#settings.seedIps.map(ip => `${ip}:${this.#settings.peerPort}`);
 		return [...new Set([...(leader === undefined ? [] : [leader]), ...others, ...seeds])].filter(address => address !== this.#address);
 	}
--- a/packages/pool-entry/src/job-intake.ts
+++ b/packages/pool-entry/src/job-intake.ts
@@ -37,6 +37,17 @@
 /** The leader answers from memory. */
 const STATE_TIMEOUT_MS = 350;
 
+/** A job that is to be stored. */
+export type SubmitRequest = {
+	/** The id that the caller chose. */
+	readonly jobId: string;
+	readonly row: JobRow;
+	/** Row of the configuration that the request was checked against. */
+	readonly configRow: Pick<StoredRow, 'table' | 'key' | 'version'>;
+	/** Time for trying. */
+	readonly budgetMs: number;
+};
+
 /** What the intake works with. */
 export type JobIntakeDependencies = {
 	readonly store: PoolStore;
@@ -63,14 +74,11 @@
 	/**
 	 * Stores a job, if the configuration that it was checked against is still the newest.
 	 *
-	 * @param jobId - The id that the caller chose.
-	 * @param row - The job.
-	 * @param configRow - Row of the configuration.
-	 * @param budgetMs - Time for trying.
+	 * @param request - The job and what it was checked against.
 	 * @param mayRelay - Whether other entries may be asked.
 	 * @returns What became of it.
 	 */
-	async submit(jobId: string, row: JobRow, configRow: Pick<StoredRow, 'table' | 'key' | 'version'>, budgetMs: number, mayRelay = true): Promise<IntakeOutcome> {
+	async submit({jobId, row, configRow, budgetMs}: SubmitRequest, mayRelay = true): Promise<IntakeOutcome> {
 		const conditions = [
 			{table: TABLES.jobs, key: jobId, version: 0},
 			{table: configRow.table, key: configRow.key, version: configRow.version},
@@ -167,11 +175,11 @@
 		}
 
 		const {known} = this.#deps.config;
-		if (!known || known.row.version !== request.configRowVersion) {
+		if (known?.row.version !== request.configRowVersion) {
 			return {status: 200, body: {kind: 'configuration_changed'} satisfies IntakeOutcome};
 		}
 
-		return {status: 200, body: await this.submit(request.jobId, request.row, known.row, request.budgetMs, false)};
+		return {status: 200, body: await this.submit({...request, configRow: known.row}, false)};
 	}
 
 	/** Repeats an attempt until it is decided, the budget is used up, or another entry has decided it. */
--- a/packages/pool-runtime/src/json-server.ts
+++ b/packages/pool-runtime/src/json-server.ts
@@ -23,10 +23,10 @@
  * @returns The text, or undefined when it is too large or the caller broke off.
  */
 export async function readBody(message: IncomingMessage, maxBytes = MAX_BODY_BYTES): Promise<string | undefined> {
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	let bytes = 0;
 	return new Promise(resolve => {
-		message.on('data', (chunk: Buffer) => {
+		message.on('data', (chunk: Uint8Array) => {
 			bytes += chunk.length;
 			if (bytes <= maxBytes) {
 				chunks.push(chunk);
--- a/packages/pool-runtime/src/metrics.ts
+++ b/packages/pool-runtime/src/metrics.ts
@@ -75,9 +75,11 @@
 	 * @returns The server, once it listens.
 	 */
 	async serve(address: string): Promise<Server> {
-		const server = createServer(async (_message, response) => {
-			response.writeHead(200, {'content-type': this.#registry.contentType});
-			response.end(await this.text());
+		const server = createServer((_message, response) => {
+			void (async () => {
+				response.writeHead(200, {'content-type': this.#registry.contentType});
+				response.end(await this.text());
+			})();
 		});
 		return listen(server, address);
 	}
--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -1,7 +1,6 @@
-import type {
-	JobSpec, JobState, Queue, StepSpec,
+import {
+	type JobSpec, type JobState, type Queue, type StepSpec, JOB_STATES,
 } from './model.js';
-import {JOB_STATES} from './model.js';
 import {formatTaskName} from './task-name.js';
 
 /** Phases of a run as its leader sees it. */
--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -93,7 +93,7 @@
 	}
 
 	const freeAccelerators = (members: readonly WorkerRoom[]): number => members.reduce((sum, room) => sum + room.free.accelerators, 0);
-	return [...racks.values()].sort((left, right) => freeAccelerators(left) - freeAccelerators(right));
+	return [...racks.values()].toSorted((left, right) => freeAccelerators(left) - freeAccelerators(right));
 }
 
 function canEverFit(request: PlacementRequest, groups: ReadonlyArray<readonly WorkerRoom[]>): boolean {
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -25,7 +25,7 @@
 	/** A worker has seen a higher epoch. */
 	isFenced = false;
 	#orders: OrderEffect[] = [];
-	#queues = new Map<string, Queue>();
+	readonly #queues = new Map<string, Queue>();
 
 	/**
 	 * @param clock - Source of time.
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -134,11 +134,8 @@
 	 */
 	leaseFor(life: string): {readonly leaseUntilMs: number; readonly ackSequence: number} | undefined {
 		const worker = this.#context.workers.get(life);
-		if (!worker?.isKnown || worker.suspicion || worker.isLost) {
-			return undefined;
-		}
-
-		return {leaseUntilMs: Math.floor(worker.clockMs + this.#context.limits.leaseMs), ackSequence: worker.ackSequence};
+		const mayHold = worker?.isKnown && !worker.suspicion && !worker.isLost;
+		return mayHold ? {leaseUntilMs: Math.floor(worker.clockMs + this.#context.limits.leaseMs), ackSequence: worker.ackSequence} : undefined;
 	}
 
 	/**
--- a/packages/pool/src/preemption.ts
+++ b/packages/pool/src/preemption.ts
@@ -112,7 +112,7 @@
 
 	const here = victims
 		.filter(victim => victim.shapes.has(life) && !trial.stopped.has(victim.id))
-		.sort((left, right) => left.lostCoreSeconds - right.lostCoreSeconds);
+		.toSorted((left, right) => left.lostCoreSeconds - right.lostCoreSeconds);
 	const chosen: Victim[] = [];
 	for (const victim of here) {
 		chosen.push(victim);
@@ -128,7 +128,7 @@
 function dropNeedless(chosen: readonly Victim[], life: string, shape: TaskShape, free: TaskShape): readonly Victim[] {
 	const kept: Victim[] = [];
 	let room = free;
-	for (const victim of [...chosen].reverse()) {
+	for (const victim of chosen.toReversed()) {
 		const without = subtractShapes(room, victim.shapes.get(life)!);
 		if (fitsInto(shape, without)) {
 			room = without;
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -1,5 +1,4 @@
-import type {Job, Run, Task} from './job-table.js';
-import {RUN_PHASES} from './job-table.js';
+import {type Job, type Run, type Task, RUN_PHASES} from './job-table.js';
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
 } from './model.js';
@@ -157,14 +156,14 @@
 	onOrderOutcome(life: string, order: WorkerOrder, outcome: OrderOutcome, orderCount: number): void {
 		const run = this.#context.workers.get(life)?.runs.get(order.task);
 		this.#context.log('order answered', {
-			task: order.task, run: order.run, worker: life, order: order.kind, outcome: outcome.kind, ...(outcome.kind === 'refused' && {reason: outcome.reason}), ...(outcome.kind === 'unknown' && {error: outcome.message}),
+			task: order.task, run: order.run, worker: life, order: order.kind, outcome,
 		});
 		if (outcome.kind === 'refused' && outcome.reason === REFUSALS.fenced) {
 			this.#context.isFenced = true;
 			return;
 		}
 
-		if (!run || run.number !== order.run) {
+		if (run?.number !== order.run) {
 			return;
 		}
 
@@ -191,7 +190,7 @@
 	reconcile(worker: WorkerEntry, running: readonly ListedRun[]): void {
 		const nowMs = this.#context.nowMs();
 		const listed = new Map(running.map(entry => [entry.task, entry]));
-		for (const run of [...worker.runs.values()]) {
+		for (const run of worker.runs.values()) {
 			const entry = listed.get(run.task.name);
 			if (entry?.run === run.number) {
 				listed.delete(run.task.name);
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -142,24 +142,14 @@
 
 			const common = {priority: queue.priority, service: queue.service, objectiveMs: objectiveAtMs(job, queue)};
 			for (const step of pendingSteps(job, nowMs)) {
-				if (step.spec.isGang) {
-					if (step.tasks.every(task => !task.run)) {
-						units.push({step, tasks: step.tasks, isOwed: false, ...common});
-					}
-				} else {
-					for (const task of step.tasks) {
-						if (!task.isDone && !task.run) {
-							units.push({step, tasks: [task], isOwed: false, ...common});
-						}
-					}
-				}
+				units.push(...waitingTasks(step).map(tasks => ({step, tasks, isOwed: false, ...common})));
 			}
 		}
 
 		units.sort((left, right) => left.priority - right.priority || left.objectiveMs - right.objectiveMs);
 		this.#markOwed(units);
 		// What an account is owed goes before what others have beyond their guarantees.
-		return units.sort((left, right) => left.priority - right.priority || Number(right.isOwed) - Number(left.isOwed) || left.objectiveMs - right.objectiveMs);
+		return units.toSorted((left, right) => left.priority - right.priority || Number(right.isOwed) - Number(left.isOwed) || left.objectiveMs - right.objectiveMs);
 	}
 
 	#markOwed(units: readonly PendingUnit[]): void {
@@ -240,7 +230,7 @@
 			}
 		}
 
-		return [...units.values()].sort((left, right) => right[0]!.task.step.job.knownAtMs - left[0]!.task.step.job.knownAtMs);
+		return [...units.values()].toSorted((left, right) => right[0]!.task.step.job.knownAtMs - left[0]!.task.step.job.knownAtMs);
 	}
 
 	/** Accelerators that accounts use for urgent work beyond their guarantees. */
@@ -287,6 +277,15 @@
 	return step.spec.isGang ? `${step.job.id}.${step.occurrence}.${step.number}` : run.task.name;
 }
 
+/** @returns What may be placed at once: the whole gang, or each waiting task. */
+function waitingTasks(step: StepState): ReadonlyArray<readonly Task[]> {
+	if (step.spec.isGang) {
+		return step.tasks.every(task => !task.run) ? [step.tasks] : [];
+	}
+
+	return step.tasks.filter(task => !task.isDone && !task.run).map(task => [task]);
+}
+
 function pendingSteps(job: Job, nowMs: number): readonly StepState[] {
 	const steps: StepState[] = [];
 	for (const occurrence of job.occurrences) {
--- a/packages/pool/src/task-name.ts
+++ b/packages/pool/src/task-name.ts
@@ -23,7 +23,7 @@
  * @returns The parts, or undefined when the text is not such a name.
  */
 export function parseTaskName(text: string): TaskName | undefined {
-	const match = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/.exec(text);
+	const match = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/v.exec(text);
 	if (!match) {
 		return undefined;
 	}
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -84,7 +84,7 @@
 			this.#clearSuspicion(worker);
 		}
 
-		for (const end of [...lists.ended].sort((left, right) => left.sequence - right.sequence)) {
+		for (const end of lists.ended.toSorted((left, right) => left.sequence - right.sequence)) {
 			if (end.sequence > worker.seenSequence) {
 				worker.seenSequence = end.sequence;
 				this.#runs.onListedEnd(worker, end);
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
-import {REFUSALS, WORKER_STATES} from '@amaranthsail/pool';
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolWorld} from './support/pool-world.js';
+import {REFUSALS, WORKER_STATES} from '@amaranthsail/pool';
 
 const WHOLE_WORKER = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
 
@@ -84,11 +84,11 @@
 			world.step();
 			world.submit('j1', 'normal', [makeStep({taskCount: 2, isGang: true, shape: WHOLE_WORKER})]);
 			world.step();
-			expect(workers.flatMap(worker => worker.started).sort()).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.1#1']);
+			expect(workers.flatMap(worker => worker.started).toSorted()).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.1#1']);
 			const holder = workers.find(worker => worker.runs.has('j1.0.0.0'))!;
 			holder.end('j1.0.0.0', 'lapsed');
 			world.advance(300);
-			expect(workers.flatMap(worker => worker.started).slice().sort()).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.0#2', 'j1.0.0.1#1', 'j1.0.0.1#2']);
+			expect([...workers.flatMap(worker => worker.started)].toSorted()).to.deep.equal(['j1.0.0.0#1', 'j1.0.0.0#2', 'j1.0.0.1#1', 'j1.0.0.1#2']);
 		});
 
 		it('is not started while only some members fit', () => {
--- a/packages/pool/tests/support/pool-world.ts
+++ b/packages/pool/tests/support/pool-world.ts
@@ -1,8 +1,8 @@
 import {ManualClock} from '@amaranthsail/core';
+import type {FakeWorker} from './fake-worker.js';
 import {
 	cancelKey, DEFAULT_LIMITS, type JobRow, type JobSpec, type PoolConfig, PoolCore, type PoolLimits, type Queue, type StepSpec, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
-import type {FakeWorker} from './fake-worker.js';
 
 /** A step with defaults for what a test does not name. */
 export function makeStep(step: Partial<StepSpec> = {}): StepSpec {
@@ -139,7 +139,7 @@
 	}
 
 	table(table: string): StoredRow[] {
-		return [...this.rows.values()].filter(row => row.table === table).sort((left, right) => (left.key < right.key ? -1 : 1));
+		return [...this.rows.values()].filter(row => row.table === table).toSorted((left, right) => (left.key < right.key ? -1 : 1));
 	}
 
 	events(event: string): ReadonlyArray<Readonly<Record<string, unknown>>> {
--- a/packages/proof/src/oracle.ts
+++ b/packages/proof/src/oracle.ts
@@ -1,5 +1,5 @@
 import {FINAL_JOB_STATES, formatTaskKey, sha256Of, type JobRow} from '@amaranthsail/core';
-import type {Execution} from '@amaranthsail/platform';
+import type {Execution} from '@amaranthsail/backing-services';
 import type {World} from './world.js';
 
 /**
--- a/packages/proof/src/row-history.ts
+++ b/packages/proof/src/row-history.ts
@@ -1,6 +1,6 @@
 import {FINAL_JOB_STATES, type JobRow} from '@amaranthsail/core';
 import {OWNER_TABLES} from '@amaranthsail/owner';
-import type {MemoryTableStore, Transaction} from '@amaranthsail/platform';
+import type {MemoryTableStore, Transaction} from '@amaranthsail/backing-services';
 
 /** Watches what really happens to job rows, below all faults, and notes changes that must not be. */
 export class RowHistory {
--- a/packages/proof/src/runs/check-executions.ts
+++ b/packages/proof/src/runs/check-executions.ts
@@ -1,4 +1,4 @@
-import type {Execution} from '@amaranthsail/platform';
+import type {Execution} from '@amaranthsail/backing-services';
 import type {JobHandle} from './job-handle.js';
 import type {ProofSystem} from './proof-system.js';
 import {check} from './violation.js';
--- a/packages/proof/src/runs/proof-system.ts
+++ b/packages/proof/src/runs/proof-system.ts
@@ -1,5 +1,5 @@
 import {formatAddress} from '@amaranthsail/core';
-import type {Execution, FaultSwitches} from '@amaranthsail/platform';
+import type {Execution, FaultSwitches} from '@amaranthsail/backing-services';
 import {
 	EXAMPLE_TOKENS,
 	exampleSystem,
--- a/packages/proof/src/sim-agent.ts
+++ b/packages/proof/src/sim-agent.ts
@@ -1,6 +1,6 @@
 import type {Address, Command, HeartbeatAck, Resources} from '@amaranthsail/core';
 import {AgentCore, type AgentEffect, type AgentEvent} from '@amaranthsail/agent';
-import {MemoryWorkerRuntime, type MemoryObjectStore} from '@amaranthsail/platform';
+import {MemoryWorkerRuntime, type MemoryObjectStore} from '@amaranthsail/backing-services';
 import {SimNode} from './sim-node.js';
 import type {SimNetwork} from './sim-network.js';
 import type {VirtualTime} from './virtual-time.js';
--- a/packages/proof/src/sim-entry.ts
+++ b/packages/proof/src/sim-entry.ts
@@ -12,7 +12,7 @@
 	type OwnershipRow,
 	type WriteResult,
 } from '@amaranthsail/owner';
-import type {MemoryTableStore, Transaction} from '@amaranthsail/platform';
+import type {MemoryTableStore, Transaction} from '@amaranthsail/backing-services';
 import {createScheduler, type SchedulerConfig} from '@amaranthsail/scheduler';
 import {SimNode} from './sim-node.js';
 import type {SimNetwork} from './sim-network.js';
--- a/packages/proof/src/world.ts
+++ b/packages/proof/src/world.ts
@@ -6,7 +6,7 @@
 	type Fault,
 	type FaultOperation,
 	type MemoryWorkerRuntime,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 import type {SchedulerConfig} from '@amaranthsail/scheduler';
 import {RandomSource} from './random-source.js';
 import {RowHistory} from './row-history.js';
--- a/packages/records/src/commit-change.ts
+++ b/packages/records/src/commit-change.ts
@@ -1,7 +1,7 @@
 import {ok, err, type Result} from '@amaranthsail/core';
 import {
 	commitDurably, type CommitOptions, type TableError, type TableStore, type Transaction,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 import {HEAD, LOG_TABLE, logKeyOf, RECORDS_TABLE, type LogRow} from './config-rows.js';
 import type {Head, RecordRow} from './load-config.js';
 import {formatRecordId} from './record-document.js';
--- a/packages/records/src/config-store.ts
+++ b/packages/records/src/config-store.ts
@@ -1,6 +1,6 @@
 import {setTimeout} from 'node:timers/promises';
 import {err, newId, ok, type Clock, type Result} from '@amaranthsail/core';
-import type {CommitOptions, TableStore} from '@amaranthsail/platform';
+import type {CommitOptions, TableStore} from '@amaranthsail/backing-services';
 import PQueue from 'p-queue';
 import {commitChange, messageOfTableError, type CommitError} from './commit-change.js';
 import type {ConfigError} from './config-error.js';
--- a/packages/records/src/config-watcher.ts
+++ b/packages/records/src/config-watcher.ts
@@ -1,5 +1,5 @@
 import {newId, ok, type Result} from '@amaranthsail/core';
-import type {RowValue, TableError, TableStore} from '@amaranthsail/platform';
+import type {RowValue, TableError, TableStore} from '@amaranthsail/backing-services';
 import {HEAD, LOG_TABLE, logKeyOf, MEMBERS_TABLE, type LogRow} from './config-rows.js';
 import {buildSnapshot, type ConfigSnapshot} from './config-snapshot.js';
 import {loadConfig, readHead, type Head, type LoadError} from './load-config.js';
--- a/packages/records/src/load-config.ts
+++ b/packages/records/src/load-config.ts
@@ -1,5 +1,5 @@
 import {err, ok, type Result} from '@amaranthsail/core';
-import type {Row, TableError, TableStore} from '@amaranthsail/platform';
+import type {Row, TableError, TableStore} from '@amaranthsail/backing-services';
 import {HEAD, RECORDS_TABLE, type HeadRow} from './config-rows.js';
 import {formatRecordId} from './record-document.js';
 import type {StoredRecord} from './stored-record.js';
--- a/packages/records/tests/config-history.property.test.ts
+++ b/packages/records/tests/config-history.property.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {FaultPlan, MemoryTableStore, type FaultKind} from '@amaranthsail/platform';
+import {FaultPlan, MemoryTableStore, type FaultKind} from '@amaranthsail/backing-services';
 import {
 	ACCOUNT, configStoreOn, documentOf, DOMAIN, GUARANTEE, submitAll,
 } from './support/documents.js';
--- a/packages/records/tests/config-store.test.ts
+++ b/packages/records/tests/config-store.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import type {FaultKind} from '@amaranthsail/platform';
+import type {FaultKind} from '@amaranthsail/backing-services';
 import {
 	ACCOUNT, DOMAIN, GUARANTEE, GUARANTEE_V1, GUARANTEE_V2, POLICY, WORKER, configStoreOn, documentOf, submitAll,
 } from './support/documents.js';
--- a/packages/records/tests/support/documents.ts
+++ b/packages/records/tests/support/documents.ts
@@ -1,5 +1,5 @@
 import {ManualClock} from '@amaranthsail/core';
-import type {TableStore} from '@amaranthsail/platform';
+import type {TableStore} from '@amaranthsail/backing-services';
 import {ConfigStore, type GuaranteeCheck, type JsonObject, type RecordDocument} from '@amaranthsail/records';
 
 /** Makes a document. */
--- a/packages/records/tests/support/faulty-table-store.ts
+++ b/packages/records/tests/support/faulty-table-store.ts
@@ -1,4 +1,4 @@
-import {FaultPlan, MemoryTableStore, type FaultKind} from '@amaranthsail/platform';
+import {FaultPlan, MemoryTableStore, type FaultKind} from '@amaranthsail/backing-services';
 
 type Hooks = {beforeTransact?: () => Promise<void>};
 
--- a/packages/standin/src/checkpoint-mirror.ts
+++ b/packages/standin/src/checkpoint-mirror.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import type {ObjectStore} from '@amaranthsail/platform';
+import type {ObjectStore} from '@amaranthsail/backing-services';
 
 /** Keeps the checkpoints of a worker in the object store, so that a worker in another process can continue from them. */
 export class CheckpointMirror {
--- a/packages/standin/src/endpoint-announcer.ts
+++ b/packages/standin/src/endpoint-announcer.ts
@@ -1,5 +1,5 @@
 import {ANNOUNCEMENT_INTERVAL_MS, type Address, type EndpointReport} from '@amaranthsail/core';
-import {HttpService} from '@amaranthsail/platform/http-service.js';
+import {HttpService} from '@amaranthsail/backing-services/http-service.js';
 
 /** Time for one announcement; shorter than the interval, so that announcements do not pile up. */
 const ANNOUNCEMENT_TIMEOUT_MS = 800;
--- a/packages/standin/src/fault-routes.ts
+++ b/packages/standin/src/fault-routes.ts
@@ -1,4 +1,4 @@
-import {chooseBySwitches, type FaultPlan, type FaultSwitches} from '@amaranthsail/platform';
+import {chooseBySwitches, type FaultPlan, type FaultSwitches} from '@amaranthsail/backing-services';
 import {z} from 'zod';
 import {json, type Route} from './http-app.js';
 import {withBody} from './replies.js';
--- a/packages/standin/src/object-routes.ts
+++ b/packages/standin/src/object-routes.ts
@@ -1,4 +1,4 @@
-import type {ObjectStore} from '@amaranthsail/platform';
+import type {ObjectStore} from '@amaranthsail/backing-services';
 import type {Counters} from './counters.js';
 import {json, type AppRequest, type Reply, type Route} from './http-app.js';
 import {decodeRest, replyOf} from './replies.js';
--- a/packages/standin/src/start-platform.ts
+++ b/packages/standin/src/start-platform.ts
@@ -1,5 +1,5 @@
 import type {Address} from '@amaranthsail/core';
-import {FaultPlan, MemoryObjectStore, MemoryTableStore} from '@amaranthsail/platform';
+import {FaultPlan, MemoryObjectStore, MemoryTableStore} from '@amaranthsail/backing-services';
 import {newCounters, type Counters} from './counters.js';
 import {faultRoutes} from './fault-routes.js';
 import {
--- a/packages/standin/src/start-worker.ts
+++ b/packages/standin/src/start-worker.ts
@@ -1,7 +1,7 @@
 import {
 	SystemClock, type Address, type Clock, type EndpointReport, type Resources,
 } from '@amaranthsail/core';
-import {FaultPlan, HttpObjectStore, MemoryWorkerRuntime, type ObjectStore} from '@amaranthsail/platform';
+import {FaultPlan, HttpObjectStore, MemoryWorkerRuntime, type ObjectStore} from '@amaranthsail/backing-services';
 import {z} from 'zod';
 import {CheckpointMirror} from './checkpoint-mirror.js';
 import {EndpointAnnouncer} from './endpoint-announcer.js';
--- a/packages/standin/src/table-routes.ts
+++ b/packages/standin/src/table-routes.ts
@@ -1,4 +1,4 @@
-import type {Row, TableStore, Transaction} from '@amaranthsail/platform';
+import type {Row, TableStore, Transaction} from '@amaranthsail/backing-services';
 import {z} from 'zod';
 import type {Counters} from './counters.js';
 import {json, type AppRequest, type Reply, type Route} from './http-app.js';
--- a/packages/standin/src/worker-routes.ts
+++ b/packages/standin/src/worker-routes.ts
@@ -1,5 +1,5 @@
 import {err, type Resources, type TaskAssignment, type TaskKey} from '@amaranthsail/core';
-import type {MemoryWorkerRuntime} from '@amaranthsail/platform';
+import type {MemoryWorkerRuntime} from '@amaranthsail/backing-services';
 import {z} from 'zod';
 import {json, type Reply, type Route} from './http-app.js';
 import {replyOf, withBody} from './replies.js';
--- a/packages/standin/tests/bin.test.ts
+++ b/packages/standin/tests/bin.test.ts
@@ -4,7 +4,7 @@
 import {fileURLToPath} from 'node:url';
 import {expect} from 'chai';
 import {formatAddress, parseAddress} from '@amaranthsail/core';
-import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {HttpWorkerRuntime} from '@amaranthsail/backing-services/worker-runtime-client.js';
 import {assignment} from './contracts/worker-runtime-cases.js';
 import {fetchJson} from './fetch-json.js';
 import {waitUntil} from './wait-until.js';
--- a/packages/standin/tests/contracts/object-store-cases.ts
+++ b/packages/standin/tests/contracts/object-store-cases.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
-import type {FaultPlan, ObjectStore} from '@amaranthsail/platform';
+import type {FaultPlan, ObjectStore} from '@amaranthsail/backing-services';
 import {errorKindOf, valueOf} from './table-store-cases.js';
 
 /** An object store under test and the faults behind it. */
--- a/packages/standin/tests/contracts/table-store-cases.ts
+++ b/packages/standin/tests/contracts/table-store-cases.ts
@@ -2,7 +2,7 @@
 import type {Result} from '@amaranthsail/core';
 import type {
 	FaultPlan, TableError, TableStore, Transaction,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 
 /** A table store under test and the faults behind it. */
 export type TableHarness = {readonly store: TableStore; readonly faults: FaultPlan};
--- a/packages/standin/tests/contracts/worker-runtime-cases.ts
+++ b/packages/standin/tests/contracts/worker-runtime-cases.ts
@@ -3,7 +3,7 @@
 import type {ManualClock, Resources, TaskAssignment, TaskKey} from '@amaranthsail/core';
 import type {
 	Execution, FaultPlan, RuntimeTask, WorkerRuntime,
-} from '@amaranthsail/platform';
+} from '@amaranthsail/backing-services';
 import {errorKindOf, valueOf} from './table-store-cases.js';
 
 /** A worker under test, its clock, its faults and the starts it counts. */
--- a/packages/standin/tests/long-input.test.ts
+++ b/packages/standin/tests/long-input.test.ts
@@ -1,6 +1,6 @@
 import {SystemClock, type TaskAssignment} from '@amaranthsail/core';
-import {HttpObjectStore} from '@amaranthsail/platform';
-import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {HttpObjectStore} from '@amaranthsail/backing-services';
+import {HttpWorkerRuntime} from '@amaranthsail/backing-services/worker-runtime-client.js';
 import {expect} from 'chai';
 import {CAPACITY} from './contracts/worker-runtime-cases.js';
 import {startPlatform, startWorker} from '@amaranthsail/standin';
--- a/packages/standin/tests/start-platform.test.ts
+++ b/packages/standin/tests/start-platform.test.ts
@@ -1,6 +1,6 @@
 import {createSocket} from 'node:dgram';
 import {expect} from 'chai';
-import {HttpTableStore} from '@amaranthsail/platform';
+import {HttpTableStore} from '@amaranthsail/backing-services';
 import {errorKindOf, valueOf, writeRow} from './contracts/table-store-cases.js';
 import {fetchJson} from './fetch-json.js';
 import {waitUntil} from './wait-until.js';
--- a/packages/standin/tests/start-worker.test.ts
+++ b/packages/standin/tests/start-worker.test.ts
@@ -4,7 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {ManualClock, SystemClock, type EndpointReport, type TaskAssignment} from '@amaranthsail/core';
-import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {HttpWorkerRuntime} from '@amaranthsail/backing-services/worker-runtime-client.js';
 import {valueOf} from './contracts/table-store-cases.js';
 import {CAPACITY} from './contracts/worker-runtime-cases.js';
 import {fetchJson} from './fetch-json.js';
--- a/packages/standin/tests/store-contracts.test.ts
+++ b/packages/standin/tests/store-contracts.test.ts
@@ -1,7 +1,7 @@
 import {
 	HttpObjectStore, HttpTableStore, MemoryObjectStore, MemoryTableStore,
-} from '@amaranthsail/platform';
-import {NodeHttpObjectStore} from '@amaranthsail/platform/node-http-object-store.js';
+} from '@amaranthsail/backing-services';
+import {NodeHttpObjectStore} from '@amaranthsail/backing-services/node-http-object-store.js';
 import {OBJECT_CASES} from './contracts/object-store-cases.js';
 import {TABLE_CASES} from './contracts/table-store-cases.js';
 import {startPlatform, type RunningPlatform} from '@amaranthsail/standin';
--- a/packages/standin/tests/worker-contract.test.ts
+++ b/packages/standin/tests/worker-contract.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock} from '@amaranthsail/core';
-import {MemoryWorkerRuntime, type Execution} from '@amaranthsail/platform';
-import {HttpWorkerRuntime} from '@amaranthsail/platform/worker-runtime-client.js';
+import {MemoryWorkerRuntime, type Execution} from '@amaranthsail/backing-services';
+import {HttpWorkerRuntime} from '@amaranthsail/backing-services/worker-runtime-client.js';
 import {valueOf} from './contracts/table-store-cases.js';
 import {CAPACITY, WORKER_CASES, type WorkerHarness} from './contracts/worker-runtime-cases.js';
 import {fetchJson} from './fetch-json.js';
