Tell a list that is out of date from an unexpected run

A run that had ended showed up again as unknown, the worker counted as unusable, and an urgent job stopped twelve tasks a second time elsewhere. Ruled out: quarantine (none at that time). The test failed first.

--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -1,3 +1,4 @@
+import {addShapes, EMPTY_SHAPE} from './capacity.js';
 import {type Job, type Run, type Task, RUN_PHASES} from './job-table.js';
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
@@ -203,11 +204,7 @@
 			}
 		}
 
-		worker.hasUnknownRuns = listed.size > 0;
-		for (const entry of listed.values()) {
-			this.#context.log('unknown run', {task: entry.task, run: entry.run, worker: worker.life});
-			this.#context.send({agent: worker.agent, life: worker.life, order: {kind: 'stop', task: entry.task, run: entry.run}});
-		}
+		this.#stopUnexpected(worker, [...listed.values()].filter(entry => entry.run > (worker.endedRuns.get(entry.task) ?? 0)));
 	}
 
 	/**
@@ -218,6 +215,7 @@
 	 */
 	onListedEnd(worker: WorkerEntry, listed: ListedEnd): void {
 		const run = worker.runs.get(listed.task);
+		worker.endedRuns.set(listed.task, Math.max(listed.run, worker.endedRuns.get(listed.task) ?? 0));
 		if (run?.number === listed.run) {
 			this.end(run, listed.outcome, listed.checkpoint);
 		} else {
@@ -271,6 +269,30 @@
 		this.#store(task);
 	}
 
+	#stopUnexpected(worker: WorkerEntry, entries: readonly ListedRun[]): void {
+		const nowMs = this.#context.nowMs();
+		worker.hasUnknownRuns = false;
+		worker.unexpectedShape = EMPTY_SHAPE;
+		for (const entry of entries) {
+			const task = this.#context.findTask(entry.task);
+			if (task) {
+				worker.unexpectedShape = addShapes(worker.unexpectedShape, task.step.spec.shape);
+			} else {
+				worker.hasUnknownRuns = true;
+			}
+
+			if ((worker.unexpectedStops.get(entry.task) ?? 0) <= nowMs) {
+				worker.unexpectedStops.set(entry.task, nowMs + this.#context.limits.orderRetryMs);
+				this.#context.log('unexpected run', {task: entry.task, run: entry.run, worker: worker.life, isJobKnown: task !== undefined});
+				this.#context.send({agent: worker.agent, life: worker.life, order: {kind: 'stop', task: entry.task, run: entry.run}});
+			}
+		}
+
+		if (entries.length === 0) {
+			worker.unexpectedStops.clear();
+		}
+	}
+
 	#onStartOutcome(run: Run, outcome: OrderOutcome, orderCount: number): void {
 		const nowMs = this.#context.nowMs();
 		if (outcome.kind === 'done') {
--- a/packages/pool/src/worker-entry.ts
+++ b/packages/pool/src/worker-entry.ts
@@ -21,8 +21,14 @@
 	/** Highest end that has been looked at. */
 	seenSequence: number;
 	readonly runs: Map<string, Run>;
-	/** It lists runs that this leader does not know; their shapes are unknown. */
+	/** It lists runs of jobs that this leader does not know; their shapes are unknown. */
 	hasUnknownRuns: boolean;
+	/** What listed runs take that are not expected there; they are being stopped. */
+	unexpectedShape: TaskShape;
+	/** When an unexpected run is told to stop again, by task. */
+	readonly unexpectedStops: Map<string, number>;
+	/** Highest run of a task that has ended here; a list that still has it is out of date. */
+	readonly endedRuns: Map<string, number>;
 	suspicion?: Suspicion;
 	/** Its runs have been given up; its lists must be read before it is used again. */
 	isLost: boolean;
@@ -64,6 +70,9 @@
 		seenSequence: 0,
 		runs: new Map(),
 		hasUnknownRuns: false,
+		unexpectedShape: EMPTY_SHAPE,
+		unexpectedStops: new Map(),
+		endedRuns: new Map(),
 		isLost: false,
 		failedJobs: new Set(),
 		quarantinedUntilMs: 0,
@@ -73,7 +82,7 @@
 
 /** @returns What the worker's runs take, those that are being stopped included. */
 export function usedShape(worker: WorkerEntry): TaskShape {
-	let used = EMPTY_SHAPE;
+	let used = worker.unexpectedShape;
 	for (const run of worker.runs.values()) {
 		used = addShapes(used, run.task.step.spec.shape);
 	}
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -159,6 +159,38 @@
 			expect(world.clock.monotonicMs()).to.be.greaterThan(lastLeaseMs);
 		});
 
+		// Answers on two connections may overtake each other within one tick of the worker's clock; the worker
+		// was then taken for one with unknown runs, and urgent jobs stopped work elsewhere.
+		it('that lists a run which has ended already, in a list that is out of date, stays usable', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			const outdated = worker.report(world.clock.monotonicMs());
+			worker.end('j1.0.0.0', 'done');
+			world.report(worker);
+			world.core.onReport('w1', outdated);
+			expect(world.events('unexpected run')).to.deep.equal([]);
+			world.submit('j2', 'normal', [makeStep({shape: WHOLE_WORKER})]);
+			world.core.tick();
+			expect(world.events('task placed')).to.have.length(2);
+		});
+
+		it('that runs what nobody expects there is told to stop it, and its room counts until then', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({shape: WHOLE_WORKER})]);
+			worker.runs.set('j1.0.0.0', {run: 7, checkpoint: '', percent: 0});
+			world.report(worker);
+			world.core.tick();
+			expect(world.events('task placed')).to.have.length(0);
+			world.advance(300);
+			expect(worker.started).to.deep.equal([]);
+			expect(worker.runs.size).to.equal(0);
+		});
+
 		it('that comes back before that keeps its tasks', () => {
 			const worker = new FakeWorker('w1');
 			const world = new PoolWorld([worker]);
