Ask another entry first when the store has been silent

Ruled out: unreachable peers (cancellations were relayed in 5 ms). Relays come first when the store is silent for 900 ms, the first call of the store takes 350 ms at most, and trying ends at 0.45 of the caller's deadline.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -16,9 +16,12 @@
 /** Time kept for the way of an answer back to the caller. */
 const ANSWER_MARGIN_MS = 200;
 
-/** Time for which a job is tried to be stored before it is refused; the caller may come back sooner elsewhere. */
+/** Time for which a job is tried to be stored before it is refused, so that the caller can come back elsewhere. */
 const SUBMIT_BUDGET_MS = 1200;
 
+/** Share of the caller's deadline that such trying may use. */
+const SUBMIT_BUDGET_SHARE = 0.45;
+
 /** A configuration that was confirmed this recently needs no reading before a request is refused by it. */
 const FRESH_CONFIG_MS = 150;
 
@@ -124,7 +127,7 @@
 				}
 
 				const row: JobRow = {queue: queue.name, account: accountName, acceptedAtMs: this.#deps.clock.wallMs(), spec};
-				return this.#deps.intake.submit({jobId, row, configRow: known.row, budgetMs: Math.min(SUBMIT_BUDGET_MS, remainingMs)});
+				return this.#deps.intake.submit({jobId, row, configRow: known.row, budgetMs: Math.min(SUBMIT_BUDGET_MS, remainingMs, (request.deadlineMs ?? DEFAULT_DEADLINE_MS) * SUBMIT_BUDGET_SHARE)});
 			}
 
 			case 'GET': {
--- a/packages/pool-entry/src/job-intake.ts
+++ b/packages/pool-entry/src/job-intake.ts
@@ -25,15 +25,21 @@
 		/** A write may have taken effect, or may do so later. */
 		| {readonly kind: 'unknown'};
 
-/** Timeout of one call of the store on behalf of a caller. */
+/** Timeout of the first call of the store on behalf of a caller; it answers within milliseconds unless it is slow. */
+const FIRST_TIMEOUT_MS = 350;
+
+/** Timeout of further calls, for a store that is slow. */
 const STORE_TIMEOUT_MS = 900;
 
+/** An entry that has not heard from the store for this long asks another one first; its feed answers every 700 ms. */
+const STORE_DOUBTFUL_MS = 900;
+
+/** Time that another entry gets; a call to one that is down must leave time for the next. */
+const RELAY_TIMEOUT_MS = 450;
+
 /** Pause after a refusal of the store. */
 const RETRY_MS = 50;
 
-/** Refusals of the store after which another entry is asked. */
-const REFUSALS_BEFORE_RELAY = 2;
-
 /** The leader answers from memory. */
 const STATE_TIMEOUT_MS = 350;
 
@@ -190,21 +196,14 @@
 	): Promise<IntakeOutcome> {
 		const endMs = this.#deps.clock.monotonicMs() + budgetMs;
 		let isUncertain = false;
-		let refusals = 0;
-		for (;;) {
+		for (let attempts = 0; ; attempts++) {
 			const remainingMs = endMs - this.#deps.clock.monotonicMs();
 			if (remainingMs <= 0) {
 				return isUncertain ? {kind: 'unknown'} : {kind: 'not_stored'};
 			}
 
-			const outcome = await attempt(Math.min(STORE_TIMEOUT_MS, remainingMs));
-			if (typeof outcome === 'object') {
-				return outcome;
-			}
-
-			isUncertain ||= outcome === 'outcome_unknown';
-			refusals++;
-			if (relay && (refusals >= REFUSALS_BEFORE_RELAY || outcome === 'outcome_unknown')) {
+			const isRelayFirst = relay && attempts === 0 && this.#deps.config.ageMs > STORE_DOUBTFUL_MS;
+			if (relay && (isRelayFirst || attempts > 0)) {
 				const relayed = await this.#relay(relay, endMs);
 				if (relayed?.kind === 'unknown') {
 					isUncertain = true;
@@ -213,6 +212,12 @@
 				}
 			}
 
+			const outcome = await attempt(Math.min(attempts === 0 ? FIRST_TIMEOUT_MS : STORE_TIMEOUT_MS, remainingMs));
+			if (typeof outcome === 'object') {
+				return outcome;
+			}
+
+			isUncertain ||= outcome === 'outcome_unknown';
 			await sleep(RETRY_MS);
 		}
 	}
@@ -220,7 +225,7 @@
 	async #relay(makeRequest: (remainingMs: number) => RelayRequest, endMs: number): Promise<IntakeOutcome | undefined> {
 		let isUncertain = false;
 		for (const address of this.#deps.entries()) {
-			const remainingMs = Math.min(STORE_TIMEOUT_MS, endMs - this.#deps.clock.monotonicMs());
+			const remainingMs = Math.min(RELAY_TIMEOUT_MS, endMs - this.#deps.clock.monotonicMs());
 			if (remainingMs <= RETRY_MS) {
 				break;
 			}
--- /dev/null
+++ b/packages/pool-entry/tests/job-intake.test.ts
@@ -0,0 +1,113 @@
+import {expect} from 'chai';
+import {silentLogger, SystemClock} from '@amaranthsail/core';
+import {cancelKey, type JobRow, type StoredRow, TABLES} from '@amaranthsail/pool';
+import {serveJson} from '@amaranthsail/pool-runtime';
+import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
+import {JobIntake} from '@amaranthsail/pool-entry/job-intake.js';
+import {PEER_PATHS} from '@amaranthsail/pool-entry/peer-messages.js';
+import {MemoryPoolStore} from './support.js';
+
+const ROW: JobRow = {
+	queue: 'q', account: 'north', acceptedAtMs: 0, spec: {payload: '', steps: []},
+};
+
+function createIntake(store: MemoryPoolStore, entries: readonly string[] = []): {intake: JobIntake; config: ConfigFollower; configRow: StoredRow} {
+	const configRow = store.put('configurations', 'newest', {});
+	const clock = new SystemClock();
+	const config = new ConfigFollower(store, {table: 'configurations', key: 'newest', decode: row => ({version: row.version, queues: [], accounts: []})}, clock, silentLogger);
+	config.offer(configRow, 'test');
+	config.confirm();
+	const intake = new JobIntake({
+		store, clock, logger: silentLogger, config, leader: () => undefined, leaderAddress: () => undefined, entries: () => entries,
+	});
+	return {intake, config, configRow};
+}
+
+describe('job intake', () => {
+	it('accepts a job once, and the same request again', async () => {
+		const store = new MemoryPoolStore();
+		const {intake, configRow} = createIntake(store);
+		const request = {jobId: 'j1', row: ROW, configRow, budgetMs: 300};
+		expect(await intake.submit(request)).to.deep.equal({kind: 'accepted'});
+		expect(await intake.submit(request)).to.deep.equal({kind: 'accepted'});
+		expect(await intake.submit({...request, row: {...ROW, account: 'south'}})).to.deep.equal({kind: 'conflict'});
+	});
+
+	it('accepts nothing by a configuration that has been replaced', async () => {
+		const store = new MemoryPoolStore();
+		const {intake, config, configRow} = createIntake(store);
+		const newer = store.put('configurations', 'newest', {});
+		expect(await intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 300})).to.deep.equal({kind: 'configuration_changed'});
+		expect(config.known?.row.version).to.equal(newer.version);
+		expect(store.rows.has(`${TABLES.jobs}/j1`)).to.equal(false);
+	});
+
+	const outcomes = [
+		{fault: 'refuse', outcome: 'not_stored', title: 'says that nothing is stored when the store refused every attempt'},
+		{fault: 'lose_call', outcome: 'unknown', title: 'does not say so when an attempt had no answer'},
+	] as const;
+	for (const {fault, outcome, title} of outcomes) {
+		it(title, async () => {
+			const store = new MemoryPoolStore();
+			const {intake, configRow} = createIntake(store);
+			store.fault = fault;
+			expect(await intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 200})).to.deep.equal({kind: outcome});
+		});
+	}
+
+	it('recognises a job whose acceptance was not answered', async () => {
+		const store = new MemoryPoolStore();
+		const {intake, configRow} = createIntake(store);
+		store.fault = 'lose_answer';
+		const pending = intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 500});
+		setTimeout(() => {
+			store.fault = 'none';
+		}, 20);
+		expect(await pending).to.deep.equal({kind: 'accepted'});
+	});
+
+	// An entry that was cut off from the store spent its time on the store and refused what another could take.
+	it('asks another entry first when the store has been silent', async () => {
+		const store = new MemoryPoolStore();
+		const server = await serveJson('127.0.0.1:0', {[PEER_PATHS.relay]: () => ({status: 200, body: {kind: 'accepted'}})});
+		const address = server.address();
+		const port = typeof address === 'object' && address ? address.port : 0;
+		const {intake, config, configRow} = createIntake(store, [`127.0.0.1:${port}`]);
+		Object.defineProperty(config, 'ageMs', {value: 5000});
+		store.fault = 'lose_call';
+		expect(await intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 1000})).to.deep.equal({kind: 'accepted'});
+		expect(store.transactions).to.equal(0);
+		server.closeAllConnections();
+		server.close();
+	});
+
+	const states: ReadonlyArray<{title: string; rows: ReadonlyArray<[string, string, unknown]>; outcome: object}> = [
+		{title: 'no such job', rows: [], outcome: {kind: 'no_such_job'}},
+		{title: 'a job of another account', rows: [[TABLES.jobs, 'j1', {...ROW, account: 'south'}]], outcome: {kind: 'no_such_job'}},
+		{title: 'a job that has not started', rows: [[TABLES.jobs, 'j1', ROW]], outcome: {kind: 'state', state: 'queued'}},
+		{title: 'a job that has started', rows: [[TABLES.jobs, 'j1', ROW], [TABLES.runs, 'j1.0.0.0', {run: 1}]], outcome: {kind: 'state', state: 'running'}},
+		{title: 'a job that is being cancelled', rows: [[TABLES.jobs, 'j1', ROW], [TABLES.jobs, cancelKey('j1'), {}]], outcome: {kind: 'state', state: 'cancelled'}},
+		{title: 'a job that has ended', rows: [[TABLES.jobs, 'j1', {...ROW, finalState: 'completed'}]], outcome: {kind: 'state', state: 'completed'}},
+	];
+	for (const {title, rows, outcome} of states) {
+		it(`without a leader finds ${title} in the store`, async () => {
+			const store = new MemoryPoolStore();
+			const {intake} = createIntake(store);
+			for (const [table, key, value] of rows) {
+				store.put(table, key, value);
+			}
+
+			expect(await intake.state('j1', 'north', 300)).to.deep.equal(outcome);
+		});
+	}
+
+	it('cancels a job once and knows it when asked again', async () => {
+		const store = new MemoryPoolStore();
+		const {intake} = createIntake(store);
+		store.put(TABLES.jobs, 'j1', ROW);
+		expect(await intake.cancel('j1', 'north', 300)).to.deep.equal({kind: 'accepted'});
+		expect(await intake.cancel('j1', 'north', 300)).to.deep.equal({kind: 'accepted'});
+		expect(await intake.cancel('j1', 'south', 300)).to.deep.equal({kind: 'no_such_job'});
+		expect(store.transactions).to.equal(1);
+	});
+});
--- /dev/null
+++ b/packages/pool-entry/tests/support.ts
@@ -0,0 +1,68 @@
+import {err, ok, type Result} from '@amaranthsail/core';
+import type {
+	KeyRange, PoolStore, RowCondition, RowPage, RowWrite, StoredRow, StoreError,
+} from '@amaranthsail/pool';
+
+/** What a store in memory does to the next calls. */
+export type StoreFault = 'none' | 'refuse' | 'lose_answer' | 'lose_call';
+
+/** A linearizable store in memory with faults. */
+export class MemoryPoolStore implements PoolStore {
+	readonly rows = new Map<string, StoredRow>();
+	fault: StoreFault = 'none';
+	version = 1;
+	transactions = 0;
+
+	put(table: string, key: string, value: unknown): StoredRow {
+		const row: StoredRow = {table, key, value, version: ++this.version, isRemoved: false};
+		this.rows.set(`${table}/${key}`, row);
+		return row;
+	}
+
+	async transact(conditions: readonly RowCondition[], writes: readonly RowWrite[]): Promise<Result<{readonly version: number}, StoreError>> {
+		this.transactions++;
+		if (this.fault === 'refuse') {
+			return err({kind: 'unavailable', message: 'busy'});
+		}
+
+		if (this.fault === 'lose_call') {
+			return err({kind: 'outcome_unknown', message: 'no answer'});
+		}
+
+		const result = this.#apply(conditions, writes);
+		return this.fault === 'lose_answer' ? err({kind: 'outcome_unknown', message: 'no answer'}) : result;
+	}
+
+	async read(table: string, range: KeyRange): Promise<Result<RowPage, StoreError>> {
+		if (this.fault !== 'none') {
+			return err({kind: 'unavailable', message: 'busy'});
+		}
+
+		const rows = [...this.rows.values()]
+			.filter(row => row.table === table && row.key >= (range.from ?? '') && (range.to === undefined || row.key < range.to))
+			.toSorted((left, right) => (left.key < right.key ? -1 : 1));
+		return ok({rows, version: this.version, hasMore: false});
+	}
+
+	async follow(table: string): Promise<Result<RowPage, StoreError>> {
+		return this.read(table, {});
+	}
+
+	#apply(conditions: readonly RowCondition[], writes: readonly RowWrite[]): Result<{readonly version: number}, StoreError> {
+		const failed = conditions.filter(({table, key, version}) => (this.rows.get(`${table}/${key}`)?.version ?? 0) !== version);
+		if (failed.length > 0) {
+			return err({kind: 'condition_failed', rows: conditions.flatMap(({table, key}) => this.rows.get(`${table}/${key}`) ?? [])});
+		}
+
+		this.version++;
+		for (const {table, key, value} of writes) {
+			if (value === undefined) {
+				this.rows.delete(`${table}/${key}`);
+			} else {
+				this.rows.set(`${table}/${key}`, {table, key, value, version: this.version, isRemoved: false});
+			}
+		}
+
+		return ok({version: this.version});
+	}
+}
