--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -5,6 +5,9 @@
 import {cancelKey, type JobRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 
+/** Older jobs are all beyond their objective; the bound keeps a jump of the time of day from mattering more. */
+const MAX_AGE_MS = 600_000;
+
 /** Most rows that one clean-up transaction removes. */
 const CLEAN_UP_ROWS = 80;
 
@@ -41,7 +44,7 @@
 			account: row.account,
 			spec: row.spec,
 			acceptedAtMs: row.acceptedAtMs,
-			knownAtMs: this.#context.nowMs(),
+			knownAtMs: this.#context.nowMs() - this.#ageMs(row),
 			occurrences: [],
 			state: row.finalState ?? JOB_STATES.queued,
 			isCancelled: false,
@@ -104,6 +107,11 @@
 		}
 	}
 
+	/** Time since a job was accepted; the clocks of the entries differ by little, but may jump. */
+	#ageMs(row: JobRow): number {
+		return Math.min(MAX_AGE_MS, Math.max(0, this.#context.clock.wallMs() - row.acceptedAtMs));
+	}
+
 	#openOccurrences(job: Job): void {
 		if (!job.spec) {
 			return;
--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -36,6 +36,9 @@
 	percent: number;
 	progressAtMs: number;
 	startedAtMs?: number;
+	/** Checkpoint that the run continues from, or an empty string. */
+	readonly startCheckpoint: string;
+	/** Newest checkpoint that the run has written. */
 	checkpoint: string;
 	/** Time at which the newest checkpoint was first seen. */
 	savedAtMs: number;
@@ -157,6 +160,27 @@
 	return Math.max(0, ...endsMs);
 }
 
+/**
+ * Estimates the longest chain of work that a job still has.
+ *
+ * @param job - The job.
+ * @returns Milliseconds by the caller's estimates, steps that are done left out.
+ */
+export function remainingChainMs(job: Job): number {
+	let longestMs = 0;
+	for (const occurrence of job.occurrences) {
+		const endsMs: number[] = [];
+		for (const step of occurrence.steps) {
+			const beforeMs = Math.max(0, ...step.spec.after.map(number => endsMs[number] ?? 0));
+			endsMs.push(beforeMs + (isStepDone(step) ? 0 : step.spec.estimatedMs));
+		}
+
+		longestMs = Math.max(longestMs, ...endsMs);
+	}
+
+	return longestMs;
+}
+
 /**
  * Time by which a job is on time.
  *
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -13,6 +13,9 @@
 import {SchedulingRound} from './scheduling-round.js';
 import {type AgentReport, WorkerRegistry} from './worker-registry.js';
 
+/** Checkpoints come every 1 to 2 s; one transaction a second stores those of all runs. */
+const CHECKPOINT_STORE_INTERVAL_MS = 1000;
+
 /**
  * The decisions of a pool's leader, without any I/O.
  *
@@ -26,6 +29,7 @@
 	readonly #workers: WorkerRegistry;
 	readonly #round: SchedulingRound;
 	#isRecovered = false;
+	#checkpointsDueMs = 0;
 
 	/**
 	 * @param clock - Source of time.
@@ -99,6 +103,11 @@
 	tick(): void {
 		this.#workers.tick();
 		this.#jobs.openDueOccurrences();
+		if (this.#context.nowMs() >= this.#checkpointsDueMs) {
+			this.#checkpointsDueMs = this.#context.nowMs() + CHECKPOINT_STORE_INTERVAL_MS;
+			this.#runs.storeCheckpoints();
+		}
+
 		for (const worker of this.#context.workers.values()) {
 			for (const run of worker.runs.values()) {
 				this.#runs.sendDueOrder(run);
--- a/packages/pool/src/recovery.ts
+++ b/packages/pool/src/recovery.ts
@@ -7,6 +7,7 @@
 import {
 	type JobRow, type LifeRow, parseJobKey, type RunRow, TABLES,
 } from './rows.js';
+import {unitOf} from './run-lifecycle.js';
 import type {WorkerEntry} from './worker-entry.js';
 import type {WorkerRegistry} from './worker-registry.js';
 
@@ -86,6 +87,7 @@
 		isOrderUnderWay: false,
 		percent: 0,
 		progressAtMs: nowMs,
+		startCheckpoint: unitOf(task)[0]!.checkpoint,
 		checkpoint: '',
 		savedAtMs: nowMs,
 	};
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -18,6 +18,7 @@
 export class RunLifecycle {
 	readonly #context: PoolContext;
 	readonly #onTaskEnded: (job: Job) => void;
+	readonly #unstoredCheckpoints = new Set<Run>();
 
 	/**
 	 * @param context - State of the pool.
@@ -49,6 +50,7 @@
 				isOrderUnderWay: false,
 				percent: 0,
 				progressAtMs: nowMs,
+				startCheckpoint: unitOf(task)[0]!.checkpoint,
 				checkpoint: '',
 				savedAtMs: nowMs,
 			};
@@ -94,6 +96,29 @@
 		this.sendDueOrder(run);
 	}
 
+	/**
+	 * Stores the checkpoints that runs have written since the last call, so that work survives the loss of
+	 * its worker and of the leader together.
+	 */
+	storeCheckpoints(): void {
+		const rows = new Map<string, RowWrite>();
+		for (const run of this.#unstoredCheckpoints) {
+			if (run.task.run !== run || run.task.isDone || run.task.step.job.isEnding || run.phase === RUN_PHASES.stopping) {
+				continue;
+			}
+
+			// Any member's checkpoint serves the whole gang, and all members have to continue from the same one.
+			const [first] = unitOf(run.task);
+			first!.checkpoint = run.checkpoint;
+			rows.set(first!.name, this.#rowOf(first!));
+		}
+
+		this.#unstoredCheckpoints.clear();
+		for (const row of rows.values()) {
+			this.#context.commits.enqueue([row], () => undefined);
+		}
+	}
+
 	/**
 	 * Stops a run and, if it belongs to a gang, the other members.
 	 *
@@ -137,7 +162,7 @@
 					run: run.number,
 					payload: run.task.step.job.spec!.payload,
 					leaseUntilMs: Math.floor(worker.clockMs + this.#context.limits.leaseMs),
-					checkpoint: run.task.checkpoint,
+					checkpoint: run.startCheckpoint,
 				},
 			});
 		} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedAtOrder === undefined) {
@@ -250,9 +275,7 @@
 		});
 		const saved = checkpoint === '' ? run.checkpoint : checkpoint;
 		if (saved !== '') {
-			for (const member of unitOf(task)) {
-				member.checkpoint = saved;
-			}
+			unitOf(task)[0]!.checkpoint = saved;
 		}
 
 		if (outcome === RUN_OUTCOMES.done && !step.spec.isLasting) {
@@ -344,6 +367,7 @@
 		if (entry.checkpoint !== '' && entry.checkpoint !== run.checkpoint) {
 			run.checkpoint = entry.checkpoint;
 			run.savedAtMs = nowMs;
+			this.#unstoredCheckpoints.add(run);
 		}
 	}
 
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -1,38 +1,28 @@
-import {
-	addShapes, EMPTY_SHAPE, subtractShapes, weightInCores,
-} from './capacity.js';
-import {
-	FINAL_STATES, isStepDone, isStepReady, type Job, objectiveAtMs, type Run, RUN_PHASES, type StepState, type Task,
-} from './job-table.js';
+import {addShapes, EMPTY_SHAPE, subtractShapes} from './capacity.js';
+import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
+import {RUN_PHASES, type StepState} from './job-table.js';
 import {type TaskShape, WORKER_STATES} from './model.js';
+import {listPendingUnits, type PendingUnit} from './pending-units.js';
 import {type PlacementRequest, placeUnit, type WorkerRoom} from './placement.js';
 import type {PoolContext} from './pool-context.js';
-import {planPreemption, type Victim} from './preemption.js';
+import {planPreemption} from './preemption.js';
 import type {RunLifecycle} from './run-lifecycle.js';
+import {listVictims} from './victims.js';
 import {freeShape, rackOf, type WorkerEntry} from './worker-entry.js';
 
-/** Highest priority; it may preempt others. */
-const URGENT_PRIORITY = 0;
-
 /** Share of the remote factor's extra time that a task waits for room near its data. */
 const REMOTE_PATIENCE = 0.5;
 
-/** Core-seconds that put urgent work behind all less urgent work as a victim. */
-const URGENT_VICTIM_PENALTY = 1e5;
-
-/** A task, or all members of a gang, that wait for room. */
-type PendingUnit = {
-	readonly step: StepState;
-	readonly tasks: readonly Task[];
-	readonly priority: number;
-	readonly service: string;
-	readonly objectiveMs: number;
-	/** The account's guarantee covers it together with what the account's urgent work uses. */
-	isOwed: boolean;
-};
+/** Share of the bound on guaranteed starts that an urgent task waits for room near its data. */
+const URGENT_REMOTE_PATIENCE = 0.25;
 
 /** Room of a worker during one round. */
-type RoundRoom = {readonly worker: WorkerEntry; free: TaskShape; freeLater: TaskShape};
+type RoundRoom = {
+	readonly worker: WorkerEntry;
+	free: TaskShape;
+	/** With what is being stopped. */
+	freeLater: TaskShape;
+};
 
 /** Decides in one pass which waiting tasks start where, and what is stopped for urgent ones. */
 export class SchedulingRound {
@@ -48,13 +38,19 @@
 		this.#runs = runs;
 	}
 
-	/** Places what fits, in order of priority and then of the time by which a job is on time. */
+	/** Places what fits, in the order of {@link listPendingUnits}. */
 	run(): void {
 		const nowMs = this.#context.nowMs();
+		const guarantees = new Guarantees(this.#context);
+		const units = listPendingUnits(this.#context, guarantees, nowMs);
+		if (units.length === 0) {
+			return;
+		}
+
 		const rooms = this.#openRooms(nowMs);
 		/** Steps of which one task found no room: the others have the same shape. */
 		const blockedSteps = new Set<StepState>();
-		for (const unit of this.#pendingUnits(nowMs)) {
+		for (const unit of units) {
 			if (blockedSteps.has(unit.step)) {
 				continue;
 			}
@@ -66,7 +62,7 @@
 				take(rooms, lives, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, lives);
 			} else if (unit.priority === URGENT_PRIORITY) {
-				this.#reserve(unit, request, candidates);
+				this.#reserve(unit, request, candidates, guarantees);
 			} else {
 				blockedSteps.add(unit.step);
 			}
@@ -74,7 +70,7 @@
 	}
 
 	/** Keeps room that becomes free for an urgent unit, after stopping other work if needed. */
-	#reserve(unit: PendingUnit, request: PlacementRequest, rooms: readonly RoundRoom[]): void {
+	#reserve(unit: PendingUnit, request: PlacementRequest, rooms: readonly RoundRoom[], guarantees: Guarantees): void {
 		const views = rooms.map(room => roomView(room, room.freeLater, unit));
 		const reserved = placeUnit(request, views);
 		if (reserved) {
@@ -82,26 +78,28 @@
 			return;
 		}
 
-		const victims = this.#victims(unit);
+		const victims = listVictims(unit, this.#context, guarantees);
 		const plan = planPreemption(request, views, victims.map(({victim}) => victim));
 		if (!plan) {
 			return;
 		}
 
 		this.#context.log('preemption', {
-			job: unit.step.job.id, members: unit.tasks.length, workers: plan.lives, victims: plan.victims, lostCoreSeconds: Math.round(plan.lostCoreSeconds),
+			job: unit.step.job.id, members: unit.tasks.length, isOwed: unit.isOwed, workers: plan.lives, victims: plan.victims, lostCoreSeconds: Math.round(plan.lostCoreSeconds),
 		});
 		for (const {victim, run} of victims) {
-			if (plan.victims.includes(victim.id)) {
-				for (const [life, shape] of victim.shapes) {
-					const room = rooms.find(candidate => candidate.worker.life === life);
-					if (room) {
-						room.freeLater = addShapes(room.freeLater, shape);
-					}
-				}
+			if (!plan.victims.includes(victim.id)) {
+				continue;
+			}
 
-				this.#runs.stopUnit(run, `preempted by job ${unit.step.job.id}`);
+			for (const [life, shape] of victim.shapes) {
+				const room = rooms.find(candidate => candidate.worker.life === life);
+				if (room) {
+					room.freeLater = addShapes(room.freeLater, shape);
+				}
 			}
+
+			this.#runs.stopUnit(run, `preempted by job ${unit.step.job.id}`);
 		}
 
 		take(rooms, plan.lives, unit.step.spec.shape);
@@ -128,178 +126,32 @@
 		return rooms;
 	}
 
-	#pendingUnits(nowMs: number): readonly PendingUnit[] {
-		const units: PendingUnit[] = [];
-		for (const job of this.#context.jobs.values()) {
-			if (job.isEnding || job.isCancelled || FINAL_STATES.has(job.state)) {
-				continue;
-			}
-
-			const queue = this.#context.queueOf(job);
-			if (!queue) {
-				continue;
-			}
-
-			const common = {priority: queue.priority, service: queue.service, objectiveMs: objectiveAtMs(job, queue)};
-			for (const step of pendingSteps(job, nowMs)) {
-				units.push(...waitingTasks(step).map(tasks => ({step, tasks, isOwed: false, ...common})));
-			}
-		}
-
-		units.sort((left, right) => left.priority - right.priority || left.objectiveMs - right.objectiveMs);
-		this.#markOwed(units);
-		// What an account is owed goes before what others have beyond their guarantees.
-		return units.toSorted((left, right) => left.priority - right.priority || Number(right.isOwed) - Number(left.isOwed) || left.objectiveMs - right.objectiveMs);
-	}
-
-	#markOwed(units: readonly PendingUnit[]): void {
-		const inUse = new Map(this.#urgentAccelerators());
-		for (const unit of units) {
-			if (unit.priority !== URGENT_PRIORITY) {
-				return;
-			}
-
-			const {account} = unit.step.job;
-			const wanted = (inUse.get(account) ?? 0) + (unit.tasks.length * unit.step.spec.shape.accelerators);
-			unit.isOwed = wanted <= this.#guaranteeOf(account);
-			if (unit.isOwed) {
-				inUse.set(account, wanted);
-			}
-		}
-	}
-
 	#requestFor(unit: PendingUnit, nowMs: number): PlacementRequest {
-		const {spec} = unit.step;
-		const waitedMs = nowMs - (unit.step.readyAtMs ?? nowMs);
-		const patienceMs = spec.estimatedMs * (this.#context.limits.remoteFactor - 1) * REMOTE_PATIENCE;
-		const isUrgent = unit.priority === URGENT_PRIORITY;
+		const {spec, readyAtMs} = unit.step;
+		const waitedMs = nowMs - (readyAtMs ?? nowMs);
+		const {remoteFactor, reclaimMs} = this.#context.limits;
+		const patienceMs = unit.priority === URGENT_PRIORITY
+			? reclaimMs * URGENT_REMOTE_PATIENCE
+			: spec.estimatedMs * (remoteFactor - 1) * REMOTE_PATIENCE;
 		const running = spec.prefersOneRack && !spec.isGang ? unit.step.tasks.find(task => task.run) : undefined;
 		const runningOn = running?.run && this.#context.workers.get(running.run.life);
 		return {
 			step: spec,
 			count: unit.tasks.length,
-			mayBeRemote: waitedMs >= (isUrgent ? this.#context.limits.reclaimMs / 4 : patienceMs),
+			mayBeRemote: waitedMs >= patienceMs,
 			...(runningOn && {stepRack: rackOf(runningOn.facts)}),
 		};
 	}
-
-	/** Lists what may be stopped for an urgent unit: less urgent work, and urgent work beyond its account's guarantee. */
-	#victims(unit: PendingUnit): ReadonlyArray<{readonly victim: Victim; readonly run: Run}> {
-		const nowMs = this.#context.nowMs();
-		const excess = unit.isOwed ? this.#excessOfOthers(unit.step.job.account) : new Map<string, number>();
-		const found: Array<{victim: Victim; run: Run}> = [];
-		for (const runs of this.#stoppableUnits(unit.service)) {
-			const [run] = runs;
-			const {job, spec} = run!.task.step;
-			const isUrgent = this.#context.queueOf(job)?.priority === URGENT_PRIORITY;
-			if (isUrgent) {
-				const left = (excess.get(job.account) ?? 0) - (runs.length * spec.shape.accelerators);
-				if (left < 0) {
-					continue;
-				}
-
-				excess.set(job.account, left);
-			}
-
-			const shapes = new Map<string, TaskShape>();
-			let lost = isUrgent ? URGENT_VICTIM_PENALTY : 0;
-			for (const member of runs) {
-				shapes.set(member.life, addShapes(shapes.get(member.life) ?? EMPTY_SHAPE, spec.shape));
-				lost += lostCoreSeconds(member, nowMs);
-			}
-
-			found.push({victim: {id: unitIdOf(run!), shapes, lostCoreSeconds: lost}, run: run!});
-		}
-
-		return found;
-	}
-
-	/** Runs of a service that are not being stopped, the members of a gang together, the newest job first. */
-	#stoppableUnits(service: string): ReadonlyArray<readonly Run[]> {
-		const units = new Map<string, Run[]>();
-		for (const worker of this.#context.workers.values()) {
-			if (worker.facts.service !== service) {
-				continue;
-			}
-
-			for (const run of worker.runs.values()) {
-				if (run.phase !== RUN_PHASES.stopping && !run.task.isDone) {
-					const id = unitIdOf(run);
-					units.set(id, [...(units.get(id) ?? []), run]);
-				}
-			}
-		}
-
-		return [...units.values()].toSorted((left, right) => right[0]!.task.step.job.knownAtMs - left[0]!.task.step.job.knownAtMs);
-	}
-
-	/** Accelerators that accounts use for urgent work beyond their guarantees. */
-	#excessOfOthers(account: string): Map<string, number> {
-		const excess = new Map<string, number>();
-		for (const [other, inUse] of this.#urgentAccelerators()) {
-			if (other !== account && inUse > this.#guaranteeOf(other)) {
-				excess.set(other, inUse - this.#guaranteeOf(other));
-			}
-		}
-
-		return excess;
-	}
-
-	#guaranteeOf(account: string): number {
-		return this.#context.config?.accounts.find(candidate => candidate.name === account)?.guaranteedAccelerators ?? 0;
-	}
-
-	#urgentAccelerators(): ReadonlyMap<string, number> {
-		const inUse = new Map<string, number>();
-		for (const worker of this.#context.workers.values()) {
-			for (const run of worker.runs.values()) {
-				const {job, spec} = run.task.step;
-				if (run.phase !== RUN_PHASES.stopping && this.#context.queueOf(job)?.priority === URGENT_PRIORITY) {
-					inUse.set(job.account, (inUse.get(job.account) ?? 0) + spec.shape.accelerators);
-				}
-			}
-		}
-
-		return inUse;
-	}
 }
 
 /** @returns Whether a worker may get new work. */
-export function isUsable(worker: WorkerEntry, nowMs: number, silentAfterMs: number): boolean {
+function isUsable(worker: WorkerEntry, nowMs: number, silentAfterMs: number): boolean {
 	return worker.isKnown && !worker.isLost && !worker.suspicion && !worker.hasUnknownRuns
 		&& worker.facts.state === WORKER_STATES.ready
 		&& worker.quarantinedUntilMs <= nowMs
 		&& nowMs - worker.lastContactMs < silentAfterMs;
 }
 
-function unitIdOf(run: Run): string {
-	const {step} = run.task;
-	return step.spec.isGang ? `${step.job.id}.${step.occurrence}.${step.number}` : run.task.name;
-}
-
-/** @returns What may be placed at once: the whole gang, or each waiting task. */
-function waitingTasks(step: StepState): ReadonlyArray<readonly Task[]> {
-	if (step.spec.isGang) {
-		return step.tasks.every(task => !task.run) ? [step.tasks] : [];
-	}
-
-	return step.tasks.filter(task => !task.isDone && !task.run).map(task => [task]);
-}
-
-function pendingSteps(job: Job, nowMs: number): readonly StepState[] {
-	const steps: StepState[] = [];
-	for (const occurrence of job.occurrences) {
-		for (const step of occurrence.steps) {
-			if (!isStepDone(step) && isStepReady(step, occurrence)) {
-				step.readyAtMs ??= nowMs;
-				steps.push(step);
-			}
-		}
-	}
-
-	return steps;
-}
-
 function roomView(room: RoundRoom, free: TaskShape, unit: PendingUnit): WorkerRoom {
 	const {worker} = room;
 	let sameStepCount = 0;
@@ -328,13 +180,3 @@
 		room.freeLater = subtractShapes(room.freeLater, shape);
 	}
 }
-
-/** A stop writes a checkpoint; what is lost then is about the time of a restore. */
-const RESTORE_SECONDS = 0.6;
-
-/** @returns Core-seconds of a run that a stop would lose. */
-export function lostCoreSeconds(run: Run, nowMs: number): number {
-	const {spec} = run.task.step;
-	const ranSeconds = run.startedAtMs === undefined ? 0 : (nowMs - run.startedAtMs) / 1000;
-	return weightInCores(spec.shape) * (spec.isCheckpointing ? Math.min(RESTORE_SECONDS, ranSeconds) : ranSeconds);
-}
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -327,6 +327,37 @@
 			expect(worker.runs.size).to.equal(1);
 		});
 
+		// A loss of all power cost every running task its whole work, though half of them write checkpoints.
+		it('continues a task from its last checkpoint after worker and leader were lost together', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({isCheckpointing: true})]);
+			world.step();
+			worker.runs.get('j1.0.0.0')!.checkpoint = 'half';
+			world.advance(1200);
+			worker.runs.clear();
+			worker.facts = {...worker.facts, id: 'w9', life: 'w9@2000'};
+			world.replaceLeader();
+			world.recoverLeader();
+			world.advance(300);
+			expect(worker.runs.get('j1.0.0.0')).to.deep.include({run: 2, checkpoint: 'half'});
+		});
+
+		it('continues all members of a gang from one checkpoint', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('j1', 'normal', [makeStep({taskCount: 2, isGang: true, isCheckpointing: true, shape: WHOLE_WORKER})]);
+			world.step();
+			const holder = workers.find(worker => worker.runs.has('j1.0.0.1'))!;
+			holder.runs.get('j1.0.0.1')!.checkpoint = 'half';
+			world.advance(1200);
+			holder.end('j1.0.0.1', 'lapsed');
+			world.advance(500);
+			expect(workers.flatMap(worker => [...worker.runs.values()].map(run => run.checkpoint))).to.deep.equal(['half', 'half']);
+		});
+
 		it('counts the failures of earlier leaders', () => {
 			const worker = new FakeWorker('w1');
 			const world = new PoolWorld([worker]);
--- a/packages/pool/tests/support/pool-world.ts
+++ b/packages/pool/tests/support/pool-world.ts
@@ -60,7 +60,7 @@
 	}
 
 	submit(id: string, queue: string, steps: readonly StepSpec[], options: {account?: string; spec?: Partial<JobSpec>} = {}): void {
-		const row: JobRow = {queue, account: options.account ?? 'north', acceptedAtMs: 0, spec: {payload: `payload of ${id}`, steps, ...options.spec}};
+		const row: JobRow = {queue, account: options.account ?? 'north', acceptedAtMs: this.clock.wallMs(), spec: {payload: `payload of ${id}`, steps, ...options.spec}};
 		this.write(TABLES.jobs, id, row);
 		this.core.onJobStored(id, row);
 	}
