--- a/packages/pool-agent/src/agent-core.ts
+++ b/packages/pool-agent/src/agent-core.ts
@@ -7,13 +7,13 @@
 } from './agent-messages.js';
 
 /** A worker answers a look within this time unless a run ends earlier; also the age of its lists. */
-const HOLD_WAIT_MS = 400;
+const HOLD_WAIT_MS = 1000;
 
 /** Pause after a look that the worker did not answer. */
 const HOLD_RETRY_MS = 150;
 
 /** Without a call of a leader for this time, the agent extends the lease itself. */
-const LEADER_SILENT_MS = 1500;
+const LEADER_SILENT_MS = 2000;
 
 /** Timeout of a read of the store; it answers within milliseconds unless it is slow. */
 const STORE_TIMEOUT_MS = 1500;
--- a/packages/pool-agent/src/agent-program.ts
+++ b/packages/pool-agent/src/agent-program.ts
@@ -22,7 +22,7 @@
 const ANNOUNCE_INTERVAL_MS = 700;
 
 /** Without a call of a leader for this time, the agent announces itself. */
-const ANNOUNCE_AFTER_MS = 900;
+const ANNOUNCE_AFTER_MS = 1300;
 
 const STORE_TIMEOUT_MS = 1500;
 
--- a/packages/pool-entry/src/agent-link.ts
+++ b/packages/pool-entry/src/agent-link.ts
@@ -6,7 +6,7 @@
 import {sleep} from '@amaranthsail/pool-runtime';
 
 /** An agent without news answers after this time; a leader notices a silent one soon after. */
-const WATCH_WAIT_MS = 400;
+const WATCH_WAIT_MS = 800;
 
 /** Time for the answer beyond that. */
 const WATCH_GRACE_MS = 500;
--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -1,3 +1,4 @@
+import {URGENT_PRIORITY} from './guarantees.js';
 import {createOccurrence, FINAL_STATES, isStepDone, type Job} from './job-table.js';
 import {JOB_STATES, type JobState} from './model.js';
 import type {PoolContext} from './pool-context.js';
@@ -53,6 +54,7 @@
 		this.#context.jobs.set(id, job);
 		if (!FINAL_STATES.has(job.state)) {
 			this.#openOccurrences(job);
+			this.#noteDemand(job);
 			this.#context.needsRound = true;
 			this.#context.log('job known', {job: id, queue: row.queue, account: row.account, steps: row.spec?.steps.length ?? 0});
 		}
@@ -107,6 +109,18 @@
 		}
 	}
 
+	#noteDemand(job: Job): void {
+		const queue = this.#context.queueOf(job);
+		if (queue?.priority === URGENT_PRIORITY) {
+			const steps = job.spec!.steps.map(step => ({accelerators: step.taskCount * step.shape.accelerators, estimatedMs: step.estimatedMs}));
+			this.#context.headroom.note(queue.service, {
+				atMs: this.#context.nowMs(),
+				accelerators: Math.max(...steps.map(step => step.accelerators)),
+				acceleratorMs: steps.reduce((sum, step) => sum + (step.accelerators * step.estimatedMs), 0),
+			});
+		}
+	}
+
 	/** Time since a job was accepted; the clocks of the entries differ by little, but may jump. */
 	#ageMs(row: JobRow): number {
 		return Math.min(MAX_AGE_MS, Math.max(0, this.#context.clock.wallMs() - row.acceptedAtMs));
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -4,6 +4,7 @@
 import type {PoolConfig, Queue, WorkerOrder} from './model.js';
 import type {PoolLimits} from './pool-limits.js';
 import {parseTaskName} from './task-name.js';
+import {UrgentHeadroom} from './urgent-headroom.js';
 import type {WorkerEntry} from './worker-entry.js';
 
 /** An order that is to be sent to a worker. */
@@ -17,6 +18,7 @@
 	readonly jobs = new Map<string, Job>();
 	readonly workers = new Map<string, WorkerEntry>();
 	readonly commits = new CommitLog();
+	readonly headroom = new UrgentHeadroom();
 	/** Leader's clock when it took over. */
 	readonly sinceMs: number;
 	config: PoolConfig | undefined;
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -24,8 +24,8 @@
 export const DEFAULT_LIMITS: PoolLimits = {
 	// Longer than the usual loss of a connection, so that such a loss does not cost the work done.
 	leaseMs: 6000,
-	// A worker's lists are at most 900 ms old while its links work: one look and one watch of 400 ms each.
-	suspectAfterMs: 1600,
+	// A worker's lists are at most 1.8 s old while its links work: one look of 1000 ms and one watch of 800 ms.
+	suspectAfterMs: 2500,
 	// A leader that cannot reach the store gives up after this time.
 	deposedLeaderMs: 3000,
 	// An order is answered within a few milliseconds; a second one is harmless.
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -3,6 +3,7 @@
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
 } from './model.js';
+import {lostCoreSeconds} from './lost-work.js';
 import type {PoolContext} from './pool-context.js';
 import type {RowWrite} from './ports.js';
 import {type RunRow, TABLES} from './rows.js';
@@ -271,7 +272,7 @@
 
 		this.#context.needsRound = true;
 		this.#context.log('run ended', {
-			job: step.job.id, task: task.name, run: run.number, worker: run.life, outcome, ranMs: Math.round(this.#context.nowMs() - (run.startedAtMs ?? run.placedAtMs)), percent: run.percent,
+			job: step.job.id, task: task.name, run: run.number, worker: run.life, outcome, ranMs: Math.round(this.#context.nowMs() - (run.startedAtMs ?? run.placedAtMs)), percent: run.percent, ...(outcome !== RUN_OUTCOMES.done && !task.isDone && {lostCoreSeconds: Math.round(lostCoreSeconds(run, this.#context.nowMs()))}),
 		});
 		const saved = checkpoint === '' ? run.checkpoint : checkpoint;
 		if (saved !== '') {
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -1,8 +1,10 @@
-import {addShapes, EMPTY_SHAPE, subtractShapes} from './capacity.js';
+import {
+	addShapes, EMPTY_SHAPE, subtractShapes, weightInCores,
+} from './capacity.js';
 import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
 import {RUN_PHASES, type StepState} from './job-table.js';
 import {type TaskShape, WORKER_STATES} from './model.js';
-import {listPendingUnits, type PendingUnit} from './pending-units.js';
+import {listPendingUnits, type PendingUnit, PROSPECTS} from './pending-units.js';
 import {type PlacementRequest, placeUnit, type WorkerRoom} from './placement.js';
 import type {PoolContext} from './pool-context.js';
 import {planPreemption} from './preemption.js';
@@ -57,7 +59,9 @@
 
 			const request = this.#requestFor(unit, nowMs);
 			const candidates = rooms.filter(room => room.worker.facts.service === unit.service);
-			const lives = placeUnit(request, candidates.map(room => roomView(room, room.free, unit)));
+			const lives = this.#leavesHeadroom(unit, candidates, nowMs)
+				? placeUnit(request, candidates.map(room => roomView(room, room.free, unit)))
+				: undefined;
 			if (lives) {
 				take(rooms, lives, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, lives);
@@ -80,7 +84,7 @@
 
 		const victims = listVictims(unit, this.#context, guarantees);
 		const plan = planPreemption(request, views, victims.map(({victim}) => victim));
-		if (!plan) {
+		if (!plan || !isWorthIt(unit, plan.lostCoreSeconds)) {
 			return;
 		}
 
@@ -105,6 +109,18 @@
 		take(rooms, plan.lives, unit.step.spec.shape);
 	}
 
+	#leavesHeadroom(unit: PendingUnit, rooms: readonly RoundRoom[], nowMs: number): boolean {
+		const wanted = unit.tasks.length * unit.step.spec.shape.accelerators;
+		if (unit.priority === URGENT_PRIORITY || wanted === 0) {
+			return true;
+		}
+
+		const capacity = rooms.reduce((sum, room) => sum + room.worker.facts.capacity.accelerators, 0);
+		const free = rooms.reduce((sum, room) => sum + Math.max(0, room.free.accelerators), 0);
+		const perWorker = Math.max(1, ...rooms.map(room => room.worker.facts.capacity.accelerators));
+		return this.#context.headroom.allows(unit.service, {capacity, perWorker, free, wanted}, nowMs);
+	}
+
 	#openRooms(nowMs: number): readonly RoundRoom[] {
 		const rooms: RoundRoom[] = [];
 		for (const worker of this.#context.workers.values()) {
@@ -144,6 +160,15 @@
 	}
 }
 
+/**
+ * Beyond its guarantee, a unit stops others only while it can still be on time and less work is lost than it brings.
+ */
+function isWorthIt(unit: PendingUnit, lostCoreSeconds: number): boolean {
+	const {shape, estimatedMs} = unit.step.spec;
+	const ownCoreSeconds = unit.tasks.length * weightInCores(shape) * estimatedMs / 1000;
+	return unit.isOwed || (unit.prospect === PROSPECTS.onTime && lostCoreSeconds <= ownCoreSeconds);
+}
+
 /** @returns Whether a worker may get new work. */
 function isUsable(worker: WorkerEntry, nowMs: number, silentAfterMs: number): boolean {
 	return worker.isKnown && !worker.isLost && !worker.suspicion && !worker.hasUnknownRuns
--- a/packages/pool/src/victims.ts
+++ b/packages/pool/src/victims.ts
@@ -1,17 +1,15 @@
-import {addShapes, EMPTY_SHAPE, weightInCores} from './capacity.js';
+import {addShapes, EMPTY_SHAPE} from './capacity.js';
 import {type Guarantees, URGENT_PRIORITY} from './guarantees.js';
 import {type Run, RUN_PHASES} from './job-table.js';
 import type {TaskShape} from './model.js';
 import type {PendingUnit} from './pending-units.js';
+import {lostCoreSeconds} from './lost-work.js';
 import type {PoolContext} from './pool-context.js';
 import type {Victim} from './preemption.js';
 
 /** Core-seconds that put urgent work behind all less urgent work as a victim. */
 const URGENT_VICTIM_PENALTY = 1e5;
 
-/** A stop writes a checkpoint; what is lost then is about the time of a restore. */
-const RESTORE_SECONDS = 0.6;
-
 /** Work that may be stopped, and a run through which to stop it. */
 export type StoppableUnit = {readonly victim: Victim; readonly run: Run};
 
@@ -78,9 +76,3 @@
 	const {step} = run.task;
 	return step.spec.isGang ? `${step.job.id}.${step.occurrence}.${step.number}` : run.task.name;
 }
-
-function lostCoreSeconds(run: Run, nowMs: number): number {
-	const {spec} = run.task.step;
-	const ranSeconds = run.startedAtMs === undefined ? 0 : (nowMs - run.startedAtMs) / 1000;
-	return weightInCores(spec.shape) * (spec.isCheckpointing ? Math.min(RESTORE_SECONDS, ranSeconds) : ranSeconds);
-}
