Reserve workers for wide units that wait

The first two units that find no room get workers reserved for the expected ends of what runs there; only tasks that end before may use them; units wider than a worker may use the headroom after half their run time.

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -1,6 +1,7 @@
 import {
 	addShapes, EMPTY_SHAPE, subtractShapes, weightInCores,
 } from './capacity.js';
+import {findEarliestStart} from './earliest-start.js';
 import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
 import {RUN_PHASES, type StepState} from './job-table.js';
 import {type TaskShape, WORKER_STATES} from './model.js';
@@ -8,6 +9,7 @@
 import {type PlacementRequest, placeUnit, type WorkerRoom} from './placement.js';
 import type {PoolContext} from './pool-context.js';
 import {planPreemption} from './preemption.js';
+import {estimateRemainingMs} from './run-estimate.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {listVictims} from './victims.js';
 import {freeShape, rackOf, type WorkerEntry} from './worker-entry.js';
@@ -24,8 +26,18 @@
 	free: TaskShape;
 	/** With what is being stopped. */
 	freeLater: TaskShape;
+	/** Room that is kept for units that wait, from the time at which they are expected to start. */
+	readonly reservations: Reservation[];
 };
 
+type Reservation = {readonly shape: TaskShape; readonly fromMs: number};
+
+/** Waiting units per service that get workers reserved; more would leave too much room unused. */
+const MAX_RESERVED_UNITS = 2;
+
+/** Share of its own run time after which a unit wider than a worker may use the headroom for urgent jobs. */
+const HEADROOM_PATIENCE = 0.5;
+
 /** Decides in one pass which waiting tasks start where, and what is stopped for urgent ones. */
 export class SchedulingRound {
 	readonly #context: PoolContext;
@@ -52,6 +64,7 @@
 		const rooms = this.#openRooms(nowMs);
 		/** Steps of which one task found no room: the others have the same shape. */
 		const blockedSteps = new Set<StepState>();
+		const reservedUnits = new Map<string, number>();
 		for (const unit of units) {
 			if (blockedSteps.has(unit.step)) {
 				continue;
@@ -59,9 +72,8 @@
 
 			const request = this.#requestFor(unit, nowMs);
 			const candidates = rooms.filter(room => room.worker.facts.service === unit.service);
-			const lives = this.#leavesHeadroom(unit, candidates, nowMs)
-				? placeUnit(request, candidates.map(room => roomView(room, room.free, unit)))
-				: undefined;
+			const views = candidates.map(room => roomView(room, freeFor(room, unit, nowMs), unit));
+			const lives = this.#leavesHeadroom(unit, candidates, nowMs) ? placeUnit(request, views) : undefined;
 			if (lives) {
 				take(rooms, lives, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, lives);
@@ -69,10 +81,31 @@
 				this.#reserve(unit, request, candidates, guarantees);
 			} else {
 				blockedSteps.add(unit.step);
+				const count = reservedUnits.get(unit.service) ?? 0;
+				if (count < MAX_RESERVED_UNITS && this.#reserveStart(unit, request, candidates, nowMs)) {
+					reservedUnits.set(unit.service, count + 1);
+				}
 			}
 		}
 	}
 
+	/** Keeps workers for a unit until enough of what runs there is expected to have ended. */
+	#reserveStart(unit: PendingUnit, request: PlacementRequest, rooms: readonly RoundRoom[], nowMs: number): boolean {
+		const releases = rooms.flatMap(room => [...room.worker.runs.values()].map(run => ({
+			life: room.worker.life, shape: run.task.step.spec.shape, atMs: nowMs + estimateRemainingMs(run, nowMs),
+		})));
+		const start = findEarliestStart(request, rooms.map(room => roomView(room, room.free, unit)), releases);
+		if (!start) {
+			return false;
+		}
+
+		for (const life of start.lives) {
+			rooms.find(room => room.worker.life === life)!.reservations.push({shape: unit.step.spec.shape, fromMs: start.atMs});
+		}
+
+		return true;
+	}
+
 	/** Keeps room that becomes free for an urgent unit, after stopping other work if needed. */
 	#reserve(unit: PendingUnit, request: PlacementRequest, rooms: readonly RoundRoom[], guarantees: Guarantees): void {
 		const views = rooms.map(room => roomView(room, room.freeLater, unit));
@@ -110,14 +143,20 @@
 	}
 
 	#leavesHeadroom(unit: PendingUnit, rooms: readonly RoundRoom[], nowMs: number): boolean {
-		const wanted = unit.tasks.length * unit.step.spec.shape.accelerators;
+		const {spec, readyAtMs} = unit.step;
+		const wanted = unit.tasks.length * spec.shape.accelerators;
 		if (unit.priority === URGENT_PRIORITY || wanted === 0) {
 			return true;
 		}
 
+		const perWorker = Math.max(1, ...rooms.map(room => room.worker.facts.capacity.accelerators));
+		if (wanted > perWorker && nowMs - (readyAtMs ?? nowMs) > spec.estimatedMs * HEADROOM_PATIENCE) {
+			// Narrow units fit beside the headroom sooner or later, wide ones may not.
+			return true;
+		}
+
 		const capacity = rooms.reduce((sum, room) => sum + room.worker.facts.capacity.accelerators, 0);
 		const free = rooms.reduce((sum, room) => sum + Math.max(0, room.free.accelerators), 0);
-		const perWorker = Math.max(1, ...rooms.map(room => room.worker.facts.capacity.accelerators));
 		return this.#context.headroom.allows(unit.service, {capacity, perWorker, free, wanted}, nowMs);
 	}
 
@@ -136,7 +175,7 @@
 				}
 			}
 
-			rooms.push({worker, free, freeLater: addShapes(free, stopping)});
+			rooms.push({worker, free, freeLater: addShapes(free, stopping), reservations: []});
 		}
 
 		return rooms;
@@ -177,6 +216,18 @@
 		&& nowMs - worker.lastContactMs < silentAfterMs;
 }
 
+/** Room that a unit may use now: what is kept for others counts if the unit would still run when they start. */
+function freeFor(room: RoundRoom, unit: PendingUnit, nowMs: number): TaskShape {
+	if (unit.priority === URGENT_PRIORITY) {
+		return room.free;
+	}
+
+	const endMs = nowMs + unit.step.spec.estimatedMs;
+	return room.reservations
+		.filter(reservation => endMs > reservation.fromMs)
+		.reduce((free, reservation) => subtractShapes(free, reservation.shape), room.free);
+}
+
 function roomView(room: RoundRoom, free: TaskShape, unit: PendingUnit): WorkerRoom {
 	const {worker} = room;
 	let sameStepCount = 0;
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -1,7 +1,7 @@
-import type {Run} from './job-table.js';
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES, type WorkerFacts, WORKER_STATES} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
+import {estimateRemainingMs} from './run-estimate.js';
 import {type LifeRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {createWorkerEntry, type WorkerEntry} from './worker-entry.js';
@@ -226,17 +226,6 @@
 	}
 }
 
-/** Share of a run, in percent, from which its own pace tells more than the estimate. */
-const TELLING_PERCENT = 5;
-
-/** @returns How long a run still takes, by its pace or by the caller's estimate. */
-export function estimateRemainingMs(run: Run, nowMs: number): number {
-	const ranMs = nowMs - (run.startedAtMs ?? nowMs);
-	return run.percent >= TELLING_PERCENT
-		? (ranMs / run.percent) * (100 - run.percent)
-		: Math.max(0, run.task.step.spec.estimatedMs - ranMs);
-}
-
 /** @returns The start of a life, as Unix time in milliseconds. */
 function bornOf(life: string): number {
 	return Number(life.split('@')[1] ?? 0);
--- a/packages/pool/tests/crest.test.ts
+++ b/packages/pool/tests/crest.test.ts
@@ -66,6 +66,25 @@
 		expect(world.events('preemption').length).to.be.at.most(1);
 	});
 
+	// A gang that needs several whole workers starved for 30 s while single tasks took every worker that came free.
+	it('of small tasks does not starve a wide gang', () => {
+		const workers = Array.from({length: 4}, (_, number) => new FakeWorker(`w${number}`));
+		const world = new PoolWorld(workers);
+		world.step();
+		let gangEndMs: number | undefined;
+		for (let number = 0; number < 30 && gangEndMs === undefined; number++) {
+			world.submit(`small${number}`, 'normal', [makeStep({shape: {...WHOLE_WORKER, accelerators: 4}, taskCount: 3})]);
+			if (number === 2) {
+				world.submit('wide', 'normal', [makeStep({shape: WHOLE_WORKER, taskCount: 4, isGang: true})]);
+			}
+
+			gangEndMs = playCrest(world, workers, 1000).get('wide');
+		}
+
+		expect(gangEndMs, 'end of the wide gang').not.to.equal(undefined);
+		expect(gangEndMs! - 100_000).to.be.at.most(2000 + (3 * 3000) + 250);
+	});
+
 	// Urgent jobs beyond their guarantee threw away several times the work that they brought.
 	it('of urgent jobs beyond their guarantee stops no work that is worth more than theirs', () => {
 		const worker = new FakeWorker('w1');
