Keep a run that lists of the same millisecond do not have

Ruled out: two leaders (one epoch), a second life of the worker (same id). The agent drops lists that are not newer and looks again 2 ms later; the leader takes absence as the end only in lists that are newer by the worker's clock, or that were asked for after the start was acknowledged. Both tests failed first.

--- a/packages/pool-agent/src/agent-core.ts
+++ b/packages/pool-agent/src/agent-core.ts
@@ -9,6 +9,9 @@
 /** A worker answers a look within this time unless a run ends earlier; also the age of its lists. */
 const HOLD_WAIT_MS = 1000;
 
+/** The worker's clock counts milliseconds. */
+const CLOCK_TICK_MS = 2;
+
 /** Pause after a look that the worker did not answer. */
 const HOLD_RETRY_MS = 150;
 
@@ -57,6 +60,7 @@
 	#leftLives: readonly string[] = [];
 	#waiters: Array<() => void> = [];
 	#isWorkerAnswering = false;
+	#isLookingAgain = false;
 	#isStopped = false;
 
 	/** @param deps - What the agent works with. */
@@ -237,8 +241,12 @@
 	#onLists(lists: WorkerLists, ordersBefore: number, known: KnownFacts | undefined): void {
 		const life = known && (lists.bornMs === undefined || lists.bornMs === known.bornMs) ? known.facts.life : undefined;
 		const previous = this.#listedLife === life ? this.#lists : undefined;
-		if (previous && (lists.clockMs < previous.clockMs || ordersBefore < previous.ordersBefore)) {
-			// Answers on different connections may overtake each other.
+		if (previous && lists.clockMs <= previous.clockMs) {
+			// Answers on different connections may overtake each other, and those of one millisecond have no order.
+			if (lists.clockMs === previous.clockMs) {
+				void this.#lookAgainSoon();
+			}
+
 			return;
 		}
 
@@ -254,6 +262,18 @@
 		}
 	}
 
+	/** Asks for lists with a later reading of the worker's clock. */
+	async #lookAgainSoon(): Promise<void> {
+		if (this.#isLookingAgain) {
+			return;
+		}
+
+		this.#isLookingAgain = true;
+		await this.#deps.sleep(CLOCK_TICK_MS);
+		await this.#look(0);
+		this.#isLookingAgain = false;
+	}
+
 	/** While no leader calls, the lease is extended unless the store says that the worker is suspected. */
 	async #extendWithoutLeader(): Promise<void> {
 		const lists = this.#lists;
--- a/packages/pool-agent/tests/agent-core.test.ts
+++ b/packages/pool-agent/tests/agent-core.test.ts
@@ -112,6 +112,18 @@
 		});
 	}
 
+	it('keeps its lists when others of the same millisecond arrive after them', async () => {
+		const world = new AgentWorld();
+		world.agent.onHeartbeat(FACTS, 1, 5);
+		world.port.lists = {clockMs: 1000, bornMs: 5, running: [RUN], ended: []};
+		await world.look();
+		world.port.lists = {clockMs: 1000, bornMs: 5, running: [], ended: []};
+		await world.agent.onOrder({epoch: 1, life: 'w1@5', order: {kind: 'stop', task: 'other', run: 1}});
+		await Promise.resolve();
+		const answer = await world.watch(3);
+		expect(answer.report?.lists?.running).to.deep.equal([RUN]);
+	});
+
 	it('refuses calls of a leader with a lower epoch than it has seen', async () => {
 		const world = new AgentWorld();
 		await world.watch(4);
--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -28,7 +28,10 @@
 	wasOrdered: boolean;
 	/** The worker acknowledged a stop of this run, after this many orders of its agent. */
 	stopAcknowledgedAtOrder?: number;
+	/** The worker acknowledged the start, after this many orders of its agent. */
 	startConfirmedAtOrder?: number;
+	/** Worker's clock when it listed the run first. */
+	listedAtClockMs?: number;
 	nextOrderAtMs: number;
 	isOrderUnderWay: boolean;
 	/** Since when starts have been sent without an answer. */
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -221,10 +221,11 @@
 			const entry = listed.get(run.task.name);
 			if (entry?.run === run.number) {
 				listed.delete(run.task.name);
+				run.listedAtClockMs ??= worker.clockMs;
 				this.#noteProgress(run, entry, nowMs);
 			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedAtOrder !== undefined && run.stopAcknowledgedAtOrder <= worker.ordersBefore) {
 				this.end(run, RUN_OUTCOMES.stopped, '');
-			} else if (run.phase === RUN_PHASES.running && (run.startConfirmedAtOrder ?? 0) <= worker.ordersBefore) {
+			} else if (run.phase === RUN_PHASES.running && isAbsenceTelling(run, worker)) {
 				this.#context.log('run vanished', {task: run.task.name, run: run.number, worker: worker.life});
 				this.end(run, RUN_OUTCOMES.lapsed, '');
 			}
@@ -460,6 +461,15 @@
 	}
 }
 
+/**
+ * Whether lists without a run mean that it is gone: they were asked for after its start was acknowledged, or
+ * are newer by the worker's clock than lists that had it. Lists of the same millisecond have no order.
+ */
+function isAbsenceTelling(run: Run, worker: WorkerEntry): boolean {
+	const isAfterStart = run.startConfirmedAtOrder !== undefined && run.startConfirmedAtOrder <= worker.ordersBefore;
+	return run.listedAtClockMs === undefined ? isAfterStart : worker.clockMs > run.listedAtClockMs;
+}
+
 /** @returns The members of the task's gang, or the task alone. */
 export function unitOf(task: Task): readonly Task[] {
 	return task.step.spec.isGang ? task.step.tasks : [task];
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -177,6 +177,24 @@
 			expect(world.events('task placed')).to.have.length(2);
 		});
 
+		// LIMIT and TWICE on the cooperative: lists of the same millisecond arrived in the wrong order, the run
+		// seemed to have vanished, and was started again beside itself.
+		it('that lists a run and then, in lists of the same millisecond, does not, keeps it', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('j1', 'normal', [makeStep()]);
+			world.core.tick();
+			world.commit();
+			const earlier = worker.report(world.clock.monotonicMs());
+			const [start] = world.core.takeOrders();
+			worker.order(start!.order);
+			world.report(worker);
+			world.core.onReport('w1', earlier);
+			world.advance(300);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+		});
+
 		it('that runs what nobody expects there is told to stop it, and its room counts until then', () => {
 			const worker = new FakeWorker('w1');
 			const world = new PoolWorld([worker]);
