--- a/packages/pool-entry/tests/job-intake.test.ts
+++ b/packages/pool-entry/tests/job-intake.test.ts
@@ -2,10 +2,10 @@
 import {silentLogger, SystemClock} from '@amaranthsail/core';
 import {cancelKey, type JobRow, type StoredRow, TABLES} from '@amaranthsail/pool';
 import {serveJson} from '@amaranthsail/pool-runtime';
+import {MemoryPoolStore} from './support.js';
 import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
 import {JobIntake} from '@amaranthsail/pool-entry/job-intake.js';
 import {PEER_PATHS} from '@amaranthsail/pool-entry/peer-messages.js';
-import {MemoryPoolStore} from './support.js';
 
 const ROW: JobRow = {
 	queue: 'q', account: 'north', acceptedAtMs: 0, spec: {payload: '', steps: []},
@@ -81,7 +81,7 @@
 		server.close();
 	});
 
-	const states: ReadonlyArray<{title: string; rows: ReadonlyArray<[string, string, unknown]>; outcome: object}> = [
+	const states: ReadonlyArray<{title: string; rows: ReadonlyArray<[string, string, unknown]>; outcome: Record<string, unknown>}> = [
 		{title: 'no such job', rows: [], outcome: {kind: 'no_such_job'}},
 		{title: 'a job of another account', rows: [[TABLES.jobs, 'j1', {...ROW, account: 'south'}]], outcome: {kind: 'no_such_job'}},
 		{title: 'a job that has not started', rows: [[TABLES.jobs, 'j1', ROW]], outcome: {kind: 'state', state: 'queued'}},
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -223,9 +223,14 @@
 	}
 
 	const endMs = nowMs + unit.step.spec.estimatedMs;
-	return room.reservations
-		.filter(reservation => endMs > reservation.fromMs)
-		.reduce((free, reservation) => subtractShapes(free, reservation.shape), room.free);
+	let {free} = room;
+	for (const reservation of room.reservations) {
+		if (endMs > reservation.fromMs) {
+			free = subtractShapes(free, reservation.shape);
+		}
+	}
+
+	return free;
 }
 
 function roomView(room: RoundRoom, free: TaskShape, unit: PendingUnit): WorkerRoom {
--- a/packages/pool/tests/crest.test.ts
+++ b/packages/pool/tests/crest.test.ts
@@ -16,7 +16,7 @@
 		world.advance(100);
 		const nowMs = world.clock.monotonicMs();
 		for (const worker of workers) {
-			for (const [task, {run}] of [...worker.runs.entries()]) {
+			for (const [task, {run}] of worker.runs.entries()) {
 				const startMs = startedAtMs.get(`${task}#${run}`) ?? nowMs;
 				startedAtMs.set(`${task}#${run}`, startMs);
 				if (nowMs - startMs >= 3000) {
