Tell sick workers by runs that fail at once, and move work off workers that stand still

A worker was quarantined only after two jobs in a row, and any older run that ended well cleared it, so jobs with two attempts lost both.

Now: a failure at once quarantines the worker for 2 s; only a run placed after the failure clears it; until then urgent jobs and jobs on their last attempt go elsewhere if they fit elsewhere at all. A worker on which no run shows progress gets nothing new, and its runs move once they have stood still for as long as their work takes again.

The tests are red without the two rules. The fake worker now reports progress as real ones do, and the test of two failed jobs lets each run 0.5 s first, so that it still tests the count and not the failure at once.

--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -38,6 +38,8 @@
 	unansweredSinceMs?: number;
 	percent: number;
 	progressAtMs: number;
+	/** It was found to stand still, and has shown no progress since. */
+	isStalled: boolean;
 	startedAtMs?: number;
 	/** Checkpoint that the run continues from, or an empty string. */
 	readonly startCheckpoint: string;
--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -14,6 +14,8 @@
 	readonly sameStepCount: number;
 	/** The task has failed on this worker before. */
 	readonly hasFailedHere: boolean;
+	/** The worker is doubtful, and the unit is one that a further failure would cost its job. */
+	readonly isTooRisky: boolean;
 };
 
 /** What is to be placed at once: a single task, or all members of a gang. */
@@ -32,6 +34,9 @@
 /** Puts a worker on which the task failed behind all others. */
 const FAILED_HERE_WEIGHT = 100;
 
+/** Puts a worker that is too risky behind those that are not, but before one on which the task failed. */
+const RISK_WEIGHT = 50;
+
 /** Observed slowness up to which a worker counts as normal; the workers' speeds differ by a quarter. */
 const NORMAL_SLOWNESS = 1.5;
 
@@ -67,7 +72,10 @@
  */
 export function candidateGroups(request: PlacementRequest, rooms: readonly WorkerRoom[]): ReadonlyArray<readonly WorkerRoom[]> {
 	const {step} = request;
-	const allowed = rooms.filter(room => step.requiredLabel === undefined || room.labels.includes(step.requiredLabel));
+	const labelled = rooms.filter(room => step.requiredLabel === undefined || room.labels.includes(step.requiredLabel));
+	const safe = labelled.filter(room => !room.isTooRisky);
+	// Waiting for a safe worker makes sense only where the unit fits into safe ones at all.
+	const allowed = safe.length < labelled.length && !canEverFit(request, [safe]) ? labelled : safe;
 	const groups: Array<readonly WorkerRoom[]> = [];
 	const rack = step.preferredRack ?? request.stepRack;
 	if (rack !== undefined) {
@@ -142,5 +150,6 @@
 		+ share(left.cpuMillis, capacity.cpuMillis)
 		+ share(left.memoryMb, capacity.memoryMb)
 		+ (SLOWNESS_WEIGHT * Math.max(0, room.slowness - NORMAL_SLOWNESS))
-		+ (room.hasFailedHere ? FAILED_HERE_WEIGHT : 0);
+		+ (room.hasFailedHere ? FAILED_HERE_WEIGHT : 0)
+		+ (room.isTooRisky ? RISK_WEIGHT : 0);
 }
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -36,8 +36,8 @@
 	reclaimMs: 2700,
 	// Spans the usual length of such a fault; a probe task ends it.
 	quarantineMs: 6000,
-	// Progress is reported at least every second.
-	stallMs: 3000,
+	// Progress is reported every second; a restore takes 0.6 s, and a late restart costs an urgent job its objective.
+	stallMs: 1500,
 };
 
 /** A worker's clock may be this much slower than the leader's. */
--- a/packages/pool/src/recovery.ts
+++ b/packages/pool/src/recovery.ts
@@ -87,6 +87,7 @@
 		isOrderUnderWay: false,
 		percent: 0,
 		progressAtMs: nowMs,
+		isStalled: false,
 		startCheckpoint: unitOf(task)[0]!.checkpoint,
 		checkpoint: '',
 		savedAtMs: nowMs,
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -8,9 +8,7 @@
 import type {RowWrite} from './ports.js';
 import {type RunRow, TABLES} from './rows.js';
 import type {WorkerEntry} from './worker-entry.js';
-
-/** Failed jobs in a row after which a worker gets nothing for a while. */
-const QUARANTINE_JOBS = 2;
+import {noteRunFailure, noteRunSuccess} from './worker-health.js';
 
 /** Weight of a new observation of a worker's slowness. */
 const SLOWNESS_SMOOTHING = 0.5;
@@ -51,6 +49,7 @@
 				isOrderUnderWay: false,
 				percent: 0,
 				progressAtMs: nowMs,
+				isStalled: false,
 				startCheckpoint: unitOf(task)[0]!.checkpoint,
 				checkpoint: '',
 				savedAtMs: nowMs,
@@ -284,7 +283,7 @@
 			this.#noteSuccess(run, worker);
 			this.#markDone(task);
 		} else if (outcome === RUN_OUTCOMES.failed && !step.spec.isLasting) {
-			this.#noteFailure(task, run.number, worker);
+			this.#noteFailure(task, run.number, worker, run);
 		}
 
 		if (outcome !== RUN_OUTCOMES.done && step.spec.isGang && !task.isDone) {
@@ -364,6 +363,7 @@
 		if (entry.percent !== run.percent) {
 			run.percent = entry.percent;
 			run.progressAtMs = nowMs;
+			run.isStalled = false;
 		}
 
 		if (entry.checkpoint !== '' && entry.checkpoint !== run.checkpoint) {
@@ -407,8 +407,7 @@
 			return;
 		}
 
-		worker.failedJobs.clear();
-		worker.quarantinedUntilMs = 0;
+		noteRunSuccess(worker, run);
 		const ranMs = this.#context.nowMs() - (run.startedAtMs ?? run.placedAtMs);
 		const {estimatedMs} = run.task.step.spec;
 		if (estimatedMs > 0) {
@@ -416,7 +415,7 @@
 		}
 	}
 
-	#noteFailure(task: Task, runNumber: number, worker: WorkerEntry | undefined): void {
+	#noteFailure(task: Task, runNumber: number, worker: WorkerEntry | undefined, run?: Run): void {
 		const members = unitOf(task);
 		if (members.some(member => member.lastFailedRun >= runNumber)) {
 			return;
@@ -429,11 +428,7 @@
 
 		if (worker) {
 			task.failedOn.add(worker.facts.id);
-			worker.failedJobs.add(task.step.job.id);
-			if (worker.failedJobs.size >= QUARANTINE_JOBS) {
-				worker.quarantinedUntilMs = this.#context.nowMs() + this.#context.limits.quarantineMs;
-				this.#context.log('worker quarantined', {worker: worker.life, failedJobs: worker.failedJobs.size, forMs: this.#context.limits.quarantineMs});
-			}
+			noteRunFailure(worker, task.step.job.id, run, this.#context);
 		}
 
 		this.#onTaskEnded(task.step.job);
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -13,12 +13,13 @@
 import type {RunLifecycle} from './run-lifecycle.js';
 import {listVictims} from './victims.js';
 import {freeShape, rackOf, type WorkerEntry} from './worker-entry.js';
+import {isDoubted} from './worker-health.js';
 
 /** Share of the remote factor's extra time that a task waits for room near its data. */
 const REMOTE_PATIENCE = 0.5;
 
-/** Share of the bound on guaranteed starts that an urgent task waits for room near its data. */
-const URGENT_REMOTE_PATIENCE = 0.25;
+/** Share of the bound on guaranteed starts that an urgent task waits for room near its data or on a sound worker. */
+const URGENT_PATIENCE = 0.25;
 
 /** Room of a worker during one round. */
 type RoundRoom = {
@@ -72,7 +73,7 @@
 
 			const request = this.#requestFor(unit, nowMs);
 			const candidates = rooms.filter(room => room.worker.facts.service === unit.service);
-			const views = candidates.map(room => roomView(room, freeFor(room, unit, nowMs), unit));
+			const views = candidates.map(room => this.#roomView(room, freeFor(room, unit, nowMs), unit));
 			const lives = this.#leavesHeadroom(unit, candidates, nowMs) ? placeUnit(request, views) : undefined;
 			if (lives) {
 				take(rooms, lives, unit.step.spec.shape);
@@ -94,7 +95,7 @@
 		const releases = rooms.flatMap(room => [...room.worker.runs.values()].map(run => ({
 			life: room.worker.life, shape: run.task.step.spec.shape, atMs: nowMs + estimateRemainingMs(run, nowMs),
 		})));
-		const start = findEarliestStart(request, rooms.map(room => roomView(room, room.free, unit)), releases);
+		const start = findEarliestStart(request, rooms.map(room => this.#roomView(room, room.free, unit)), releases);
 		if (!start) {
 			return false;
 		}
@@ -108,7 +109,7 @@
 
 	/** Keeps room that becomes free for an urgent unit, after stopping other work if needed. */
 	#reserve(unit: PendingUnit, request: PlacementRequest, rooms: readonly RoundRoom[], guarantees: Guarantees): void {
-		const views = rooms.map(room => roomView(room, room.freeLater, unit));
+		const views = rooms.map(room => this.#roomView(room, room.freeLater, unit));
 		const reserved = placeUnit(request, views);
 		if (reserved) {
 			take(rooms, reserved, unit.step.spec.shape);
@@ -181,12 +182,41 @@
 		return rooms;
 	}
 
+	#roomView(room: RoundRoom, free: TaskShape, unit: PendingUnit): WorkerRoom {
+		const {worker} = room;
+		let sameStepCount = 0;
+		for (const run of worker.runs.values()) {
+			if (run.task.step === unit.step) {
+				sameStepCount++;
+			}
+		}
+
+		return {
+			life: worker.life,
+			rack: rackOf(worker.facts),
+			labels: worker.facts.labels,
+			capacity: worker.facts.capacity,
+			free,
+			slowness: worker.slowness,
+			sameStepCount,
+			hasFailedHere: unit.tasks.some(task => task.failedOn.has(worker.facts.id)),
+			isTooRisky: isDoubted(worker, this.#context.nowMs()) && this.#cannotAffordFailure(unit),
+		};
+	}
+
+	/** An urgent job has no time for a second run, and a job on its last attempt would fail. */
+	#cannotAffordFailure(unit: PendingUnit): boolean {
+		const maxAttempts = this.#context.queueOf(unit.step.job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
+		const isFresh = this.#context.nowMs() - (unit.step.readyAtMs ?? 0) < this.#context.limits.reclaimMs * URGENT_PATIENCE;
+		return (unit.priority === URGENT_PRIORITY && isFresh) || unit.tasks.some(task => task.failures >= maxAttempts - 1);
+	}
+
 	#requestFor(unit: PendingUnit, nowMs: number): PlacementRequest {
 		const {spec, readyAtMs} = unit.step;
 		const waitedMs = nowMs - (readyAtMs ?? nowMs);
 		const {remoteFactor, reclaimMs} = this.#context.limits;
 		const patienceMs = unit.priority === URGENT_PRIORITY
-			? reclaimMs * URGENT_REMOTE_PATIENCE
+			? reclaimMs * URGENT_PATIENCE
 			: spec.estimatedMs * (remoteFactor - 1) * REMOTE_PATIENCE;
 		const running = spec.prefersOneRack && !spec.isGang ? unit.step.tasks.find(task => task.run) : undefined;
 		const runningOn = running?.run && this.#context.workers.get(running.run.life);
@@ -233,27 +263,6 @@
 	return free;
 }
 
-function roomView(room: RoundRoom, free: TaskShape, unit: PendingUnit): WorkerRoom {
-	const {worker} = room;
-	let sameStepCount = 0;
-	for (const run of worker.runs.values()) {
-		if (run.task.step === unit.step) {
-			sameStepCount++;
-		}
-	}
-
-	return {
-		life: worker.life,
-		rack: rackOf(worker.facts),
-		labels: worker.facts.labels,
-		capacity: worker.facts.capacity,
-		free,
-		slowness: worker.slowness,
-		sameStepCount,
-		hasFailedHere: unit.tasks.some(task => task.failedOn.has(worker.facts.id)),
-	};
-}
-
 function take(rooms: readonly RoundRoom[], lives: readonly string[], shape: TaskShape): void {
 	for (const life of lives) {
 		const room = rooms.find(candidate => candidate.worker.life === life)!;
--- a/packages/pool/src/worker-entry.ts
+++ b/packages/pool/src/worker-entry.ts
@@ -38,6 +38,8 @@
 	/** Jobs that failed on it in a row without a success. */
 	readonly failedJobs: Set<string>;
 	quarantinedUntilMs: number;
+	/** Leader's clock when it last failed or stalled; absent once it has done a later run well. */
+	doubtedSinceMs?: number;
 	/** Observed run time against the estimate, smoothed. */
 	slowness: number;
 };
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -1,10 +1,11 @@
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES, type WorkerFacts, WORKER_STATES} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
-import {estimateRemainingMs} from './run-estimate.js';
+import {estimateRemainingMs, estimateTotalMs} from './run-estimate.js';
 import {type LifeRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {createWorkerEntry, type WorkerEntry} from './worker-entry.js';
+import {listStalledRuns, stalledMsOf} from './worker-health.js';
 
 /** What an agent tells its leader about its worker. */
 export type AgentReport = {
@@ -136,6 +137,7 @@
 			}
 
 			if (worker.isLost || nowMs - worker.lastContactMs < this.#context.limits.suspectAfterMs) {
+				this.#moveStalled(worker, nowMs);
 				continue;
 			}
 
@@ -216,6 +218,29 @@
 		}
 	}
 
+	/**
+	 * Keeps new work away from a worker on which nothing goes on, and moves what is there. How long it will stand
+	 * still is unknown, so a run moves once it has stood still for as long as its work would take again.
+	 */
+	#moveStalled(worker: WorkerEntry, nowMs: number): void {
+		for (const run of listStalledRuns(worker, this.#context.limits)) {
+			const stalledMs = stalledMsOf(run, worker);
+			if (!run.isStalled) {
+				run.isStalled = true;
+				this.#context.log('run stalled', {
+					job: run.task.step.job.id, task: run.task.name, run: run.number, worker: worker.life, percent: run.percent, stalledMs: Math.round(stalledMs),
+				});
+			}
+
+			worker.doubtedSinceMs = nowMs;
+			worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + this.#context.limits.stallMs);
+			const isSaved = run.task.step.spec.isCheckpointing;
+			if (isSaved || stalledMs >= estimateTotalMs(run, run.progressAtMs) * run.percent / 100) {
+				this.#runs.stopUnit(run, 'worker makes no progress');
+			}
+		}
+	}
+
 	#giveUp(worker: WorkerEntry, reason: string): void {
 		this.#context.log('worker given up', {worker: worker.life, reason, runs: worker.runs.size});
 		worker.isLost = true;
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -244,7 +244,8 @@
 			world.step();
 			for (const id of ['j1', 'j2']) {
 				world.submit(id, 'normal', [makeStep()]);
-				world.step();
+				// Long enough not to be a failure at once, which has a rule of its own.
+				world.advance(500);
 				workers[0]!.end(`${id}.0.0.0`, 'failed');
 			}
 
@@ -257,6 +258,91 @@
 			expect(workers[0]!.started.length).to.be.greaterThan(startedBefore);
 		});
 
+		// A worker that failed everything within 150 ms got new work until two jobs in a row had failed on it.
+		it('that fails a task at once gets nothing for a while, and no run from before clears it', () => {
+			const worker = new FakeWorker('w1');
+			const world = new PoolWorld([worker]);
+			world.step();
+			world.submit('early', 'normal', [makeStep()]);
+			world.advance(3000);
+			world.submit('j1', 'normal', [makeStep()]);
+			world.step();
+			worker.end('j1.0.0.0', 'failed');
+			world.step();
+			worker.end('early.0.0.0', 'done');
+			world.advance(1500);
+			expect(worker.started.filter(run => run.startsWith('j1'))).to.have.length(1);
+			world.advance(1000);
+			expect(worker.started.filter(run => run.startsWith('j1'))).to.have.length(2);
+		});
+
+		const riskCases = [
+			{title: 'is avoided by an urgent job', queue: 'urgent', hasFailedBefore: false, expected: 'w2'},
+			{title: 'is avoided by a job on its last attempt', queue: 'normal', hasFailedBefore: true, expected: 'w3'},
+			{title: 'is tried by a job with attempts left', queue: 'normal', hasFailedBefore: false, expected: 'w1'},
+		];
+		for (const {title, queue, hasFailedBefore, expected} of riskCases) {
+			// Both attempts of a job were spent on two workers that failed everything.
+			it(`that failed and has done nothing well since ${title}`, () => {
+				const workers = ['w1', 'w2', 'w3'].map(name => new FakeWorker(name));
+				const [doubtful, sound] = workers;
+				const world = new PoolWorld(workers);
+				world.step();
+				world.submit('probe', 'normal', [makeStep({shape: WHOLE_WORKER})]);
+				world.step();
+				doubtful!.end('probe.0.0.0', 'failed');
+				world.step();
+				world.cancel('probe');
+				world.step();
+				if (hasFailedBefore) {
+					world.submit('j1', queue, [makeStep({shape: WHOLE_WORKER})]);
+					world.advance(2500);
+					sound!.end('j1.0.0.0', 'failed');
+				} else {
+					world.advance(2500);
+					world.submit('j1', queue, [makeStep({shape: WHOLE_WORKER})]);
+				}
+
+				world.advance(200);
+				expect(workers.find(worker => worker.runs.has('j1.0.0.0'))?.agent).to.equal(expected);
+			});
+		}
+
+		it('on which nothing goes on loses its tasks to another, and gets nothing new', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('j1', 'urgent', [makeStep()]);
+			world.advance(500);
+			const stuck = workers.find(worker => worker.runs.size > 0)!;
+			const other = workers.find(worker => worker !== stuck)!;
+			stuck.isStuck = true;
+			world.advance(2000);
+			expect(other.started).to.deep.equal(['j1.0.0.0#2']);
+			world.submit('j2', 'normal', [makeStep({taskCount: 4})]);
+			world.step();
+			expect(stuck.started).to.deep.equal(['j1.0.0.0#1']);
+		});
+
+		const progressCases = [
+			{title: 'that finished its share of a gang', percent: 99, isGang: true},
+			{title: 'that is slow to show its first percent', percent: 0, estimatedMs: 60_000, isGang: false},
+		];
+		for (const {title, percent, isGang, estimatedMs = 3000} of progressCases) {
+			it(`${title} is not taken for one on which nothing goes on`, () => {
+				const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+				const world = new PoolWorld(workers);
+				world.step();
+				world.submit('j1', 'normal', [makeStep({taskCount: 2, isGang, estimatedMs, shape: WHOLE_WORKER})]);
+				world.step();
+				const [first] = workers;
+				first!.isStuck = true;
+				first!.runs.values().next().value!.percent = percent;
+				world.advance(2500);
+				expect(first!.runs.size).to.equal(1);
+			});
+		}
+
 		it('that refuses a start for another life loses the run without a second one at the same time', () => {
 			const worker = new FakeWorker('w1');
 			const world = new PoolWorld([worker]);
--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -4,6 +4,9 @@
 
 type HeldRun = {readonly run: number; checkpoint: string; percent: number};
 
+/** Reports come every 100 ms, and the tasks of most tests take 3 s. */
+const PERCENT_PER_REPORT = 3;
+
 /** A worker with its agent, as the leader's core sees them. */
 export class FakeWorker {
 	readonly runs = new Map<string, HeldRun>();
@@ -16,6 +19,9 @@
 	isDeaf = false;
 	/** Starts are answered with this refusal. */
 	refusal: (typeof REFUSALS)[keyof typeof REFUSALS] | undefined;
+	/** Its tasks make no progress. */
+	isStuck = false;
+	#clockMs = 0;
 	#sequence = 0;
 	#orderCount = 0;
 	readonly #highestEnded = new Map<string, number>();
@@ -34,6 +40,13 @@
 	}
 
 	report(clockMs: number): AgentReport {
+		if (clockMs > this.#clockMs && !this.isStuck) {
+			for (const held of this.runs.values()) {
+				held.percent = Math.min(held.percent + PERCENT_PER_REPORT, 99);
+			}
+		}
+
+		this.#clockMs = Math.max(this.#clockMs, clockMs);
 		const running: ListedRun[] = [...this.runs.entries()].map(([task, held]) => ({task, run: held.run, checkpoint: held.checkpoint, percent: held.percent}));
 		return {facts: this.facts, lists: {clockMs, ageMs: 0, ordersBefore: this.#orderCount, running, ended: this.ended.filter(end => end.sequence > this.ackSequence)}};
 	}
