Keep the room that was made for an urgent job, and wait longer for one rack

And urgent tasks that are three times slower on several racks gave up waiting for one rack after a quarter of the bound on guaranteed starts, which made them late for certain. Ruled out: reservations lost within a round (room is taken in order there).

The test is red without the rule.

--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -75,6 +75,8 @@
 	readonly tasks: Task[];
 	/** Since when its tasks may run. */
 	readyAtMs?: number;
+	/** Since when room is being made for it by stopping other work. */
+	roomMadeSinceMs?: number;
 };
 
 /** One occurrence of a job's steps. */
--- a/packages/pool/src/pending-units.ts
+++ b/packages/pool/src/pending-units.ts
@@ -13,6 +13,9 @@
 /** A job that ends after this multiple of its objective is of little use to its caller. */
 const HOPELESS_FACTOR = 3;
 
+/** The longest stop takes 0.9 s; room that is not there by then will not come from it. */
+const MADE_ROOM_MS = 2000;
+
 /** A task, or all members of a gang, that wait for room. */
 export type PendingUnit = {
 	readonly step: StepState;
@@ -22,6 +25,8 @@
 	/** Time by which the job is on time, on the leader's clock. */
 	readonly objectiveMs: number;
 	readonly prospect: Prospect;
+	/** Other work has been stopped for it. */
+	readonly hasMadeRoom: boolean;
 	/** The account's guarantee covers it together with what the account's urgent work uses. */
 	isOwed: boolean;
 };
@@ -30,6 +35,7 @@
  * Lists what waits for room, in the order in which it is served.
  *
  * Answers the crest, at which not all jobs can be on time: priority first, then what an account is owed,
+ * then jobs for which other work has been stopped, as that would have to be done again if another took the room,
  * then jobs that can still be on time before those that cannot, each by the time at which it has to end.
  *
  * @param context - State of the pool.
@@ -50,7 +56,10 @@
 			priority: queue.priority, service: queue.service, objectiveMs, prospect: prospectOf(job, objectiveMs, nowMs), isOwed: false,
 		};
 		for (const step of pendingSteps(job, nowMs)) {
-			units.push(...waitingTasks(step).map(tasks => ({step, tasks, ...common})));
+			const hasMadeRoom = step.roomMadeSinceMs !== undefined && nowMs - step.roomMadeSinceMs < MADE_ROOM_MS;
+			units.push(...waitingTasks(step).map(tasks => ({
+				step, tasks, hasMadeRoom, ...common,
+			})));
 		}
 	}
 
@@ -58,6 +67,7 @@
 	markOwed(byUrgency, guarantees);
 	return byUrgency.toSorted((left, right) => left.priority - right.priority
 		|| Number(right.isOwed) - Number(left.isOwed)
+		|| Number(right.hasMadeRoom) - Number(left.hasMadeRoom)
 		|| left.prospect - right.prospect
 		|| left.objectiveMs - right.objectiveMs);
 }
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -21,6 +21,12 @@
 /** Share of the bound on guaranteed starts that an urgent task waits for room near its data or on a sound worker. */
 const URGENT_PATIENCE = 0.25;
 
+/**
+ * The same for tasks that are slower on several racks: they would be late there for certain, and half of the bound
+ * leaves time for stopping other work.
+ */
+const URGENT_RACK_PATIENCE = 0.5;
+
 /** Room of a worker during one round. */
 type RoundRoom = {
 	readonly worker: WorkerEntry;
@@ -140,6 +146,7 @@
 			this.#runs.stopUnit(run, `preempted by job ${unit.step.job.id}`);
 		}
 
+		unit.step.roomMadeSinceMs = this.#context.nowMs();
 		take(rooms, plan.lives, unit.step.spec.shape);
 	}
 
@@ -216,7 +223,7 @@
 		const waitedMs = nowMs - (readyAtMs ?? nowMs);
 		const {remoteFactor, reclaimMs} = this.#context.limits;
 		const patienceMs = unit.priority === URGENT_PRIORITY
-			? reclaimMs * URGENT_PATIENCE
+			? reclaimMs * (spec.prefersOneRack ? URGENT_RACK_PATIENCE : URGENT_PATIENCE)
 			: spec.estimatedMs * (remoteFactor - 1) * REMOTE_PATIENCE;
 		const running = spec.prefersOneRack && !spec.isGang ? unit.step.tasks.find(task => task.run) : undefined;
 		const runningOn = running?.run && this.#context.workers.get(running.run.life);
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -128,6 +128,25 @@
 			expect(worker.started.at(-1)).to.equal('low.0.0.0#2');
 		});
 
+		// Work was stopped twice for one job, as a later job took the room of the first stop.
+		it('keeps the room that was made for it when a job with an earlier deadline comes', () => {
+			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+			const world = new PoolWorld(workers);
+			world.step();
+			world.submit('low', 'batch', [makeStep({taskCount: 2, shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+			world.step();
+			for (const worker of workers) {
+				worker.isSlowToStop = true;
+			}
+
+			world.submit('first', 'urgent', [makeStep({shape: WHOLE_WORKER, estimatedMs: 6000})], {account: 'east'});
+			world.step();
+			world.submit('second', 'urgent', [makeStep({shape: WHOLE_WORKER, estimatedMs: 2000})], {account: 'east'});
+			workers.find(worker => worker.facts.life === (world.events('preemption')[0]!.workers as string[])[0])!.isSlowToStop = false;
+			world.step();
+			expect(workers.flatMap(worker => worker.started).filter(run => !run.startsWith('low'))).to.deep.equal(['first.0.0.0#1']);
+		});
+
 		it('within its guarantee takes back what an account beyond its own uses', () => {
 			const worker = new FakeWorker('w1', {capacity: {cpuMillis: 32_000, memoryMb: 65_536, accelerators: 16}});
 			const world = new PoolWorld([worker]);
--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -21,6 +21,9 @@
 	refusal: (typeof REFUSALS)[keyof typeof REFUSALS] | undefined;
 	/** Its tasks make no progress. */
 	isStuck = false;
+	/** Stops are acknowledged, and the runs go on until this is false again. */
+	isSlowToStop = false;
+	readonly #stopping = new Set<string>();
 	#clockMs = 0;
 	#sequence = 0;
 	#orderCount = 0;
@@ -46,6 +49,13 @@
 			}
 		}
 
+		if (!this.isSlowToStop) {
+			for (const task of this.#stopping) {
+				this.#stopping.delete(task);
+				this.end(task, 'stopped', this.runs.get(task)!.checkpoint);
+			}
+		}
+
 		this.#clockMs = Math.max(this.#clockMs, clockMs);
 		const running: ListedRun[] = [...this.runs.entries()].map(([task, held]) => ({task, run: held.run, checkpoint: held.checkpoint, percent: held.percent}));
 		return {facts: this.facts, lists: {clockMs, ageMs: 0, ordersBefore: this.#orderCount, running, ended: this.ended.filter(end => end.sequence > this.ackSequence)}};
@@ -66,7 +76,9 @@
 	#carryOut(order: WorkerOrder): OrderOutcome {
 		if (order.kind === 'stop') {
 			const held = this.runs.get(order.task);
-			if (held?.run === order.run) {
+			if (held?.run === order.run && this.isSlowToStop) {
+				this.#stopping.add(order.task);
+			} else if (held?.run === order.run) {
 				this.end(order.task, 'stopped', held.checkpoint);
 			} else {
 				this.#highestEnded.set(order.task, Math.max(order.run, this.#highestEnded.get(order.task) ?? 0));
