Refuse jobs at once while the store is lost to this entry and to a peer

Nothing is sent in that case, so the refusal is true. Where no peer answers, the entry still tries by itself.

The two tests of the refusal were red before; the two that keep trying were green.

--- a/packages/pool-entry/src/job-intake.ts
+++ b/packages/pool-entry/src/job-intake.ts
@@ -34,6 +34,9 @@
 /** An entry that has not heard from the store for this long asks another one first; its feed answers every 700 ms. */
 const STORE_DOUBTFUL_MS = 900;
 
+/** After this time both a call of the feed and a fresh read have failed: the store is lost to this entry, not slow. */
+const STORE_LOST_MS = 1500;
+
 /** Time that another entry gets; a call to one that is down must leave time for the next. */
 const RELAY_TIMEOUT_MS = 450;
 
@@ -89,6 +92,10 @@
 			{table: TABLES.jobs, key: jobId, version: 0},
 			{table: configRow.table, key: configRow.key, version: configRow.version},
 		];
+		if (!mayRelay && this.#isStoreLost()) {
+			return {kind: 'not_stored'};
+		}
+
 		return this.#write(budgetMs, mayRelay && (remainingMs => ({kind: 'submit', jobId, row, configRowVersion: configRow.version, budgetMs: remainingMs})), async timeoutMs => {
 			const stored = await this.#deps.store.transact(conditions, [{table: TABLES.jobs, key: jobId, value: row}], timeoutMs);
 			if (stored.ok) {
@@ -209,6 +216,8 @@
 					isUncertain = true;
 				} else if (relayed && relayed.kind !== 'not_stored') {
 					return relayed;
+				} else if (relayed && !isUncertain && this.#isStoreLost()) {
+					return relayed;
 				}
 			}
 
@@ -222,8 +231,15 @@
 		}
 	}
 
+	/** Whether an attempt here cannot succeed. */
+	#isStoreLost(): boolean {
+		return this.#deps.config.ageMs > STORE_LOST_MS;
+	}
+
+	/** Asks other entries; undefined when none of them has answered. */
 	async #relay(makeRequest: (remainingMs: number) => RelayRequest, endMs: number): Promise<IntakeOutcome | undefined> {
 		let isUncertain = false;
+		let isRefused = false;
 		for (const address of this.#deps.entries()) {
 			const remainingMs = Math.min(RELAY_TIMEOUT_MS, endMs - this.#deps.clock.monotonicMs());
 			if (remainingMs <= RETRY_MS) {
@@ -240,10 +256,15 @@
 				return outcome;
 			}
 
+			isRefused ||= outcome?.kind === 'not_stored';
 			isUncertain ||= outcome?.kind === 'unknown' || (!answer.ok && answer.error.kind === 'no_answer');
 		}
 
-		return isUncertain ? {kind: 'unknown'} : undefined;
+		if (isUncertain) {
+			return {kind: 'unknown'};
+		}
+
+		return isRefused ? {kind: 'not_stored'} : undefined;
 	}
 
 	async #stateFromLeader(jobId: string): Promise<{state: JobState; account: string} | undefined> {
--- a/packages/pool-entry/tests/job-intake.test.ts
+++ b/packages/pool-entry/tests/job-intake.test.ts
@@ -81,6 +81,38 @@
 		server.close();
 	});
 
+	const outages: ReadonlyArray<{title: string; ageMs: number; peer: string | undefined; outcome: string; transactions: number}> = [
+		{title: 'refuses at once when the store is lost here and at a peer', ageMs: 5000, peer: 'not_stored', outcome: 'not_stored', transactions: 0},
+		{title: 'tries by itself when no peer answers', ageMs: 5000, peer: undefined, outcome: 'accepted', transactions: 1},
+		{title: 'tries by itself while the store may only be slow', ageMs: 1200, peer: 'not_stored', outcome: 'accepted', transactions: 1},
+	];
+	for (const {title, ageMs, peer, outcome, transactions} of outages) {
+		// While the store refused all entries, each request was held for 1.2 s, twice, though no attempt could succeed.
+		it(title, async () => {
+			const store = new MemoryPoolStore();
+			const server = await serveJson('127.0.0.1:0', {[PEER_PATHS.relay]: () => ({status: 200, body: {kind: peer}})});
+			const address = server.address();
+			const port = typeof address === 'object' && address ? address.port : 0;
+			const {intake, config, configRow} = createIntake(store, peer === undefined ? [] : [`127.0.0.1:${port}`]);
+			Object.defineProperty(config, 'ageMs', {value: ageMs});
+			expect(await intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 1000})).to.deep.equal({kind: outcome});
+			expect(store.transactions).to.equal(transactions);
+			server.closeAllConnections();
+			server.close();
+		});
+	}
+
+	it('tells the entry that asks it at once that the store is lost here too', async () => {
+		const store = new MemoryPoolStore();
+		const {intake, config, configRow} = createIntake(store);
+		Object.defineProperty(config, 'ageMs', {value: 5000});
+		const answer = await intake.onRelay({
+			kind: 'submit', jobId: 'j1', row: ROW, configRowVersion: configRow.version, budgetMs: 1000,
+		});
+		expect(answer.body).to.deep.equal({kind: 'not_stored'});
+		expect(store.transactions).to.equal(0);
+	});
+
 	const states: ReadonlyArray<{title: string; rows: ReadonlyArray<[string, string, unknown]>; outcome: Record<string, unknown>}> = [
 		{title: 'no such job', rows: [], outcome: {kind: 'no_such_job'}},
 		{title: 'a job of another account', rows: [[TABLES.jobs, 'j1', {...ROW, account: 'south'}]], outcome: {kind: 'no_such_job'}},
