--- a/packages/pool-entry/src/leadership.ts
+++ b/packages/pool-entry/src/leadership.ts
@@ -115,8 +115,9 @@
 	}
 
 	#isChanged(previous: KnownRow | undefined): boolean {
-		// The leader rewrites its row with every commit; only another holder is a change.
-		return previous !== undefined && (previous.row.holder !== this.#known?.row.holder || previous.row.epoch !== this.#known.row.epoch) && this.#known?.row.holder !== '';
+		// The leader rewrites its row with every commit; only another holder is a change. A first row is one too.
+		const present = this.#known?.row;
+		return present !== undefined && present.holder !== '' && (previous?.row.holder !== present.holder || previous.row.epoch !== present.epoch);
 	}
 
 	async #callLeader(): Promise<'leading' | 'silent' | 'not leading'> {
--- /dev/null
+++ b/packages/pool-entry/tests/leadership.test.ts
@@ -0,0 +1,82 @@
+import {expect} from 'chai';
+import {silentLogger, SystemClock} from '@amaranthsail/core';
+import {LEADER_KEY, type LeaderRow, TABLES} from '@amaranthsail/pool';
+import {serveJson, sleep} from '@amaranthsail/pool-runtime';
+import {MemoryPoolStore} from './support.js';
+import {LeaderFollower} from '@amaranthsail/pool-entry/leadership.js';
+import {type HelloAnswer, PEER_PATHS} from '@amaranthsail/pool-entry/peer-messages.js';
+
+/** Longer than the random wait before a takeover and the pause after it. */
+const SETTLE_MS = 700;
+
+async function serveLeader(): Promise<{address: string; close: () => void}> {
+	const answer: HelloAnswer = {
+		epoch: 1, isLeading: true, configRowVersion: 0, entries: [], pending: {},
+	};
+	const server = await serveJson('127.0.0.1:0', {[PEER_PATHS.hello]: () => ({status: 200, body: answer})});
+	const address = server.address();
+	return {
+		address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`,
+		close() {
+			server.closeAllConnections();
+			server.close();
+		},
+	};
+}
+
+function follow(store: MemoryPoolStore): {follower: LeaderFollower; takeovers: number[]} {
+	const takeovers: number[] = [];
+	let isLeading = false;
+	const follower = new LeaderFollower({
+		store,
+		clock: new SystemClock(),
+		logger: silentLogger,
+		holder: 'self/1',
+		address: '127.0.0.1:1',
+		isLeading: () => isLeading,
+		canLead: () => true,
+		hello: () => ({address: '127.0.0.1:1', epoch: 0, configRowVersion: 0}),
+		onHello: () => undefined,
+		onTakeover(leadership) {
+			isLeading = true;
+			takeovers.push(leadership.row.epoch);
+		},
+	});
+	return {follower, takeovers};
+}
+
+describe('leader follower', () => {
+	const cases = [
+		// At a first start, entries took over from one another within 50 ms.
+		{title: 'leaves a leader alone that appears after it has read no row', rowAtRead: 2, expected: []},
+		{title: 'follows a leader that it finds', rowAtRead: 1, expected: []},
+		{title: 'leads when there is no other', rowAtRead: undefined, expected: [1]},
+	];
+	for (const {title, rowAtRead, expected} of cases) {
+		it(title, async () => {
+			const leader = await serveLeader();
+			const row: LeaderRow = {
+				holder: 'other/1', address: leader.address, epoch: 1, commit: 0,
+			};
+			const store = new MemoryPoolStore();
+			const read = store.read.bind(store);
+			let reads = 0;
+			store.read = async (table, range) => {
+				reads++;
+				if (reads === rowAtRead) {
+					store.put(TABLES.leader, LEADER_KEY, row);
+				}
+
+				return read(table, range);
+			};
+
+			const {follower, takeovers} = follow(store);
+			const run = follower.run();
+			await sleep(SETTLE_MS);
+			follower.stop();
+			await run;
+			leader.close();
+			expect(takeovers).to.deep.equal(expected);
+		});
+	}
+});
