--- a/packages/pool/src/commit-log.ts
+++ b/packages/pool/src/commit-log.ts
@@ -31,6 +31,18 @@
 		this.#groups.push({writes, onStored});
 	}
 
+	/**
+	 * Adds removals of any number; they need not take effect together.
+	 *
+	 * @param rows - The rows.
+	 * @param onStored - Called once for each part that is stored.
+	 */
+	enqueueRemovals(rows: ReadonlyArray<{readonly table: string; readonly key: string}>, onStored: () => void): void {
+		for (let start = 0; start < rows.length; start += MAX_WRITES) {
+			this.enqueue(rows.slice(start, start + MAX_WRITES).map(({table, key}) => ({table, key, value: undefined})), onStored);
+		}
+	}
+
 	/**
 	 * Takes the next transaction.
 	 *
--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -2,16 +2,12 @@
 import {createOccurrence, FINAL_STATES, isStepDone, type Job} from './job-table.js';
 import {JOB_STATES, type JobState} from './model.js';
 import type {PoolContext} from './pool-context.js';
-import type {RowWrite} from './ports.js';
 import {cancelKey, type JobRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 
 /** Older jobs are all beyond their objective; the bound keeps a jump of the time of day from mattering more. */
 const MAX_AGE_MS = 600_000;
 
-/** Most rows that one clean-up transaction removes. */
-const CLEAN_UP_ROWS = 80;
-
 /** Brings jobs from acceptance to their final state. */
 export class JobLifecycle {
 	readonly #context: PoolContext;
@@ -167,15 +163,13 @@
 			this.#context.needsRound = true;
 			this.#context.log('job ended', {job: job.id, state, sinceKnownMs: Math.round(this.#context.nowMs() - job.knownAtMs)});
 		});
-		const removals: RowWrite[] = tasks.filter(task => task.lastRun > 0).map(task => ({table: TABLES.runs, key: task.name, value: undefined}));
+		const removals: Array<{table: string; key: string}> = tasks.filter(task => task.lastRun > 0).map(task => ({table: TABLES.runs, key: task.name}));
 		if (job.isCancelled) {
-			removals.push({table: TABLES.jobs, key: cancelKey(job.id), value: undefined});
+			removals.push({table: TABLES.jobs, key: cancelKey(job.id)});
 		}
 
-		for (let start = 0; start < removals.length; start += CLEAN_UP_ROWS) {
-			this.#context.commits.enqueue(removals.slice(start, start + CLEAN_UP_ROWS), () => {
-				this.#context.needsRound = true;
-			});
-		}
+		this.#context.commits.enqueueRemovals(removals, () => {
+			this.#context.needsRound = true;
+		});
 	}
 }
--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -198,3 +198,35 @@
 export function objectiveAtMs(job: Job, queue: Queue | undefined): number {
 	return job.knownAtMs + ((queue?.stretch ?? 3) * longestChainMs(job.spec!)) + (queue?.targetLatencyMs ?? 0);
 }
+
+/** @returns The members of the task's gang, or the task alone. */
+export function unitOf(task: Task): readonly Task[] {
+	return task.step.spec.isGang ? task.step.tasks : [task];
+}
+
+/**
+ * Makes a run that is not known to work yet.
+ *
+ * @param task - Its task.
+ * @param start - Its number, its worker's life, how far its start has come, and the leader's clock.
+ * @returns The run.
+ */
+export function createRun(task: Task, {number, life, phase, nowMs}: {readonly number: number; readonly life: string; readonly phase: RunPhase; readonly nowMs: number}): Run {
+	return {
+		task,
+		number,
+		life,
+		phase,
+		placedAtMs: nowMs,
+		// A run that is not being recorded was stored before, and its start may have been sent.
+		wasOrdered: phase !== RUN_PHASES.recording,
+		nextOrderAtMs: nowMs,
+		isOrderUnderWay: false,
+		percent: 0,
+		progressAtMs: nowMs,
+		isStalled: false,
+		startCheckpoint: unitOf(task)[0]!.checkpoint,
+		checkpoint: '',
+		savedAtMs: nowMs,
+	};
+}
--- a/packages/pool/src/recovery.ts
+++ b/packages/pool/src/recovery.ts
@@ -1,5 +1,5 @@
 import {
-	FINAL_STATES, type Job, type Run, RUN_PHASES, type Task,
+	createRun, FINAL_STATES, type Job, RUN_PHASES, type Task,
 } from './job-table.js';
 import type {JobLifecycle} from './job-lifecycle.js';
 import type {PoolContext} from './pool-context.js';
@@ -7,7 +7,6 @@
 import {
 	type JobRow, type LifeRow, parseJobKey, type RunRow, TABLES,
 } from './rows.js';
-import {unitOf} from './run-lifecycle.js';
 import type {WorkerEntry} from './worker-entry.js';
 import type {WorkerRegistry} from './worker-registry.js';
 
@@ -49,7 +48,8 @@
 		}
 	}
 
-	dropLeftRows(left, context);
+	// Rows of jobs that have ended.
+	context.commits.enqueueRemovals(left, () => undefined);
 	const open = [...context.jobs.values()].filter(job => !FINAL_STATES.has(job.state));
 	for (const job of open) {
 		noteKnownStart(job);
@@ -64,7 +64,6 @@
 }
 
 function restoreTask(task: Task, row: RunRow, context: PoolContext, workerOf: (life: string) => WorkerEntry): void {
-	const nowMs = context.nowMs();
 	task.lastRun = row.run;
 	task.isDone = row.isDone ?? false;
 	task.failures = row.failures ?? 0;
@@ -76,22 +75,7 @@
 	}
 
 	task.lastFailedRun = row.run - 1;
-	const run: Run = {
-		task,
-		number: row.run,
-		life: row.life,
-		phase: RUN_PHASES.starting,
-		placedAtMs: nowMs,
-		wasOrdered: true,
-		nextOrderAtMs: nowMs,
-		isOrderUnderWay: false,
-		percent: 0,
-		progressAtMs: nowMs,
-		isStalled: false,
-		startCheckpoint: unitOf(task)[0]!.checkpoint,
-		checkpoint: '',
-		savedAtMs: nowMs,
-	};
+	const run = createRun(task, {number: row.run, life: row.life, phase: RUN_PHASES.starting, nowMs: context.nowMs()});
 	task.run = run;
 	workerOf(row.life).runs.set(task.name, run);
 }
@@ -104,12 +88,3 @@
 		}
 	}
 }
-
-const CLEAN_UP_ROWS = 80;
-
-/** Removes rows of jobs that have ended. */
-function dropLeftRows(rows: readonly StoredRow[], context: PoolContext): void {
-	for (let start = 0; start < rows.length; start += CLEAN_UP_ROWS) {
-		context.commits.enqueue(rows.slice(start, start + CLEAN_UP_ROWS).map(row => ({table: TABLES.runs, key: row.key, value: undefined})), () => undefined);
-	}
-}
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -1,5 +1,6 @@
-import {addShapes, EMPTY_SHAPE} from './capacity.js';
-import {type Job, type Run, type Task, RUN_PHASES} from './job-table.js';
+import {
+	createRun, type Job, type Run, type Task, RUN_PHASES, unitOf,
+} from './job-table.js';
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
 } from './model.js';
@@ -38,22 +39,7 @@
 		const nowMs = this.#context.nowMs();
 		const number = Math.max(...tasks.map(task => task.lastRun)) + 1;
 		const runs = tasks.map((task, index) => {
-			const run: Run = {
-				task,
-				number,
-				life: lives[index]!,
-				phase: RUN_PHASES.recording,
-				placedAtMs: nowMs,
-				wasOrdered: false,
-				nextOrderAtMs: nowMs,
-				isOrderUnderWay: false,
-				percent: 0,
-				progressAtMs: nowMs,
-				isStalled: false,
-				startCheckpoint: unitOf(task)[0]!.checkpoint,
-				checkpoint: '',
-				savedAtMs: nowMs,
-			};
+			const run = createRun(task, {number, life: lives[index]!, phase: RUN_PHASES.recording, nowMs});
 			task.lastRun = number;
 			task.run = run;
 			this.#context.workers.get(run.life)!.runs.set(task.name, run);
@@ -207,53 +193,6 @@
 		}
 	}
 
-	/**
-	 * Compares the runs that a worker lists with those that are expected there.
-	 *
-	 * @param worker - The worker; its `ordersBefore` belongs to the lists.
-	 * @param running - What it lists as running.
-	 */
-	reconcile(worker: WorkerEntry, running: readonly ListedRun[]): void {
-		const nowMs = this.#context.nowMs();
-		const listed = new Map(running.map(entry => [entry.task, entry]));
-		for (const run of worker.runs.values()) {
-			const entry = listed.get(run.task.name);
-			if (entry?.run === run.number) {
-				listed.delete(run.task.name);
-				run.listedAtClockMs ??= worker.clockMs;
-				this.#noteProgress(run, entry, nowMs);
-			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedAtOrder !== undefined && run.stopAcknowledgedAtOrder <= worker.ordersBefore) {
-				this.end(run, RUN_OUTCOMES.stopped, '');
-			} else if (run.phase === RUN_PHASES.running && isAbsenceTelling(run, worker)) {
-				this.#context.log('run vanished', {task: run.task.name, run: run.number, worker: worker.life});
-				this.end(run, RUN_OUTCOMES.lapsed, '');
-			}
-		}
-
-		this.#stopUnexpected(worker, [...listed.values()].filter(entry => entry.run > (worker.endedRuns.get(entry.task) ?? 0)));
-	}
-
-	/**
-	 * Takes an end that a worker lists.
-	 *
-	 * @param worker - The worker.
-	 * @param listed - The end; not seen before.
-	 */
-	onListedEnd(worker: WorkerEntry, listed: ListedEnd): void {
-		const run = worker.runs.get(listed.task);
-		worker.endedRuns.set(listed.task, Math.max(listed.run, worker.endedRuns.get(listed.task) ?? 0));
-		if (run?.number === listed.run) {
-			this.end(run, listed.outcome, listed.checkpoint);
-		} else {
-			this.#onStaleEnd(worker, listed);
-		}
-
-		// An end may be acknowledged only after its outcome is stored.
-		this.#context.commits.enqueue([], () => {
-			worker.ackSequence = Math.max(worker.ackSequence, listed.sequence);
-		});
-	}
-
 	/**
 	 * Takes the end of a run, as listed by its worker or concluded from its absence.
 	 *
@@ -293,28 +232,54 @@
 		this.#store(task);
 	}
 
-	#stopUnexpected(worker: WorkerEntry, entries: readonly ListedRun[]): void {
+	/**
+	 * Takes what a worker lists of a run that is expected there.
+	 *
+	 * @param run - The run.
+	 * @param entry - Its entry in the list.
+	 */
+	noteListed(run: Run, entry: ListedRun): void {
 		const nowMs = this.#context.nowMs();
-		worker.hasUnknownRuns = false;
-		worker.unexpectedShape = EMPTY_SHAPE;
-		for (const entry of entries) {
-			const task = this.#context.findTask(entry.task);
-			if (task) {
-				worker.unexpectedShape = addShapes(worker.unexpectedShape, task.step.spec.shape);
-			} else {
-				worker.hasUnknownRuns = true;
-			}
+		run.wasOrdered = true;
+		this.#confirm(run, nowMs);
+		if (entry.percent !== run.percent) {
+			run.percent = entry.percent;
+			run.progressAtMs = nowMs;
+			run.isStalled = false;
+		}
 
-			if ((worker.unexpectedStops.get(entry.task) ?? 0) <= nowMs) {
-				worker.unexpectedStops.set(entry.task, nowMs + this.#context.limits.orderRetryMs);
-				this.#context.log('unexpected run', {task: entry.task, run: entry.run, worker: worker.life, isJobKnown: task !== undefined});
-				this.#context.send({agent: worker.agent, life: worker.life, order: {kind: 'stop', task: entry.task, run: entry.run}});
-			}
+		if (entry.checkpoint !== '' && entry.checkpoint !== run.checkpoint) {
+			run.checkpoint = entry.checkpoint;
+			run.savedAtMs = nowMs;
+			this.#unstoredCheckpoints.add(run);
+		}
+	}
+
+	/**
+	 * Takes the end of a run that is not expected at its worker any more. It counts all the same.
+	 *
+	 * @param worker - The worker.
+	 * @param listed - The end; not seen before.
+	 */
+	onStaleEnd(worker: WorkerEntry, listed: ListedEnd): void {
+		const task = this.#context.findTask(listed.task);
+		if (!task || task.isDone || task.step.spec.isLasting) {
+			return;
 		}
 
-		if (entries.length === 0) {
-			worker.unexpectedStops.clear();
+		this.#context.log('late end', {task: listed.task, run: listed.run, worker: worker.life, outcome: listed.outcome});
+		if (listed.outcome === RUN_OUTCOMES.done) {
+			this.#markDone(task);
+			for (const member of unitOf(task)) {
+				if (member.run) {
+					this.stop(member.run, 'done by an earlier run');
+				}
+			}
+		} else if (listed.outcome === RUN_OUTCOMES.failed) {
+			this.#noteFailure(task, listed.run, worker);
 		}
+
+		this.#store(task);
 	}
 
 	#onStartOutcome(run: Run, outcome: OrderOutcome, orderCount: number): void {
@@ -357,43 +322,6 @@
 		}
 	}
 
-	#noteProgress(run: Run, entry: ListedRun, nowMs: number): void {
-		run.wasOrdered = true;
-		this.#confirm(run, nowMs);
-		if (entry.percent !== run.percent) {
-			run.percent = entry.percent;
-			run.progressAtMs = nowMs;
-			run.isStalled = false;
-		}
-
-		if (entry.checkpoint !== '' && entry.checkpoint !== run.checkpoint) {
-			run.checkpoint = entry.checkpoint;
-			run.savedAtMs = nowMs;
-			this.#unstoredCheckpoints.add(run);
-		}
-	}
-
-	#onStaleEnd(worker: WorkerEntry, listed: ListedEnd): void {
-		const task = this.#context.findTask(listed.task);
-		if (!task || task.isDone || task.step.spec.isLasting) {
-			return;
-		}
-
-		this.#context.log('late end', {task: listed.task, run: listed.run, worker: worker.life, outcome: listed.outcome});
-		if (listed.outcome === RUN_OUTCOMES.done) {
-			this.#markDone(task);
-			for (const member of unitOf(task)) {
-				if (member.run) {
-					this.stop(member.run, 'done by an earlier run');
-				}
-			}
-		} else if (listed.outcome === RUN_OUTCOMES.failed) {
-			this.#noteFailure(task, listed.run, worker);
-		}
-
-		this.#store(task);
-	}
-
 	#markDone(task: Task): void {
 		for (const member of unitOf(task)) {
 			member.isDone = true;
@@ -455,17 +383,3 @@
 		return {table: TABLES.runs, key: task.name, value: row};
 	}
 }
-
-/**
- * Whether lists without a run mean that it is gone: they were asked for after its start was acknowledged, or
- * are newer by the worker's clock than lists that had it. Lists of the same millisecond have no order.
- */
-function isAbsenceTelling(run: Run, worker: WorkerEntry): boolean {
-	const isAfterStart = run.startConfirmedAtOrder !== undefined && run.startConfirmedAtOrder <= worker.ordersBefore;
-	return run.listedAtClockMs === undefined ? isAfterStart : worker.clockMs > run.listedAtClockMs;
-}
-
-/** @returns The members of the task's gang, or the task alone. */
-export function unitOf(task: Task): readonly Task[] {
-	return task.step.spec.isGang ? task.step.tasks : [task];
-}
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -6,6 +6,7 @@
 import type {RunLifecycle} from './run-lifecycle.js';
 import {createWorkerEntry, type WorkerEntry} from './worker-entry.js';
 import {listStalledRuns, stalledMsOf} from './worker-health.js';
+import {WorkerListReader} from './worker-lists.js';
 
 /** What an agent tells its leader about its worker. */
 export type AgentReport = {
@@ -32,6 +33,7 @@
 export class WorkerRegistry {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	readonly #lists: WorkerListReader;
 
 	/**
 	 * @param context - State of the pool.
@@ -40,6 +42,7 @@
 	constructor(context: PoolContext, runs: RunLifecycle) {
 		this.#context = context;
 		this.#runs = runs;
+		this.#lists = new WorkerListReader(context, runs);
 	}
 
 	/**
@@ -88,11 +91,11 @@
 		for (const end of lists.ended.toSorted((left, right) => left.sequence - right.sequence)) {
 			if (end.sequence > worker.seenSequence) {
 				worker.seenSequence = end.sequence;
-				this.#runs.onListedEnd(worker, end);
+				this.#lists.onListedEnd(worker, end);
 			}
 		}
 
-		this.#runs.reconcile(worker, lists.running);
+		this.#lists.reconcile(worker, lists.running);
 	}
 
 	/**
