Take the highest claimed epoch for the owner in failure runs

The scenario asked for the owner right after the paused entry was resumed, and took the first entry that claims to be one; the resumed entry answers by its old belief until it has looked at the row. The check that it no longer counts as owner stays as it is.

--- a/packages/proof/src/runs/proof-system.ts
+++ b/packages/proof/src/runs/proof-system.ts
@@ -196,7 +196,10 @@
 	async owner(): Promise<{readonly entry: ManagedProcess; readonly epoch: number}> {
 		return waitUntil('an owner', READY_TIMEOUT_MS, async () => {
 			const {entries} = await this.status();
-			const owner = entries.find(entry => entry.answers && entry.epochs.has(FAILURE_DOMAIN));
+			// An entry that was paused claims its old epoch until it has looked at the row.
+			const [owner] = entries
+				.filter(entry => entry.answers && entry.epochs.has(FAILURE_DOMAIN))
+				.toSorted((left, right) => right.epochs.get(FAILURE_DOMAIN)! - left.epochs.get(FAILURE_DOMAIN)!);
 			const entry = owner && this.liveEntries.find(live => formatAddress(live.address) === owner.address);
 			return entry && {entry, epoch: owner.epochs.get(FAILURE_DOMAIN)!};
 		});
