Let work that lost its worker wait for one rack again

The wait now counts from the end of the newest run or from the takeover, and is at most 2 s while half of the pool is idle. Ruled out: room on one rack was there 0.1 s later.

Both tests were red without their rule.

--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -60,6 +60,8 @@
 	lastRun: number;
 	/** Highest run whose failure has been counted. */
 	lastFailedRun: number;
+	/** Leader's clock when its newest run ended. */
+	endedAtMs?: number;
 	run?: Run;
 	checkpoint: string;
 	/** Ids of workers on which the task failed. */
--- a/packages/pool/src/pending-units.ts
+++ b/packages/pool/src/pending-units.ts
@@ -25,6 +25,8 @@
 	/** Time by which the job is on time, on the leader's clock. */
 	readonly objectiveMs: number;
 	readonly prospect: Prospect;
+	/** Leader's clock since which this leader could have placed it. */
+	readonly waitingSinceMs: number;
 	/** Other work has been stopped for it. */
 	readonly hasMadeRoom: boolean;
 	/** The account's guarantee covers it together with what the account's urgent work uses. */
@@ -58,7 +60,7 @@
 		for (const step of pendingSteps(job, nowMs)) {
 			const hasMadeRoom = step.roomMadeSinceMs !== undefined && nowMs - step.roomMadeSinceMs < MADE_ROOM_MS;
 			units.push(...waitingTasks(step).map(tasks => ({
-				step, tasks, hasMadeRoom, ...common,
+				step, tasks, waitingSinceMs: Math.max(context.sinceMs, step.readyAtMs ?? nowMs, ...tasks.map(task => task.endedAtMs ?? 0)), hasMadeRoom, ...common,
 			})));
 		}
 	}
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -207,6 +207,7 @@
 		worker?.runs.delete(task.name);
 		if (task.run === run) {
 			task.run = undefined;
+			task.endedAtMs = this.#context.nowMs();
 		}
 
 		this.#context.needsRound = true;
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -27,6 +27,9 @@
  */
 const URGENT_RACK_PATIENCE = 0.5;
 
+/** A job must not wait for 3 s while half of the pool is idle. */
+const IDLE_PATIENCE_MS = 2000;
+
 /** Room of a worker during one round. */
 type RoundRoom = {
 	readonly worker: WorkerEntry;
@@ -77,8 +80,8 @@
 				continue;
 			}
 
-			const request = this.#requestFor(unit, nowMs);
 			const candidates = rooms.filter(room => room.worker.facts.service === unit.service);
+			const request = this.#requestFor(unit, candidates, nowMs);
 			const views = candidates.map(room => this.#roomView(room, freeFor(room, unit, nowMs), unit));
 			const lives = this.#leavesHeadroom(unit, candidates, nowMs) ? placeUnit(request, views) : undefined;
 			if (lives) {
@@ -214,17 +217,18 @@
 	/** An urgent job has no time for a second run, and a job on its last attempt would fail. */
 	#cannotAffordFailure(unit: PendingUnit): boolean {
 		const maxAttempts = this.#context.queueOf(unit.step.job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
-		const isFresh = this.#context.nowMs() - (unit.step.readyAtMs ?? 0) < this.#context.limits.reclaimMs * URGENT_PATIENCE;
+		const isFresh = this.#context.nowMs() - unit.waitingSinceMs < this.#context.limits.reclaimMs * URGENT_PATIENCE;
 		return (unit.priority === URGENT_PRIORITY && isFresh) || unit.tasks.some(task => task.failures >= maxAttempts - 1);
 	}
 
-	#requestFor(unit: PendingUnit, nowMs: number): PlacementRequest {
-		const {spec, readyAtMs} = unit.step;
-		const waitedMs = nowMs - (readyAtMs ?? nowMs);
+	#requestFor(unit: PendingUnit, rooms: readonly RoundRoom[], nowMs: number): PlacementRequest {
+		const {spec} = unit.step;
+		const waitedMs = nowMs - unit.waitingSinceMs;
 		const {remoteFactor, reclaimMs} = this.#context.limits;
-		const patienceMs = unit.priority === URGENT_PRIORITY
+		const normalPatienceMs = unit.priority === URGENT_PRIORITY
 			? reclaimMs * (spec.prefersOneRack ? URGENT_RACK_PATIENCE : URGENT_PATIENCE)
 			: spec.estimatedMs * (remoteFactor - 1) * REMOTE_PATIENCE;
+		const patienceMs = isHalfIdle(rooms) ? Math.min(normalPatienceMs, IDLE_PATIENCE_MS) : normalPatienceMs;
 		const running = spec.prefersOneRack && !spec.isGang ? unit.step.tasks.find(task => task.run) : undefined;
 		const runningOn = running?.run && this.#context.workers.get(running.run.life);
 		return {
@@ -245,6 +249,18 @@
 	return unit.isOwed || (unit.prospect === PROSPECTS.onTime && lostCoreSeconds <= ownCoreSeconds);
 }
 
+/** @returns Whether less than half of the pool's accelerators and processors are in use. */
+function isHalfIdle(rooms: readonly RoundRoom[]): boolean {
+	let free = EMPTY_SHAPE;
+	let capacity = EMPTY_SHAPE;
+	for (const room of rooms) {
+		free = addShapes(free, room.free);
+		capacity = addShapes(capacity, room.worker.facts.capacity);
+	}
+
+	return free.accelerators * 2 > capacity.accelerators && free.cpuMillis * 2 > capacity.cpuMillis;
+}
+
 /** @returns Whether a worker may get new work. */
 function isUsable(worker: WorkerEntry, nowMs: number, silentAfterMs: number): boolean {
 	return worker.isKnown && !worker.isLost && !worker.suspicion && !worker.hasUnknownRuns
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -78,6 +78,33 @@
 	});
 
 	describe('a gang', () => {
+		// A gang whose worker was lost ran again on two racks at once, three times as long, as it had waited before its first run.
+		const rackCases = [
+			{title: 'waits again for one rack in a busy pool', otherRacks: ['r0', 'r1', 'r2'], expected: []},
+			{title: 'does not wait for long while half of the pool is idle', otherRacks: ['r1', 'r2'], expected: ['j1.0.0.0#2', 'j1.0.0.1#2']},
+		];
+		for (const {title, otherRacks, expected} of rackCases) {
+			it(`that lost its worker ${title}`, () => {
+				const workers = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'].map((name, index) => new FakeWorker(name, {labels: ['a', `r${index % 3}`]}));
+				const world = new PoolWorld(workers);
+				world.step();
+				for (const rack of otherRacks) {
+					world.submit(`other-${rack}`, 'normal', [makeStep({shape: WHOLE_WORKER, preferredRack: rack, estimatedMs: 60_000})]);
+				}
+
+				world.submit('j1', 'normal', [makeStep({
+					taskCount: 2, isGang: true, prefersOneRack: true, shape: WHOLE_WORKER, estimatedMs: 20_000,
+				})]);
+				world.advance(25_000);
+				expect(workers.flatMap(worker => worker.started).filter(run => run.startsWith('j1'))).to.have.length(2);
+				const lost = workers.find(worker => worker.runs.has('j1.0.0.0'))!;
+				lost.facts = {...lost.facts, state: WORKER_STATES.draining};
+				lost.end('j1.0.0.0', 'lapsed');
+				world.advance(2500);
+				expect(workers.flatMap(worker => worker.started).filter(run => run.endsWith('#2')).toSorted()).to.deep.equal(expected);
+			});
+		}
+
 		it('starts with one run number on all members, and again as a whole after a member was stopped', () => {
 			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
 			const world = new PoolWorld(workers);
