--- a/packages/pool-entry/tests/support.ts
+++ b/packages/pool-entry/tests/support.ts
@@ -42,18 +42,6 @@
 		return this.fault === 'lose_answer' ? err({kind: 'outcome_unknown', message: 'no answer'}) : result;
 	}
 
-	/** A transaction that its caller has given up is carried out all the same. */
-	async #transactSlowly(conditions: readonly RowCondition[], writes: readonly RowWrite[], timeoutMs: number): Promise<Result<{readonly version: number}, StoreError>> {
-		const turn = this.#queue;
-		const carriedOut = (async () => {
-			await turn;
-			await delay(SLOW_TRANSACTION_MS);
-			return this.#apply(conditions, writes);
-		})();
-		this.#queue = carriedOut;
-		return Promise.race([carriedOut, delay(timeoutMs, err({kind: 'outcome_unknown' as const, message: 'timeout'}))]);
-	}
-
 	async read(table: string, range: KeyRange): Promise<Result<RowPage, StoreError>> {
 		if (this.fault !== 'none') {
 			return err({kind: 'unavailable', message: 'busy'});
@@ -69,6 +57,18 @@
 		return this.read(table, {});
 	}
 
+	/** A transaction that its caller has given up is carried out all the same. */
+	async #transactSlowly(conditions: readonly RowCondition[], writes: readonly RowWrite[], timeoutMs: number): Promise<Result<{readonly version: number}, StoreError>> {
+		const turn = this.#queue;
+		const carriedOut = (async () => {
+			await turn;
+			await delay(SLOW_TRANSACTION_MS);
+			return this.#apply(conditions, writes);
+		})();
+		this.#queue = carriedOut;
+		return Promise.race([carriedOut, delay(timeoutMs, err({kind: 'outcome_unknown' as const, message: 'timeout'}))]);
+	}
+
 	#apply(conditions: readonly RowCondition[], writes: readonly RowWrite[]): Result<{readonly version: number}, StoreError> {
 		const failed = conditions.filter(({table, key, version}) => (this.rows.get(`${table}/${key}`)?.version ?? 0) !== version);
 		if (failed.length > 0) {
