Remove ended jobs after an hour, and marks of workers that have a later life

Cause: the jobs table, the leader's memory and the state that a new leader reads grew with every job for ever, and so did the table of suspected workers. Ended jobs are kept for an hour (callers ask within minutes, and repeat requests within seconds); a mark goes once a later life of the worker has reported.

--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -8,6 +8,9 @@
 /** Older jobs are all beyond their objective; the bound keeps a jump of the time of day from mattering more. */
 const MAX_AGE_MS = 600_000;
 
+/** Most jobs that are removed at once; one transaction holds them. */
+const MAX_PRUNED = 90;
+
 /** Brings jobs from acceptance to their final state. */
 export class JobLifecycle {
 	readonly #context: PoolContext;
@@ -45,6 +48,7 @@
 			occurrences: [],
 			state: row.finalState ?? JOB_STATES.queued,
 			isCancelled: false,
+			...(row.finalState !== undefined && {endedAtWallMs: row.endedAtMs ?? row.acceptedAtMs}),
 			isEnding: false,
 		};
 		this.#context.jobs.set(id, job);
@@ -105,6 +109,29 @@
 		}
 	}
 
+	/** Removes jobs that ended long ago from the store, and then from memory. */
+	pruneEnded(): void {
+		const untilMs = this.#context.clock.wallMs() - this.#context.limits.retainEndedMs;
+		const ended = [...this.#context.jobs.values()]
+			.filter(job => FINAL_STATES.has(job.state) && !job.isPruned && (job.endedAtWallMs ?? untilMs) < untilMs)
+			.slice(0, MAX_PRUNED);
+		if (ended.length === 0) {
+			return;
+		}
+
+		for (const job of ended) {
+			job.isPruned = true;
+		}
+
+		this.#context.commits.enqueueRemovals(ended.map(job => ({table: TABLES.jobs, key: job.id})), () => undefined);
+		this.#context.commits.enqueue([], () => {
+			this.#context.log('ended jobs removed', {jobs: ended.length, retainEndedMs: this.#context.limits.retainEndedMs});
+			for (const job of ended) {
+				this.#context.jobs.delete(job.id);
+			}
+		});
+	}
+
 	#noteDemand(job: Job): void {
 		const queue = this.#context.queueOf(job);
 		if (queue?.priority === URGENT_PRIORITY) {
@@ -157,9 +184,10 @@
 			}
 		}
 
-		const row: JobRow = {queue: job.queueName, account: job.account, acceptedAtMs: job.acceptedAtMs, finalState: state};
+		const row: JobRow = {queue: job.queueName, account: job.account, acceptedAtMs: job.acceptedAtMs, finalState: state, endedAtMs: this.#context.clock.wallMs()};
 		this.#context.commits.enqueue([{table: TABLES.jobs, key: job.id, value: row}], () => {
 			job.state = state;
+			job.endedAtWallMs = row.endedAtMs!;
 			this.#context.needsRound = true;
 			this.#context.log('job ended', {job: job.id, state, sinceKnownMs: Math.round(this.#context.nowMs() - job.knownAtMs)});
 		});
--- a/packages/pool/src/job-table.ts
+++ b/packages/pool/src/job-table.ts
@@ -97,6 +97,10 @@
 	/** State as far as it is stored. */
 	state: JobState;
 	isCancelled: boolean;
+	/** Time of day at which it ended. */
+	endedAtWallMs?: number;
+	/** Its row is being removed. */
+	isPruned?: boolean;
 	/** Its final row is being stored. */
 	isEnding: boolean;
 };
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -16,6 +16,9 @@
 /** Checkpoints come every 1 to 2 s; one transaction a second stores those of all runs. */
 const CHECKPOINT_STORE_INTERVAL_MS = 1000;
 
+/** At 90 jobs each time this removes 32,400 an hour, far more than the 990 that come in a day of the two-year plan. */
+const PRUNE_INTERVAL_MS = 10_000;
+
 /**
  * The decisions of a pool's leader, without any I/O.
  *
@@ -30,6 +33,7 @@
 	readonly #round: SchedulingRound;
 	#isRecovered = false;
 	#checkpointsDueMs = 0;
+	#pruneDueMs = 0;
 
 	/**
 	 * @param clock - Source of time.
@@ -108,6 +112,11 @@
 			this.#runs.storeCheckpoints();
 		}
 
+		if (this.#context.nowMs() >= this.#pruneDueMs) {
+			this.#pruneDueMs = this.#context.nowMs() + PRUNE_INTERVAL_MS;
+			this.#jobs.pruneEnded();
+		}
+
 		for (const worker of this.#context.workers.values()) {
 			for (const run of worker.runs.values()) {
 				this.#runs.sendDueOrder(run);
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -16,6 +16,8 @@
 	readonly reclaimMs: number;
 	/** Time for which a worker that failed everything gets nothing. */
 	readonly quarantineMs: number;
+	/** Time for which an ended job is kept, so that callers can ask for it and a repeated request finds it. */
+	readonly retainEndedMs: number;
 	/** Time without progress after which a run counts as stalled. */
 	readonly stallMs: number;
 };
@@ -36,6 +38,8 @@
 	reclaimMs: 2700,
 	// Spans the usual length of such a fault; a probe task ends it.
 	quarantineMs: 6000,
+	// Callers ask within minutes of the end, and repeat requests within seconds of the acceptance.
+	retainEndedMs: 3_600_000,
 	// Progress is reported every second; a restore takes 0.6 s, and a late restart costs an urgent job its objective.
 	stallMs: 1500,
 };
--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -34,6 +34,8 @@
 	readonly spec?: JobSpec;
 	/** Present once the job has ended. */
 	readonly finalState?: JobState;
+	/** Time of day at which it ended. */
+	readonly endedAtMs?: number;
 };
 
 /** A row of the runs table. */
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -107,7 +107,7 @@
 		const worker = this.#context.workers.get(life);
 		if (worker) {
 			this.#giveUp(worker, 'left');
-			this.#context.workers.delete(life);
+			this.#forget(worker);
 		}
 	}
 
@@ -183,7 +183,7 @@
 			const isSameWorker = other.facts.id === facts.id || other.agent === worker.agent;
 			if (other !== worker && isSameWorker && bornOf(other.life) < bornOf(facts.life)) {
 				this.#giveUp(other, 'a new life of the worker has reported');
-				this.#context.workers.delete(other.life);
+				this.#forget(other);
 			}
 		}
 	}
@@ -244,6 +244,14 @@
 		}
 	}
 
+	/** A life that is known to have ended needs no mark against its lease any more. */
+	#forget(worker: WorkerEntry): void {
+		this.#context.workers.delete(worker.life);
+		if (worker.suspicion) {
+			this.#context.commits.enqueueRemovals([{table: TABLES.suspects, key: worker.life}], () => undefined);
+		}
+	}
+
 	#giveUp(worker: WorkerEntry, reason: string): void {
 		this.#context.log('worker given up', {worker: worker.life, reason, runs: worker.runs.size});
 		worker.isLost = true;
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolWorld} from './support/pool-world.js';
-import {REFUSALS, WORKER_STATES} from '@amaranthsail/pool';
+import {REFUSALS, TABLES, WORKER_STATES} from '@amaranthsail/pool';
 
 const WHOLE_WORKER = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
 
@@ -77,6 +77,38 @@
 		});
 	});
 
+	// Rows of ended jobs and marks of lost workers grew without bound.
+	it('removes ended jobs from the store and from memory after an hour, and keeps those that wait', () => {
+		const worker = new FakeWorker('w1');
+		const world = new PoolWorld([worker]);
+		world.step();
+		world.submit('ended', 'normal', [makeStep()]);
+		world.step();
+		worker.end('ended.0.0.0', 'done');
+		world.step();
+		world.submit('waiting', 'normal', [makeStep({requiredLabel: 'none'})]);
+		world.clock.advance(world.limits.retainEndedMs - 20_000);
+		world.step();
+		expect(world.core.jobView('ended')?.state).to.equal('completed');
+		world.clock.advance(40_000);
+		world.step();
+		expect(world.core.jobView('ended')).to.equal(undefined);
+		expect(world.table(TABLES.jobs).map(row => row.key)).to.deep.equal(['waiting']);
+	});
+
+	it('removes the mark of a suspected worker once a later life has reported', () => {
+		const worker = new FakeWorker('w1');
+		const world = new PoolWorld([worker]);
+		world.step();
+		worker.isDeaf = true;
+		world.advance(3000);
+		expect(world.table(TABLES.suspects)).to.have.length(1);
+		worker.facts = {...worker.facts, life: 'w1@2000'};
+		worker.isDeaf = false;
+		world.step();
+		expect(world.table(TABLES.suspects)).to.deep.equal([]);
+	});
+
 	describe('a gang', () => {
 		// A gang whose worker was lost ran again on two racks at once, three times as long, as it had waited before its first run.
 		const rackCases = [
