--- a/packages/bench/src/bench-settings.ts
+++ b/packages/bench/src/bench-settings.ts
@@ -7,7 +7,7 @@
 }
 
 /** What the bench measures. */
-export const BENCH_MODES = ['policies', 'capacity'] as const;
+export const BENCH_MODES = ['policies', 'capacity', 'rounds'] as const;
 
 /** Report seeds are kept apart from tuning seeds, so that no policy is fitted to the arrivals it is reported on. */
 export const FIRST_SEED = {tuning: 1, report: 1001} as const;
--- a/packages/bench/src/bin.ts
+++ b/packages/bench/src/bin.ts
@@ -6,6 +6,7 @@
 import {BENCH_SETTINGS, FIRST_SEED} from './bench-settings.js';
 import {DIVISIONS} from './division.js';
 import {comparePolicies, formatFigures, HEADS, type PolicyFigures} from './policy-report.js';
+import {measureRounds, ROUND_SIZES} from './pool-rounds.js';
 import {SCENARIOS} from './scenario.js';
 
 const RESULTS_DIRECTORY = 'bench-results';
@@ -24,6 +25,13 @@
 		return figures;
 	});
 	writeResults('capacity', all);
+} else if (settings?.mode === 'rounds') {
+	const all = ROUND_SIZES.map(workers => {
+		const figures = measureRounds(workers);
+		console.log(`${workers} workers, ${figures.runningTasks} running tasks, ${figures.waitingGangs} waiting gangs: a round of the pool's leader takes ${figures.medianMs.toFixed(2)} ms`);
+		return figures;
+	});
+	writeResults('rounds', all);
 } else if (settings) {
 	const seeds = Array.from({length: settings.seedCount}, (_, index) => FIRST_SEED[settings.seeds] + index);
 	const all: PolicyFigures[] = [];
