Answer 504 instead of 503 while an earlier attempt for the job is uncertain

Cause, found by reading: a caller whose first request stayed without an answer came back and got 503 ("never runs") as soon as the store refused every attempt of the second request, although the first transaction might still be carried out seconds later. An entry now remembers such jobs for 30 s, also for peers that ask it. After a restart, or when the other entry cannot be asked, that knowledge is missing; docs/platform-design.md lists it as open.

The test was red before the change.

--- a/packages/pool-entry/src/job-intake.ts
+++ b/packages/pool-entry/src/job-intake.ts
@@ -11,6 +11,7 @@
 	type JobStateAnswer, PEER_PATHS, type RelayRequest, type StoredNotice,
 } from './peer-messages.js';
 import type {PoolLeader} from './pool-leader.js';
+import {RecentIds} from './recent-ids.js';
 
 /** What a request about a job ends in. */
 export type IntakeOutcome
@@ -41,6 +42,9 @@
 /** After this time both a call of the feed and a fresh read have failed: the store is lost to this entry, not slow. */
 const STORE_LOST_MS = 1500;
 
+/** A call without an answer may be carried out several seconds later; callers come back within their deadline of 3 s. */
+const UNCERTAIN_MS = 30_000;
+
 /** Time that another entry gets; a call to one that is down must leave time for the next. */
 const RELAY_TIMEOUT_MS = 450;
 
@@ -80,6 +84,7 @@
 export class JobIntake {
 	readonly #deps: JobIntakeDependencies;
 	readonly #clients = new Map<string, JsonClient>();
+	readonly #uncertainJobs = new RecentIds(UNCERTAIN_MS);
 	readonly #storeTimeout = new AdaptiveTimeout(LEAST_TIMEOUT_MS, MOST_TIMEOUT_MS);
 
 	/** @param deps - What the intake works with. */
@@ -94,37 +99,15 @@
 	 * @param mayRelay - Whether other entries may be asked.
 	 * @returns What became of it.
 	 */
-	async submit({jobId, row, configRow, budgetMs, deadlineMs}: SubmitRequest, mayRelay = true): Promise<IntakeOutcome> {
-		const conditions = [
-			{table: TABLES.jobs, key: jobId, version: 0},
-			{table: configRow.table, key: configRow.key, version: configRow.version},
-		];
-		if (!mayRelay && this.#isStoreLost()) {
-			return {kind: 'not_stored'};
+	async submit(request: SubmitRequest, mayRelay = true): Promise<IntakeOutcome> {
+		const outcome = await this.#store(request, mayRelay);
+		if (outcome.kind === 'unknown') {
+			this.#uncertainJobs.add(request.jobId, this.#deps.clock.monotonicMs());
+		} else if (outcome.kind === 'not_stored' && this.#uncertainJobs.has(request.jobId, this.#deps.clock.monotonicMs())) {
+			return {kind: 'unknown'};
 		}
 
-		return this.#write({budgetMs, deadlineMs}, mayRelay && (remainingMs => ({kind: 'submit', jobId, row, configRowVersion: configRow.version, budgetMs: remainingMs})), async timeoutMs => {
-			const stored = await this.#deps.store.transact(conditions, [{table: TABLES.jobs, key: jobId, value: row}], timeoutMs);
-			if (stored.ok) {
-				this.#notify({jobId, row});
-				return {kind: 'accepted'};
-			}
-
-			if (stored.error.kind !== 'condition_failed') {
-				return stored.error.kind;
-			}
-
-			const present = stored.error.rows.find(candidate => candidate.table === TABLES.jobs && candidate.key === jobId && candidate.version > 0);
-			if (present && !present.isRemoved) {
-				return (present.value as JobRow | undefined)?.account === row.account ? {kind: 'accepted'} : {kind: 'conflict'};
-			}
-
-			for (const other of stored.error.rows) {
-				this.#deps.config.offer(other, 'acceptance');
-			}
-
-			return {kind: 'configuration_changed'};
-		});
+		return outcome;
 	}
 
 	/**
@@ -202,6 +185,39 @@
 		return {status: 200, body: await this.submit({...request, configRow: known.row, deadlineMs: request.budgetMs}, false)};
 	}
 
+	async #store({jobId, row, configRow, budgetMs, deadlineMs}: SubmitRequest, mayRelay: boolean): Promise<IntakeOutcome> {
+		const conditions = [
+			{table: TABLES.jobs, key: jobId, version: 0},
+			{table: configRow.table, key: configRow.key, version: configRow.version},
+		];
+		if (!mayRelay && this.#isStoreLost()) {
+			return {kind: 'not_stored'};
+		}
+
+		return this.#write({budgetMs, deadlineMs}, mayRelay && (remainingMs => ({kind: 'submit', jobId, row, configRowVersion: configRow.version, budgetMs: remainingMs})), async timeoutMs => {
+			const stored = await this.#deps.store.transact(conditions, [{table: TABLES.jobs, key: jobId, value: row}], timeoutMs);
+			if (stored.ok) {
+				this.#notify({jobId, row});
+				return {kind: 'accepted'};
+			}
+
+			if (stored.error.kind !== 'condition_failed') {
+				return stored.error.kind;
+			}
+
+			const present = stored.error.rows.find(candidate => candidate.table === TABLES.jobs && candidate.key === jobId && candidate.version > 0);
+			if (present && !present.isRemoved) {
+				return (present.value as JobRow | undefined)?.account === row.account ? {kind: 'accepted'} : {kind: 'conflict'};
+			}
+
+			for (const other of stored.error.rows) {
+				this.#deps.config.offer(other, 'acceptance');
+			}
+
+			return {kind: 'configuration_changed'};
+		});
+	}
+
 	/** Repeats an attempt until it is decided, the budget is used up, or another entry has decided it. */
 	async #write(
 		{budgetMs, deadlineMs}: {readonly budgetMs: number; readonly deadlineMs: number},
--- a/packages/pool-entry/tests/job-intake.test.ts
+++ b/packages/pool-entry/tests/job-intake.test.ts
@@ -55,6 +55,22 @@
 		});
 	}
 
+	// An earlier attempt for the same job may still be carried out, so "not accepted" would be untrue.
+	it('does not say that nothing is stored after an earlier request for the job stayed without an answer', async () => {
+		const store = new MemoryPoolStore();
+		const {intake, configRow} = createIntake(store);
+		store.fault = 'lose_call';
+		await intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 100, deadlineMs: 100});
+		store.fault = 'refuse';
+		const again = {row: ROW, configRow, budgetMs: 100, deadlineMs: 100};
+		expect(await intake.submit({...again, jobId: 'j1'})).to.deep.equal({kind: 'unknown'});
+		expect(await intake.submit({...again, jobId: 'j2'})).to.deep.equal({kind: 'not_stored'});
+		const answer = await intake.onRelay({
+			kind: 'submit', jobId: 'j1', row: ROW, configRowVersion: configRow.version, budgetMs: 100,
+		});
+		expect(answer.body).to.deep.equal({kind: 'unknown'});
+	});
+
 	it('recognises a job whose acceptance was not answered', async () => {
 		const store = new MemoryPoolStore();
 		const {intake, configRow} = createIntake(store);
