Look at the pool's use only when a unit has waited, and serve test peers in one place

Found in the last read: each scheduling round summed the room of all workers for every waiting unit, though the sum matters only after a wait of 2 s; the condition is the same, evaluated later. Three tests of the entry set up the same peer server.

--- a/packages/pool-entry/tests/job-intake.test.ts
+++ b/packages/pool-entry/tests/job-intake.test.ts
@@ -1,8 +1,7 @@
 import {expect} from 'chai';
 import {silentLogger, SystemClock} from '@amaranthsail/core';
 import {cancelKey, type JobRow, type StoredRow, TABLES} from '@amaranthsail/pool';
-import {serveJson} from '@amaranthsail/pool-runtime';
-import {MemoryPoolStore} from './support.js';
+import {MemoryPoolStore, servePeer} from './support.js';
 import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
 import {JobIntake} from '@amaranthsail/pool-entry/job-intake.js';
 import {PEER_PATHS} from '@amaranthsail/pool-entry/peer-messages.js';
@@ -85,15 +84,12 @@
 	// An entry that was cut off from the store spent its time on the store and refused what another could take.
 	it('asks another entry first when the store has been silent', async () => {
 		const store = new MemoryPoolStore();
-		const server = await serveJson('127.0.0.1:0', {[PEER_PATHS.relay]: () => ({status: 200, body: {kind: 'accepted'}})});
-		const address = server.address();
-		const port = typeof address === 'object' && address ? address.port : 0;
-		const {intake, config, configRow} = createIntake(store, [`127.0.0.1:${port}`]);
+		const server = await servePeer({[PEER_PATHS.relay]: () => ({status: 200, body: {kind: 'accepted'}})});
+		const {intake, config, configRow} = createIntake(store, [server.address]);
 		Object.defineProperty(config, 'ageMs', {value: 5000});
 		store.fault = 'lose_call';
 		expect(await intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 1000, deadlineMs: 1000})).to.deep.equal({kind: 'accepted'});
 		expect(store.transactions).to.equal(0);
-		server.closeAllConnections();
 		server.close();
 	});
 
@@ -119,14 +115,11 @@
 		// While the store refused all entries, each request was held for 1.2 s, twice, though no attempt could succeed.
 		it(title, async () => {
 			const store = new MemoryPoolStore();
-			const server = await serveJson('127.0.0.1:0', {[PEER_PATHS.relay]: () => ({status: 200, body: {kind: peer}})});
-			const address = server.address();
-			const port = typeof address === 'object' && address ? address.port : 0;
-			const {intake, config, configRow} = createIntake(store, peer === undefined ? [] : [`127.0.0.1:${port}`]);
+			const server = await servePeer({[PEER_PATHS.relay]: () => ({status: 200, body: {kind: peer}})});
+			const {intake, config, configRow} = createIntake(store, peer === undefined ? [] : [server.address]);
 			Object.defineProperty(config, 'ageMs', {value: ageMs});
 			expect(await intake.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 1000, deadlineMs: 1000})).to.deep.equal({kind: outcome});
 			expect(store.transactions).to.equal(transactions);
-			server.closeAllConnections();
 			server.close();
 		});
 	}
--- a/packages/pool-entry/tests/leadership.test.ts
+++ b/packages/pool-entry/tests/leadership.test.ts
@@ -1,8 +1,8 @@
 import {expect} from 'chai';
 import {silentLogger, SystemClock} from '@amaranthsail/core';
 import {LEADER_KEY, type LeaderRow, TABLES} from '@amaranthsail/pool';
-import {serveJson, sleep} from '@amaranthsail/pool-runtime';
-import {MemoryPoolStore} from './support.js';
+import {sleep} from '@amaranthsail/pool-runtime';
+import {MemoryPoolStore, servePeer} from './support.js';
 import {LeaderFollower} from '@amaranthsail/pool-entry/leadership.js';
 import {type HelloAnswer, PEER_PATHS} from '@amaranthsail/pool-entry/peer-messages.js';
 
@@ -13,15 +13,7 @@
 	const answer: HelloAnswer = {
 		epoch: 1, isLeading: true, configRowVersion: 0, entries: [], pending: {},
 	};
-	const server = await serveJson('127.0.0.1:0', {[PEER_PATHS.hello]: () => ({status: 200, body: answer})});
-	const address = server.address();
-	return {
-		address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`,
-		close() {
-			server.closeAllConnections();
-			server.close();
-		},
-	};
+	return servePeer({[PEER_PATHS.hello]: () => ({status: 200, body: answer})});
 }
 
 function follow(store: MemoryPoolStore): {follower: LeaderFollower; takeovers: number[]} {
--- a/packages/pool-entry/tests/support.ts
+++ b/packages/pool-entry/tests/support.ts
@@ -1,5 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from '@amaranthsail/core';
+import {type RouteHandler, serveJson} from '@amaranthsail/pool-runtime';
 import type {
 	KeyRange, PoolStore, RowCondition, RowPage, RowWrite, StoredRow, StoreError,
 } from '@amaranthsail/pool';
@@ -10,6 +11,19 @@
 /** Time of one transaction of a slow store, in milliseconds; it carries them out one after another. */
 export const SLOW_TRANSACTION_MS = 170;
 
+/** Serves the API of a peer on a free port of the loopback interface. */
+export async function servePeer(routes: Record<string, RouteHandler>): Promise<{readonly address: string; readonly close: () => void}> {
+	const server = await serveJson('127.0.0.1:0', routes);
+	const address = server.address();
+	return {
+		address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`,
+		close() {
+			server.closeAllConnections();
+			server.close();
+		},
+	};
+}
+
 /** A linearizable store in memory with faults. */
 export class MemoryPoolStore implements PoolStore {
 	readonly rows = new Map<string, StoredRow>();
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -225,16 +225,15 @@
 		const {spec} = unit.step;
 		const waitedMs = nowMs - unit.waitingSinceMs;
 		const {remoteFactor, reclaimMs} = this.#context.limits;
-		const normalPatienceMs = unit.priority === URGENT_PRIORITY
+		const patienceMs = unit.priority === URGENT_PRIORITY
 			? reclaimMs * (spec.prefersOneRack ? URGENT_RACK_PATIENCE : URGENT_PATIENCE)
 			: spec.estimatedMs * (remoteFactor - 1) * REMOTE_PATIENCE;
-		const patienceMs = isHalfIdle(rooms) ? Math.min(normalPatienceMs, IDLE_PATIENCE_MS) : normalPatienceMs;
 		const running = spec.prefersOneRack && !spec.isGang ? unit.step.tasks.find(task => task.run) : undefined;
 		const runningOn = running?.run && this.#context.workers.get(running.run.life);
 		return {
 			step: spec,
 			count: unit.tasks.length,
-			mayBeRemote: waitedMs >= patienceMs,
+			mayBeRemote: waitedMs >= patienceMs || (waitedMs >= IDLE_PATIENCE_MS && isHalfIdle(rooms)),
 			...(runningOn && {stepRack: rackOf(runningOn.facts)}),
 		};
 	}
