--- a/packages/pool/src/earliest-start.ts
+++ b/packages/pool/src/earliest-start.ts
@@ -8,6 +8,11 @@
 /** When a waiting unit can start, and the worker incarnation for each member. */
 export type EarliestStart = {readonly incarnations: readonly string[]; readonly atMs: number};
 
+/** @returns The releases in the order in which {@link findEarliestStart} takes them. */
+export function orderReleases(releases: readonly ExpectedRelease[]): readonly ExpectedRelease[] {
+	return releases.toSorted((left, right) => left.atMs - right.atMs);
+}
+
 /**
  * Finds the earliest time at which a unit fits, by the expected ends of the running tasks.
  *
@@ -16,11 +21,10 @@
  *
  * @param request - The waiting unit.
  * @param workers - The usable workers with their present free capacity.
- * @param releases - Expected ends of running tasks, in any order.
+ * @param orderedReleases - Expected ends of running tasks, the earliest first.
  * @returns The workers and the time, or undefined when the unit would not fit after all releases.
  */
-export function findEarliestStart(request: PlacementRequest, workers: readonly CandidateWorker[], releases: readonly ExpectedRelease[]): EarliestStart | undefined {
-	const orderedReleases = releases.toSorted((left, right) => left.atMs - right.atMs);
+export function findEarliestStart(request: PlacementRequest, workers: readonly CandidateWorker[], orderedReleases: readonly ExpectedRelease[]): EarliestStart | undefined {
 	const placeAfterReleases = (count: number): readonly string[] | undefined => {
 		const freeByIncarnation = new Map(workers.map(worker => [worker.incarnation, worker.free]));
 		for (const {incarnation, shape} of orderedReleases.slice(0, count)) {
--- a/packages/pool/src/preemption.ts
+++ b/packages/pool/src/preemption.ts
@@ -19,6 +19,9 @@
 	readonly lostCoreSeconds: number;
 };
 
+/** Victims by the worker incarnations on which they run, those that lose the least work first. */
+type VictimIndex = ReadonlyMap<string, readonly Victim[]>;
+
 type Trial = {
 	readonly free: Map<string, TaskShape>;
 	readonly stepTaskCounts: Map<string, number>;
@@ -39,8 +42,9 @@
  */
 export function planPreemption(request: PlacementRequest, workers: readonly CandidateWorker[], victims: readonly Victim[]): PreemptionPlan | undefined {
 	let best: PreemptionPlan | undefined;
+	const victimsByIncarnation = indexVictims(victims);
 	for (const group of candidateGroups(request, workers)) {
-		const plan = planWithinGroup(request, group, victims);
+		const plan = planWithinGroup(request, group, victimsByIncarnation);
 		if (plan && (!best || plan.lostCoreSeconds < best.lostCoreSeconds)) {
 			best = plan;
 		}
@@ -49,7 +53,20 @@
 	return best;
 }
 
-function planWithinGroup(request: PlacementRequest, group: readonly CandidateWorker[], victims: readonly Victim[]): PreemptionPlan | undefined {
+function indexVictims(victims: readonly Victim[]): VictimIndex {
+	const index = new Map<string, Victim[]>();
+	for (const victim of victims.toSorted((left, right) => left.lostCoreSeconds - right.lostCoreSeconds)) {
+		for (const incarnation of victim.shapes.keys()) {
+			const onWorker = index.get(incarnation) ?? [];
+			onWorker.push(victim);
+			index.set(incarnation, onWorker);
+		}
+	}
+
+	return index;
+}
+
+function planWithinGroup(request: PlacementRequest, group: readonly CandidateWorker[], victims: VictimIndex): PreemptionPlan | undefined {
 	const trial: Trial = {
 		free: new Map(group.map(worker => [worker.incarnation, worker.free])),
 		stepTaskCounts: new Map(group.map(worker => [worker.incarnation, worker.sameStepCount])),
@@ -104,17 +121,18 @@
 }
 
 /** Adds victims on the worker, the cheapest first, until the shape fits, then drops those that are not needed. */
-function cheapestVictims(incarnation: string, shape: TaskShape, trial: Trial, victims: readonly Victim[]): readonly Victim[] | undefined {
+function cheapestVictims(incarnation: string, shape: TaskShape, trial: Trial, victims: VictimIndex): readonly Victim[] | undefined {
 	let free = trial.free.get(incarnation)!;
 	if (fitsInto(shape, free)) {
 		return [];
 	}
 
-	const onWorker = victims
-		.filter(victim => victim.shapes.has(incarnation) && !trial.stopped.has(victim.id))
-		.toSorted((left, right) => left.lostCoreSeconds - right.lostCoreSeconds);
 	const chosen: Victim[] = [];
-	for (const victim of onWorker) {
+	for (const victim of victims.get(incarnation) ?? []) {
+		if (trial.stopped.has(victim.id)) {
+			continue;
+		}
+
 		chosen.push(victim);
 		free = addShapes(free, victim.shapes.get(incarnation)!);
 		if (fitsInto(shape, free)) {
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -1,7 +1,7 @@
 import {
 	addShapes, EMPTY_SHAPE, subtractShapes, weightInCores,
 } from './capacity.js';
-import {findEarliestStart} from './earliest-start.js';
+import {type ExpectedRelease, findEarliestStart, orderReleases} from './earliest-start.js';
 import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
 import {RUN_PHASES, type StepState} from './job-model.js';
 import {type TaskShape, WORKER_STATES} from './model.js';
@@ -52,6 +52,8 @@
 export class SchedulingRound {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	/** Expected ends of running tasks in the present round, by service. */
+	readonly #releasesByService = new Map<string, readonly ExpectedRelease[]>();
 
 	/**
 	 * @param context - State of the pool.
@@ -71,22 +73,25 @@
 			return;
 		}
 
+		this.#releasesByService.clear();
 		const workers = this.#listUsableWorkers(nowMs);
 		/** Steps of which a task did not fit; their other tasks have the same shape. */
 		const blockedSteps = new Set<StepState>();
 		const reservedUnits = new Map<string, number>();
+		const workersByService = groupByService(workers);
 		for (const unit of units) {
 			if (blockedSteps.has(unit.step)) {
 				continue;
 			}
 
-			const serviceWorkers = workers.filter(roundWorker => roundWorker.worker.facts.service === unit.service);
+			const serviceWorkers = workersByService.get(unit.service) ?? [];
 			const request = this.#requestFor(unit, serviceWorkers, nowMs);
-			const candidates = serviceWorkers.map(roundWorker => this.#candidateOf(roundWorker, freeCapacityFor(roundWorker, unit, nowMs), unit));
+			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => freeCapacityFor(roundWorker, unit, nowMs));
 			const incarnations = this.#leavesHeadroom(unit, serviceWorkers, nowMs) ? placeUnit(request, candidates) : undefined;
 			if (incarnations) {
 				allocate(workers, incarnations, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, incarnations);
+				this.#releasesByService.delete(unit.service);
 			} else if (unit.priority === URGENT_PRIORITY) {
 				this.#reserveOrPreempt(unit, request, serviceWorkers, guarantees);
 			} else {
@@ -101,10 +106,7 @@
 
 	/** Reserves workers for a unit from the time at which enough running tasks are expected to have ended. */
 	#reserveEarliestStart(unit: PendingUnit, request: PlacementRequest, workers: readonly RoundWorker[], nowMs: number): boolean {
-		const releases = workers.flatMap(roundWorker => [...roundWorker.worker.runs.values()].map(run => ({
-			incarnation: roundWorker.worker.incarnation, shape: run.task.step.spec.shape, atMs: nowMs + estimateRemainingMs(run, nowMs),
-		})));
-		const start = findEarliestStart(request, workers.map(roundWorker => this.#candidateOf(roundWorker, roundWorker.free, unit)), releases);
+		const start = findEarliestStart(request, this.#listCandidates(unit, workers, roundWorker => roundWorker.free), this.#releasesOf(unit.service, workers, nowMs));
 		if (!start) {
 			return false;
 		}
@@ -116,9 +118,22 @@
 		return true;
 	}
 
+	/** Lists the expected ends of a service's runs, once for all units of a round. */
+	#releasesOf(service: string, workers: readonly RoundWorker[], nowMs: number): readonly ExpectedRelease[] {
+		let releases = this.#releasesByService.get(service);
+		if (!releases) {
+			releases = orderReleases(workers.flatMap(roundWorker => [...roundWorker.worker.runs.values()].map(run => ({
+				incarnation: roundWorker.worker.incarnation, shape: run.task.step.spec.shape, atMs: nowMs + estimateRemainingMs(run, nowMs),
+			}))));
+			this.#releasesByService.set(service, releases);
+		}
+
+		return releases;
+	}
+
 	/** Reserves capacity that is being freed for an urgent unit, and preempts other work if that is not enough. */
 	#reserveOrPreempt(unit: PendingUnit, request: PlacementRequest, workers: readonly RoundWorker[], guarantees: Guarantees): void {
-		const candidates = workers.map(roundWorker => this.#candidateOf(roundWorker, roundWorker.freeAfterStops, unit));
+		const candidates = this.#listCandidates(unit, workers, roundWorker => roundWorker.freeAfterStops);
 		const reserved = placeUnit(request, candidates);
 		if (reserved) {
 			allocate(workers, reserved, unit.step.spec.shape);
@@ -192,26 +207,25 @@
 		return workers;
 	}
 
-	#candidateOf(roundWorker: RoundWorker, free: TaskShape, unit: PendingUnit): CandidateWorker {
-		const {worker} = roundWorker;
-		let sameStepCount = 0;
-		for (const run of worker.runs.values()) {
-			if (run.task.step === unit.step) {
-				sameStepCount++;
-			}
-		}
-
-		return {
-			incarnation: worker.incarnation,
-			rack: rackOf(worker.facts),
-			labels: worker.facts.labels,
-			capacity: worker.facts.capacity,
-			free,
-			slowness: worker.slowness,
-			sameStepCount,
-			hasFailedHere: unit.tasks.some(task => task.failedWorkerIds.has(worker.facts.id)),
-			isTooRisky: isUnreliable(worker, this.#context.nowMs()) && this.#cannotAffordFailure(unit),
-		};
+	#listCandidates(unit: PendingUnit, workers: readonly RoundWorker[], freeOf: (roundWorker: RoundWorker) => TaskShape): readonly CandidateWorker[] {
+		const nowMs = this.#context.nowMs();
+		const cannotAffordFailure = this.#cannotAffordFailure(unit);
+		const hasLimitPerWorker = unit.step.spec.maxPerWorker !== undefined;
+		const failedWorkerIds = new Set(unit.tasks.flatMap(task => [...task.failedWorkerIds]));
+		return workers.map(roundWorker => {
+			const {worker} = roundWorker;
+			return {
+				incarnation: worker.incarnation,
+				rack: rackOf(worker.facts),
+				labels: worker.facts.labels,
+				capacity: worker.facts.capacity,
+				free: freeOf(roundWorker),
+				slowness: worker.slowness,
+				sameStepCount: hasLimitPerWorker ? countRunsOfStep(worker, unit.step) : 0,
+				hasFailedHere: failedWorkerIds.has(worker.facts.id),
+				isTooRisky: cannotAffordFailure && isUnreliable(worker, nowMs),
+			};
+		});
 	}
 
 	/** An urgent job that has just begun to wait has no time for a second run, and a job on its last attempt would fail. */
@@ -239,6 +253,27 @@
 	}
 }
 
+function groupByService(workers: readonly RoundWorker[]): ReadonlyMap<string, readonly RoundWorker[]> {
+	const groups = new Map<string, RoundWorker[]>();
+	for (const roundWorker of workers) {
+		const {service} = roundWorker.worker.facts;
+		const group = groups.get(service) ?? [];
+		group.push(roundWorker);
+		groups.set(service, group);
+	}
+
+	return groups;
+}
+
+function countRunsOfStep(worker: TrackedWorker, step: StepState): number {
+	let count = 0;
+	for (const run of worker.runs.values()) {
+		count += run.task.step === step ? 1 : 0;
+	}
+
+	return count;
+}
+
 /** A unit beyond its guarantee preempts others only if it can still be on time and the lost work does not exceed its own. */
 function isPreemptionWorthwhile(unit: PendingUnit, lostCoreSeconds: number): boolean {
 	const {shape, estimatedMs} = unit.step.spec;
