--- a/platform/src/fields.ts
+++ b/packages/core/src/fields.ts
@@ -25,3 +25,14 @@
 export function isCount(value: unknown, min = 0): value is number {
 	return typeof value === 'number' && Number.isSafeInteger(value) && value >= min;
 }
+
+/** @returns Whether the value is `host:port` with a valid port. */
+export function isAddress(value: unknown): value is string {
+	if (typeof value !== 'string') {
+		return false;
+	}
+
+	const colon = value.lastIndexOf(':');
+	const port = Number(value.slice(colon + 1));
+	return colon > 0 && Number.isSafeInteger(port) && port > 0 && port < 65_536;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,3 +11,4 @@
 export * from './logger.js';
 export * from './task-key.js';
 export * from './json-http.js';
+export * from './fields.js';
--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, type IncomingHttpHeaders, request} from 'node:http';
+import {isAddress} from './fields.js';
 import {err, ok, type Result} from './result.js';
 
 /** An HTTP response with its decoded body. */
@@ -57,6 +58,10 @@
 	 */
 	async call(jsonRequest: JsonRequest): Promise<Result<JsonResponse, RequestError>> {
 		const bodyText = jsonRequest.body === undefined ? undefined : JSON.stringify(jsonRequest.body);
+		if (!isAddress(this.address)) {
+			return err({kind: 'not_sent', message: 'invalid address', isRefused: false});
+		}
+
 		return new Promise(resolve => {
 			let isConnected = false;
 			let timeoutMessage = '';
--- a/packages/pool-agent/src/index.ts
+++ b/packages/pool-agent/src/index.ts
@@ -1,2 +1,3 @@
 export * from './pool-agent-core.js';
 export * from './agent-messages.js';
+export * from './agent-message-decoding.js';
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type AgentReport, type LeaderRow, LEADER_KEY, type PoolStore, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
+	type AgentReport, decodeLeaderRow, LEADER_KEY, type PoolStore, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
@@ -324,7 +324,7 @@
 
 	async #readLeaderEpoch(): Promise<void> {
 		const page = await this.#deps.store.read(TABLES.leader, {from: LEADER_KEY}, STORE_TIMEOUT_MS);
-		const row = page.ok ? page.value.rows[0]?.value as LeaderRow | undefined : undefined;
+		const row = page.ok ? decodeLeaderRow(page.value.rows[0]?.value) : undefined;
 		if (row && row.epoch > this.#epoch) {
 			this.#epoch = row.epoch;
 		}
--- a/packages/pool-agent/src/pool-agent-program.ts
+++ b/packages/pool-agent/src/pool-agent-program.ts
@@ -8,14 +8,15 @@
 	decodeHeartbeat, type NodeSettings, parseWorkerCall, RowStore, WorkerClient,
 } from '@amaranthsail/platform-adapter';
 import {
-	leaseMsWithin, type LeaderRow, LEADER_KEY, type PoolStore, TABLES,
+	decodeLeaderRow, leaseMsWithin, LEADER_KEY, type PoolStore, TABLES,
 } from '@amaranthsail/pool';
 import {
-	listen, type ProcessMetrics, readBody, type RouteHandler, sendJson, serveJson, sleep,
+	answerSafely, decoded, ErrorGuard, listen, type ProcessMetrics, readBody, type RouteHandler, sendJson, serveJson, sleep,
 } from '@amaranthsail/pool-runtime';
+import {decodeOrderRequest, decodeWatchRequest} from './agent-message-decoding.js';
 import {PoolAgentCore} from './pool-agent-core.js';
 import {
-	AGENT_PATHS, ANNOUNCE_PATH, type AnnounceRequest, type OrderRequest, type WatchRequest,
+	AGENT_PATHS, ANNOUNCE_PATH, type AnnounceRequest,
 } from './agent-messages.js';
 
 /** Interval at which the agent checks whether it has to announce itself. */
@@ -55,28 +56,23 @@
 		sleep,
 	});
 	const address = `${settings.ip}:${settings.peerPort}`;
-	const handleObject = async <Request>(body: unknown, handle: (request: Request) => Promise<Record<string, unknown>>): Promise<{status: number; body: unknown}> => {
-		if (typeof body !== 'object' || body === null) {
-			return {status: 400, body: {problem: 'expected a JSON object'}};
-		}
-
-		return {status: 200, body: await handle(body as Request)};
-	};
-
+	const guard = new ErrorGuard(logger, metrics);
 	const routes: Record<string, RouteHandler> = {
-		[AGENT_PATHS.watch]: async body => handleObject<WatchRequest>(body, async request => core.onWatch(request)),
-		[AGENT_PATHS.order]: async body => handleObject<OrderRequest>(body, async request => {
+		[AGENT_PATHS.watch]: decoded(decodeWatchRequest, async request => ({status: 200, body: await core.onWatch(request)})),
+		[AGENT_PATHS.order]: decoded(decodeOrderRequest, async request => {
 			metrics.count('orders_relayed', {kind: request.order.kind});
-			return core.onOrder(request);
+			return {status: 200, body: await core.onOrder(request)};
 		}),
 	};
 	const servers: Server[] = [
-		await serveJson(address, routes),
-		await listen(createControlServer(core, logger, metrics), settings.controlAddress!),
+		await serveJson(address, routes, (path, error) => {
+			guard.record('leader request', error, {path});
+		}),
+		await listen(createControlServer(core, guard, logger, metrics), settings.controlAddress!),
 		await metrics.serve(`${settings.ip}:${settings.metricsPort}`),
 	];
 	const stopping = new AbortController();
-	const announcing = (async () => {
+	const announcing = guard.supervise('announcing', async () => {
 		await registerMember(store, settings.name, address, logger);
 		while (!stopping.signal.aborted) {
 			if (core.leaderSilentMs > ANNOUNCE_AFTER_SILENCE_MS) {
@@ -85,8 +81,8 @@
 
 			await sleep(ANNOUNCE_INTERVAL_MS);
 		}
-	})();
-	const polling = core.run();
+	});
+	const polling = guard.supervise('worker polls', async () => core.run());
 	return {
 		async stop() {
 			stopping.abort();
@@ -112,7 +108,7 @@
 /** Announces the agent's address to the leader that the store names, or to the seeds when there is none or no answer. */
 async function announce(store: PoolStore, settings: NodeSettings, request: AnnounceRequest, logger: Logger): Promise<void> {
 	const page = await store.read(TABLES.leader, {from: LEADER_KEY}, STORE_TIMEOUT_MS);
-	const leader = page.ok ? page.value.rows[0]?.value as LeaderRow | undefined : undefined;
+	const leader = page.ok ? decodeLeaderRow(page.value.rows[0]?.value) : undefined;
 	const addresses = leader && leader.holder !== '' ? [leader.address] : settings.seedIps.map(ip => `${ip}:${settings.peerPort}`);
 	for (const address of addresses) {
 		const client = new JsonClient(address, 1);
@@ -126,9 +122,11 @@
 }
 
 /** Server for the heartbeats and the deregistration of the worker on the same VM. */
-function createControlServer(core: PoolAgentCore, logger: Logger, metrics: ProcessMetrics): Server {
+function createControlServer(core: PoolAgentCore, guard: ErrorGuard, logger: Logger, metrics: ProcessMetrics): Server {
 	return createServer((message, response) => {
-		void serveWorker(message, response);
+		void answerSafely(message, response, async () => serveWorker(message, response), (path, error) => {
+			guard.record('worker request', error, {path});
+		});
 	});
 
 	async function serveWorker(message: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/pool-entry/src/agent-link.ts
+++ b/packages/pool-entry/src/agent-link.ts
@@ -1,7 +1,7 @@
-import {JsonClient, type Logger} from '@amaranthsail/core';
+import {type Clock, JsonClient, type Logger} from '@amaranthsail/core';
 import type {OutgoingOrder, PoolCore} from '@amaranthsail/pool';
 import {
-	AGENT_PATHS, type OrderAnswer, type StaleEpochAnswer, type WatchAnswer, type WatchRequest,
+	AGENT_PATHS, decodeOrderAnswer, decodeWatchAnswer, type StaleEpochAnswer, type WatchAnswer, type WatchRequest,
 } from '@amaranthsail/pool-agent';
 import {sleep} from '@amaranthsail/pool-runtime';
 
@@ -14,6 +14,12 @@
 /** Delay before the next call after a failed watch call. */
 const RETRY_DELAY_MS = 200;
 
+/** After this silence the VM is probably gone; a VM that returns announces itself. */
+const LONG_SILENCE_MS = 15_000;
+
+/** Delay between calls to an agent that has been silent for long. */
+const LONG_SILENCE_RETRY_DELAY_MS = 2000;
+
 /** Exceeds the agent's own timeout of 700 ms for relaying an order to its worker. */
 const ORDER_TIMEOUT_MS = 1000;
 
@@ -23,6 +29,7 @@
 /** Dependencies of {@link AgentLink}. */
 export type AgentLinkDependencies = {
 	readonly core: PoolCore;
+	readonly clock: Clock;
 	readonly epoch: number;
 	readonly logger: Logger;
 	/** Whether the leader may currently renew leases. */
@@ -43,6 +50,7 @@
 	#workerIncarnation: string | undefined;
 	#isConnected = false;
 	#isStopped = false;
+	#lastAnswerAtMs: number;
 
 	/**
 	 * @param name - Name of the agent.
@@ -53,6 +61,12 @@
 		this.#name = name;
 		this.#client = new JsonClient(address, MAX_AGENT_CONNECTIONS);
 		this.#deps = deps;
+		this.#lastAnswerAtMs = deps.clock.monotonicMs();
+	}
+
+	/** Milliseconds since the agent last answered, or since the link was created. */
+	get silentMs(): number {
+		return this.#deps.clock.monotonicMs() - this.#lastAnswerAtMs;
 	}
 
 	/** Watches the agent by long polling until {@link AgentLink.stop} is called. */
@@ -63,12 +77,15 @@
 				return;
 			}
 
-			this.#setConnected(answer.ok && answer.value.status === 200, answer.ok ? `status ${answer.value.status}` : answer.error.message);
-			if (answer.ok && answer.value.status === 200) {
-				this.#onWatchAnswer(answer.value.body as WatchAnswer | StaleEpochAnswer);
+			const body = answer.ok && answer.value.status === 200 ? decodeWatchAnswer(answer.value.body) : undefined;
+			const isExpected = body !== undefined && ('epoch' in body || agentOf(body.incarnation) === this.#name);
+			this.#setConnected(isExpected, answer.ok ? `status ${answer.value.status}, not an answer of this agent` : answer.error.message);
+			if (isExpected) {
+				this.#lastAnswerAtMs = this.#deps.clock.monotonicMs();
+				this.#onWatchAnswer(body);
 			} else {
 				this.#reportVersion = -1;
-				await sleep(RETRY_DELAY_MS);
+				await sleep(this.silentMs > LONG_SILENCE_MS ? LONG_SILENCE_RETRY_DELAY_MS : RETRY_DELAY_MS);
 			}
 		}
 	}
@@ -84,16 +101,16 @@
 			return;
 		}
 
-		if (!answer.ok || answer.value.status !== 200) {
-			this.#deps.core.onOrderOutcome(incarnation, order, {kind: 'unknown', message: answer.ok ? `status ${answer.value.status}` : answer.error.message}, 0);
-		} else {
-			const body = answer.value.body as OrderAnswer | StaleEpochAnswer;
-			if ('epoch' in body) {
-				this.#deps.onLeadershipLost(`agent ${this.#name} knows epoch ${body.epoch}`);
-				return;
-			}
+		const body = answer.ok && answer.value.status === 200 ? decodeOrderAnswer(answer.value.body) : undefined;
+		if (body && 'epoch' in body) {
+			this.#deps.onLeadershipLost(`agent ${this.#name} knows epoch ${body.epoch}`);
+			return;
+		}
 
+		if (body) {
 			this.#deps.core.onOrderOutcome(incarnation, order, body.outcome, body.orderCount);
+		} else {
+			this.#deps.core.onOrderOutcome(incarnation, order, {kind: 'unknown', message: answer.ok ? `status ${answer.value.status}` : answer.error.message}, 0);
 		}
 
 		this.#deps.onUpdate();
@@ -141,3 +158,8 @@
 		}
 	}
 }
+
+/** @returns Name of the agent in the name of its incarnation, which adds the start time. */
+function agentOf(incarnation: string): string {
+	return incarnation.slice(0, incarnation.lastIndexOf('/'));
+}
--- a/packages/pool-entry/src/commit-loop.ts
+++ b/packages/pool-entry/src/commit-loop.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type Commit, type LeaderRow, LEADER_KEY, type PoolCore, type PoolStore, TABLES,
+	type Commit, decodeLeaderRow, type LeaderRow, LEADER_KEY, type PoolCore, type PoolStore, type RowWrite, TABLES,
 } from '@amaranthsail/pool';
 import {type ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
 
@@ -10,6 +10,9 @@
 /** Delay before the next try after the store failed or did not answer. */
 const RETRY_DELAY_MS = 60;
 
+/** Rows of a dropped commit that are named in the log. */
+const MAX_LOGGED_ROWS = 10;
+
 /** The leader row in the store with its version. */
 export type Leadership = {readonly row: LeaderRow; readonly version: number};
 
@@ -20,10 +23,12 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: ProcessMetrics;
-	/** Called when the leader row belongs to another leader, or the store rejects a commit. */
+	/** Called when the leader row belongs to another leader. */
 	readonly onLeadershipLost: (reason: string) => void;
 	/** Called after each commit. */
 	readonly onCommit: () => void;
+	/** Called when the store has shown that this process leads; `sentAtMs` is the time at which it was asked. */
+	readonly onConfirmed: (sentAtMs: number) => void;
 };
 
 /**
@@ -37,6 +42,7 @@
 	#leadership: Leadership;
 	#isRunning = false;
 	#isStopped = false;
+	#isConfirmationRequested = false;
 	/** Start of the current series of failed commits; undefined while commits succeed. */
 	#failingSinceMs: number | undefined;
 
@@ -54,6 +60,11 @@
 		return this.#failingSinceMs === undefined ? 0 : this.#deps.clock.monotonicMs() - this.#failingSinceMs;
 	}
 
+	/** Makes the next {@link CommitLoop.flush} rewrite the leader row even if no writes are pending. */
+	requestConfirmation(): void {
+		this.#isConfirmationRequested = true;
+	}
+
 	/** Stores all pending commits, unless a call is already doing so. */
 	async flush(): Promise<void> {
 		if (this.#isRunning) {
@@ -63,11 +74,17 @@
 		this.#isRunning = true;
 		try {
 			for (let commit = this.#deps.core.nextCommit(); commit && !this.#isStopped; commit = this.#deps.core.nextCommit()) {
-				if (commit.writes.length === 0 || await this.#storeCommit(commit)) {
+				if (commit.writes.length === 0) {
 					commit.complete();
 					this.#deps.onCommit();
+				} else {
+					await this.#storeInOrder(commit);
 				}
 			}
+
+			if (this.#isConfirmationRequested && !this.#isStopped) {
+				await this.#storeCommit([]);
+			}
 		} finally {
 			this.#isRunning = false;
 		}
@@ -89,48 +106,73 @@
 		this.#isStopped = true;
 	}
 
-	async #storeCommit(commit: Commit): Promise<boolean> {
+	/** Stores a commit. One that the store rejects is stored group by group, and groups that it rejects are dropped. */
+	async #storeInOrder(commit: Commit): Promise<void> {
+		const outcome = await this.#storeCommit(commit.writes);
+		if (outcome === 'stored') {
+			commit.complete();
+			this.#deps.onCommit();
+			return;
+		}
+
+		if (outcome === 'stopped') {
+			return;
+		}
+
+		const {groups} = commit;
+		if (groups.length === 1) {
+			// Sending it again would fail again, also under another leader; the affected job stays as it is stored.
+			this.#deps.logger.error('writes dropped', {reason: 'rejected by the store', rows: commit.writes.map(write => `${write.table}/${write.key}`).slice(0, MAX_LOGGED_ROWS)});
+			this.#deps.metrics.count('dropped_commits');
+			return;
+		}
+
+		for (const group of groups) {
+			await this.#storeInOrder(group);
+		}
+	}
+
+	async #storeCommit(writes: readonly RowWrite[]): Promise<'stored' | 'rejected' | 'stopped'> {
 		const nextRow: LeaderRow = {...this.#leadership.row, commit: this.#leadership.row.commit + 1};
 		const {clock, logger, metrics, store} = this.#deps;
 		while (!this.#isStopped) {
 			const startedAtMs = clock.monotonicMs();
 			const stored = await store.transact(
 				[{table: TABLES.leader, key: LEADER_KEY, version: this.#leadership.version}],
-				[{table: TABLES.leader, key: LEADER_KEY, value: nextRow}, ...commit.writes],
+				[{table: TABLES.leader, key: LEADER_KEY, value: nextRow}, ...writes],
 				COMMIT_TIMEOUT_MS,
 			);
 			metrics.observe('commit', clock.monotonicMs() - startedAtMs, {outcome: stored.ok ? 'stored' : stored.error.kind});
 			if (stored.ok) {
-				this.#recordSuccess();
+				this.#recordSuccess(startedAtMs);
 				this.#leadership = {row: nextRow, version: stored.value.version};
-				return true;
+				return 'stored';
 			}
 
 			if (stored.error.kind === 'condition_failed') {
 				const currentRow = stored.error.rows.find(row => row.table === TABLES.leader);
-				const currentLeader = currentRow?.value as LeaderRow | undefined;
+				const currentLeader = decodeLeaderRow(currentRow?.value);
 				if (!currentRow || currentLeader?.holder !== nextRow.holder || currentLeader.epoch !== nextRow.epoch) {
 					this.#deps.onLeadershipLost(`leader row belongs to ${currentLeader?.holder ?? 'nobody'} in epoch ${currentLeader?.epoch ?? 0}`);
-					return false;
+					return 'stopped';
 				}
 
-				this.#recordSuccess();
+				this.#recordSuccess(startedAtMs);
 				this.#leadership = {row: currentLeader, version: currentRow.version};
 				if (currentLeader.commit === nextRow.commit) {
 					// An earlier try took effect, but its answer was lost.
-					return true;
+					return 'stored';
 				}
 			} else if (stored.error.kind === 'rejected') {
-				logger.error('commit rejected', {error: stored.error.message, writes: commit.writes.length});
-				this.#deps.onLeadershipLost('the store rejects a commit');
-				return false;
+				logger.error('commit rejected', {error: stored.error.message, writes: writes.length});
+				return 'rejected';
 			} else {
 				this.#recordFailure(stored.error.kind);
 				await sleep(RETRY_DELAY_MS);
 			}
 		}
 
-		return false;
+		return 'stopped';
 	}
 
 	#recordFailure(error: string): void {
@@ -140,7 +182,9 @@
 		}
 	}
 
-	#recordSuccess(): void {
+	#recordSuccess(sentAtMs: number): void {
+		this.#isConfirmationRequested = false;
+		this.#deps.onConfirmed(sentAtMs);
 		if (this.#failingSinceMs !== undefined) {
 			this.#deps.logger.info('store reached again', {purpose: 'commit', afterMs: Math.round(this.failingMs)});
 			this.#failingSinceMs = undefined;
--- a/packages/pool-entry/src/job-service.ts
+++ b/packages/pool-entry/src/job-service.ts
@@ -7,9 +7,8 @@
 import {type RouteAnswer, sleep} from '@amaranthsail/pool-runtime';
 import {AdaptiveTimeout} from './adaptive-timeout.js';
 import type {ConfigFollower} from './config-follower.js';
-import {
-	type JobStateAnswer, PEER_PATHS, type RelayRequest, type StoredNotice,
-} from './peer-messages.js';
+import {decodeJobStateAnswer, decodeRelayOutcome} from './peer-message-decoding.js';
+import {PEER_PATHS, type RelayRequest, type StoredNotice} from './peer-messages.js';
 import type {PoolLeader} from './pool-leader.js';
 import {RecentIds} from './recent-ids.js';
 
@@ -294,7 +293,7 @@
 
 			const request = makeRequest(remainingMs - RETRY_DELAY_MS);
 			const answer = await this.#clientOf(address).call({method: 'POST', path: PEER_PATHS.relay, body: request, timeoutMs: remainingMs});
-			const outcome = answer.ok && answer.value.status === 200 ? answer.value.body as JobRequestOutcome : undefined;
+			const outcome = answer.ok && answer.value.status === 200 ? decodeRelayOutcome(answer.value.body) : undefined;
 			this.#deps.logger.info('relayed', {
 				job: request.jobId, request: request.kind, to: address, outcome: outcome?.kind ?? 'no answer',
 			});
@@ -325,7 +324,7 @@
 		}
 
 		const answer = await this.#clientOf(address).call({method: 'POST', path: PEER_PATHS.jobState, body: {jobId}, timeoutMs: LEADER_TIMEOUT_MS});
-		const body = answer.ok ? answer.value.body as JobStateAnswer : undefined;
+		const body = answer.ok ? decodeJobStateAnswer(answer.value.body) : undefined;
 		return body?.state !== undefined && body.account !== undefined ? {state: body.state, account: body.account} : undefined;
 	}
 
--- a/packages/pool-entry/src/leadership.ts
+++ b/packages/pool-entry/src/leadership.ts
@@ -1,23 +1,28 @@
 import {JsonClient, type Clock, type Logger} from '@amaranthsail/core';
 import {
-	type LeaderRow, LEADER_KEY, type PoolStore, type StoredRow, TABLES,
+	decodeLeaderRow, type LeaderRow, LEADER_KEY, type PoolStore, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
 import {sleep} from '@amaranthsail/pool-runtime';
 import type {Leadership} from './commit-loop.js';
 import {type HelloAnswer, type HelloRequest, PEER_PATHS} from './peer-messages.js';
+import {decodeHelloAnswer} from './peer-message-decoding.js';
+import {TakeoverDelay} from './takeover-delay.js';
 
-/** Delay between two calls to the leader. */
+/** Delay between two calls of a deputy to the leader, or of any entry to a leader that has not answered. */
 const HELLO_INTERVAL_MS = 300;
 
+/** Delay between two calls of any other entry; the counts of waiting jobs in the answers may be 2 s old. */
+const RELAXED_HELLO_INTERVAL_MS = 900;
+
+/** Deputies take over first; the other entries wait this much longer for an answer of the leader. */
+const RELAXED_TIMEOUT_EXTENSION_MS = RELAXED_HELLO_INTERVAL_MS + 300;
+
 /** A leader in the same region answers within a few milliseconds. */
 const HELLO_TIMEOUT_MS = 450;
 
 /** A standby takes over when the leader has not answered for this time: three missed calls. */
 const LEADER_TIMEOUT_MS = 1000;
 
-/** Longest random delay before a takeover, so that standbys rarely compete. */
-const MAX_TAKEOVER_JITTER_MS = 200;
-
 const STORE_TIMEOUT_MS = 900;
 
 /** Dependencies of {@link LeaderFollower}. */
@@ -29,6 +34,8 @@
 	readonly holder: string;
 	/** Address of this process's API. */
 	readonly address: string;
+	/** Processor capacity of this VM. */
+	readonly cores: number;
 	/** Whether this process leads or is recovering the stored state in order to lead. */
 	readonly isLeading: () => boolean;
 	/** Whether this process may take over. */
@@ -47,12 +54,17 @@
 	#knownRow: KnownLeaderRow | undefined;
 	#client: JsonClient | undefined;
 	#lastLeaderAnswerAtMs: number;
+	readonly #takeoverDelay: TakeoverDelay;
+	/** Whether this entry monitors the leader closely; until a leader has answered, every entry does. */
+	#isDeputy = true;
+	#hasMissedAnswer = false;
 	#isStopped = false;
 
 	/** @param deps - Dependencies. */
 	constructor(deps: LeaderFollowerDependencies) {
 		this.#deps = deps;
 		this.#lastLeaderAnswerAtMs = deps.clock.monotonicMs();
+		this.#takeoverDelay = new TakeoverDelay(deps.cores);
 	}
 
 	/** Epoch of the known leader row; 0 before the first. */
@@ -77,7 +89,7 @@
 				await this.#checkLeader();
 			}
 
-			await sleep(HELLO_INTERVAL_MS);
+			await sleep(this.#isDeputy || this.#hasMissedAnswer ? HELLO_INTERVAL_MS : RELAXED_HELLO_INTERVAL_MS);
 		}
 	}
 
@@ -93,12 +105,13 @@
 
 		const known = this.#knownRow;
 		const answer = await this.#callLeader();
+		this.#hasMissedAnswer = answer !== 'leading';
 		if (answer === 'leading') {
 			this.#lastLeaderAnswerAtMs = this.#deps.clock.monotonicMs();
 			return;
 		}
 
-		if (answer === 'silent' && this.leaderSilentMs < LEADER_TIMEOUT_MS) {
+		if (answer === 'silent' && this.leaderSilentMs < LEADER_TIMEOUT_MS + (this.#isDeputy ? 0 : RELAXED_TIMEOUT_EXTENSION_MS)) {
 			return;
 		}
 
@@ -106,7 +119,7 @@
 			return;
 		}
 
-		await sleep(Math.random() * MAX_TAKEOVER_JITTER_MS);
+		await sleep(this.#takeoverDelay.nextMs(Math.random()));
 		if (!await this.#readLeaderRow() || this.#hasOtherLeader(known)) {
 			return;
 		}
@@ -136,11 +149,16 @@
 			return answer.error.kind === 'not_sent' && answer.error.isRefused ? 'not leading' : 'silent';
 		}
 
-		const body = answer.value.body as HelloAnswer;
-		if (answer.value.status !== 200) {
+		const body = answer.value.status === 200 ? decodeHelloAnswer(answer.value.body) : undefined;
+		if (!body) {
 			return 'silent';
 		}
 
+		if (body.isLeading) {
+			this.#isDeputy = body.isDeputy;
+			this.#takeoverDelay.recordLargest(body.largestCores);
+		}
+
 		this.#deps.onHello(body, address);
 		return body.isLeading ? 'leading' : 'not leading';
 	}
@@ -156,7 +174,7 @@
 	}
 
 	#recordRow(row: StoredRow | undefined): void {
-		const value = row?.value as LeaderRow | undefined;
+		const value = decodeLeaderRow(row?.value);
 		if (!row || !value) {
 			return;
 		}
--- a/packages/pool-entry/src/peer-messages.ts
+++ b/packages/pool-entry/src/peer-messages.ts
@@ -16,6 +16,9 @@
 	/** Highest epoch that the caller knows. */
 	readonly epoch: number;
 	readonly configRowVersion: number;
+	readonly failureDomain: string;
+	/** Processor capacity of the caller's VM. */
+	readonly cores: number;
 };
 
 /** Answer of any entry to {@link HelloRequest}. */
@@ -28,6 +31,10 @@
 	readonly entries: readonly string[];
 	/** Number of jobs that have not started, by queue. */
 	readonly pending: Readonly<Record<string, number>>;
+	/** Whether the caller is one of the entries that monitor the leader closely. */
+	readonly isDeputy: boolean;
+	/** Processor capacity of the largest entry that is known. */
+	readonly largestCores: number;
 };
 
 /** Answer to a request for the configuration row. */
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -1,20 +1,26 @@
 import {createServer, type Server} from 'node:http';
-import {JsonClient, type Logger, SystemClock} from '@amaranthsail/core';
+import {
+	asFields, JsonClient, type Logger, SystemClock,
+} from '@amaranthsail/core';
 import {
 	CONFIG_KEY, CONFIG_TABLE, decodeConfiguration, type NodeSettings, READINESS_PATH, RowStore,
 } from '@amaranthsail/platform-adapter';
 import {DEFAULT_LIMITS, leaseMsWithin, type PoolLimits} from '@amaranthsail/pool';
-import {ANNOUNCE_PATH, type AnnounceRequest} from '@amaranthsail/pool-agent';
+import {ANNOUNCE_PATH, type AnnounceRequest, decodeAnnounceRequest} from '@amaranthsail/pool-agent';
 import {
-	listen, type ProcessMetrics, type RouteAnswer, type RouteHandler, serveJson, sleep,
+	answerSafely, decoded, ErrorGuard, listen, type ProcessMetrics, type RouteAnswer, type RouteHandler, serveJson, sleep,
 } from '@amaranthsail/pool-runtime';
 import {CallerApi} from './caller-api.js';
 import type {Leadership} from './commit-loop.js';
 import {ConfigFollower} from './config-follower.js';
+import {EntryDirectory} from './entry-directory.js';
 import {JobService} from './job-service.js';
 import {LeaderFollower} from './leadership.js';
 import {
-	type ConfigurationAnswer, type HelloAnswer, type HelloRequest, type JobStateAnswer, type JobStateRequest, PEER_PATHS, type RelayRequest, type StoredNotice,
+	decodeHelloRequest, decodeJobStateRequest, decodeRelayRequest, decodeStoredNotice, decodeStoredRow,
+} from './peer-message-decoding.js';
+import {
+	type ConfigurationAnswer, type HelloAnswer, type HelloRequest, type JobStateAnswer, PEER_PATHS,
 } from './peer-messages.js';
 import {PoolLeader} from './pool-leader.js';
 
@@ -34,6 +40,7 @@
 	readonly #settings: NodeSettings;
 	readonly #logger: Logger;
 	readonly #metrics: ProcessMetrics;
+	readonly #guard: ErrorGuard;
 	readonly #clock = new SystemClock();
 	readonly #store: RowStore;
 	readonly #config: ConfigFollower;
@@ -42,7 +49,7 @@
 	readonly #callerApi: CallerApi;
 	readonly #address: string;
 	readonly #limits: PoolLimits;
-	readonly #entriesSeenAtMs = new Map<string, number>();
+	readonly #entries: EntryDirectory;
 	readonly #servers: Server[] = [];
 	#leader: PoolLeader | undefined;
 	#pending: {readonly counts: Readonly<Record<string, number>>; readonly atMs: number} | undefined;
@@ -57,8 +64,10 @@
 		this.#settings = settings;
 		this.#logger = logger;
 		this.#metrics = metrics;
+		this.#guard = new ErrorGuard(logger, metrics);
 		this.#store = new RowStore(settings.storeAddress);
 		this.#address = `${settings.ip}:${settings.peerPort}`;
+		this.#entries = new EntryDirectory({address: this.#address, failureDomain: settings.failureDomain, cores: settings.cores}, this.#clock);
 		this.#limits = {
 			...DEFAULT_LIMITS,
 			leaseMs: leaseMsWithin(settings.bounds.maxLeaseMs),
@@ -75,6 +84,7 @@
 			logger,
 			holder: `${settings.name}/${Date.now()}`,
 			address: this.#address,
+			cores: settings.cores,
 			isLeading: () => this.#leader !== undefined,
 			canLead: () => this.#config.known !== undefined && !this.#isStopping,
 			hello: () => this.#buildHello(),
@@ -110,7 +120,9 @@
 	async start(): Promise<void> {
 		const {callerAddress, readinessAddress, ip, metricsPort} = this.#settings;
 		this.#servers.push(
-			await serveJson(this.#address, this.#routes()),
+			await serveJson(this.#address, this.#routes(), (path, error) => {
+				this.#guard.record('peer request', error, {path});
+			}),
 			await this.#metrics.serve(`${ip}:${metricsPort}`),
 			await listen(createServer((message, response) => {
 				const isReady = message.url === READINESS_PATH && this.#isReady();
@@ -118,11 +130,13 @@
 				response.end();
 			}), readinessAddress!),
 			await listen(createServer((message, response) => {
-				void this.#callerApi.serve(message, response);
+				void answerSafely(message, response, async () => this.#callerApi.serve(message, response), (path, error) => {
+					this.#guard.record('caller request', error, {path});
+				});
 			}), callerAddress!),
 		);
-		void this.#config.run();
-		void this.#follower.run();
+		void this.#guard.supervise('configuration', async () => this.#config.run());
+		void this.#guard.supervise('leader follower', async () => this.#follower.run());
 	}
 
 	/** Resigns leadership and lets open requests finish; the process may exit afterwards. */
@@ -155,6 +169,7 @@
 			logger: this.#logger,
 			metrics: this.#metrics,
 			limits: this.#limits,
+			guard: this.#guard,
 			onLeadershipLost: () => {
 				if (this.#leader === leader) {
 					this.#leader = undefined;
@@ -166,30 +181,29 @@
 			leader.setConfig(this.#config.known.config);
 		}
 
-		void leader.run();
+		void this.#guard.supervise('leader', async () => leader.run());
 	}
 
 	#routes(): Record<string, RouteHandler> {
 		return {
-			[PEER_PATHS.hello]: body => this.#onHelloRequest(body as HelloRequest),
+			[PEER_PATHS.hello]: decoded(decodeHelloRequest, request => this.#onHelloRequest(request)),
 			[PEER_PATHS.configuration]: () => ({status: 200, body: {row: this.#config.known?.row} satisfies ConfigurationAnswer}),
-			[PEER_PATHS.jobState]: body => {
-				const view = this.#leader?.isLeading ? this.#leader.core.jobView((body as JobStateRequest).jobId) : undefined;
+			[PEER_PATHS.jobState]: decoded(decodeJobStateRequest, ({jobId}) => {
+				const view = this.#leader?.isLeading ? this.#leader.core.jobView(jobId) : undefined;
 				return {status: 200, body: {isLeading: this.#leader?.isLeading ?? false, ...view} satisfies JobStateAnswer};
-			},
-			[PEER_PATHS.stored]: body => {
-				const {jobId, row} = body as StoredNotice;
+			}),
+			[PEER_PATHS.stored]: decoded(decodeStoredNotice, ({jobId, row}) => {
 				this.#leader?.onStored(jobId, row);
 				return {status: 200, body: {}};
-			},
-			[PEER_PATHS.relay]: async body => this.#jobs.onRelay(body as RelayRequest),
-			[ANNOUNCE_PATH]: async body => this.#onAnnounce(body as AnnounceRequest),
+			}),
+			[PEER_PATHS.relay]: decoded(decodeRelayRequest, async request => this.#jobs.onRelay(request)),
+			[ANNOUNCE_PATH]: decoded(decodeAnnounceRequest, async request => this.#onAnnounce(request)),
 		};
 	}
 
 	async #onAnnounce(request: AnnounceRequest): Promise<RouteAnswer> {
 		if (this.#leader) {
-			this.#leader.addAgent(request.agent, request.address);
+			this.#leader.onAnnounced(request.agent, request.address);
 			return {status: 200, body: {}};
 		}
 
@@ -205,12 +219,12 @@
 	}
 
 	#buildHello(): HelloRequest {
-		return {address: this.#address, epoch: this.#follower.epoch, configRowVersion: this.#config.known?.row.version ?? 0};
+		return {address: this.#address, epoch: this.#follower.epoch, configRowVersion: this.#config.known?.row.version ?? 0, failureDomain: this.#settings.failureDomain, cores: this.#settings.cores};
 	}
 
 	#onHelloRequest(request: HelloRequest): RouteAnswer {
-		this.#entriesSeenAtMs.set(request.address, this.#clock.monotonicMs());
-		this.#leader?.recordPeerCall();
+		this.#entries.recordCall(request);
+		this.#leader?.recordPeerCall(request.epoch);
 		void this.#fetchConfigIfNewer(request.configRowVersion, request.address);
 		return {
 			status: 200,
@@ -218,17 +232,17 @@
 				epoch: this.#leader?.epoch ?? this.#follower.epoch,
 				isLeading: (this.#leader?.isLeading ?? false) || (this.#leader?.isRecovering ?? false),
 				configRowVersion: this.#config.known?.row.version ?? 0,
-				entries: [...this.#entriesSeenAtMs.keys()],
+				entries: this.#entries.addresses,
 				pending: Object.fromEntries(this.#leader?.core.pendingCounts() ?? []),
+				isDeputy: this.#entries.isDeputy(request.address),
+				largestCores: this.#entries.largestCores,
 			} satisfies HelloAnswer,
 		};
 	}
 
 	#onHelloAnswer(answer: HelloAnswer, address: string): void {
 		const nowMs = this.#clock.monotonicMs();
-		for (const entry of [address, ...answer.entries]) {
-			this.#entriesSeenAtMs.set(entry, nowMs);
-		}
+		this.#entries.recordMentioned([address, ...answer.entries]);
 
 		if (answer.isLeading) {
 			this.#pending = {counts: answer.pending, atMs: nowMs};
@@ -246,7 +260,7 @@
 		const client = new JsonClient(address, 1);
 		const answer = await client.call({method: 'POST', path: PEER_PATHS.configuration, body: {}, timeoutMs: PEER_TIMEOUT_MS});
 		client.close();
-		const row = answer.ok ? (answer.value.body as ConfigurationAnswer).row : undefined;
+		const row = answer.ok ? decodeStoredRow(asFields(answer.value.body).row) : undefined;
 		if (row) {
 			this.#config.applyIfNewer(row, `peer ${address}`);
 		}
@@ -263,7 +277,7 @@
 
 	#otherEntries(): readonly string[] {
 		const leader = this.#follower.leaderAddress;
-		const others = [...this.#entriesSeenAtMs.entries()].toSorted((left, right) => right[1] - left[1]).map(([address]) => address);
+		const others = this.#entries.addresses;
 		const seeds = this.#settings.seedIps.map(ip => `${ip}:${this.#settings.peerPort}`);
 		return [...new Set([...(leader === undefined ? [] : [leader]), ...others, ...seeds])].filter(address => address !== this.#address);
 	}
--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -1,10 +1,11 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type JobRow, parseJobKey, PoolCore, type MemberRow, type PoolConfig, type PoolLimits, type PoolStore, type StoredRow, TABLES,
+	decodeJobRow, decodeMemberRow, type JobRow, parseJobKey, PoolCore, type PoolConfig, type PoolLimits, type PoolStore, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
-import {type ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
+import {type ErrorGuard, type ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
 import {AgentLink} from './agent-link.js';
 import {CommitLoop, type Leadership} from './commit-loop.js';
+import {LeadershipPermit} from './leadership-permit.js';
 
 /** Longest time between two ticks of the core. */
 const TICK_INTERVAL_MS = 100;
@@ -16,6 +17,12 @@
 
 const READ_TIMEOUT_MS = 2000;
 
+/**
+ * Agents that have been silent for this time are forgotten; one that returns announces itself again. Exceeds the
+ * longest outage after which a worker's runs may go on: by then its lease has expired many times over.
+ */
+const AGENT_RETENTION_MS = 60_000;
+
 /** A leader whose commits have failed for this long reports that it does not lead, so that a standby takes over. */
 const MAX_COMMIT_FAILURE_MS = 700;
 
@@ -26,6 +33,7 @@
 	readonly logger: Logger;
 	readonly metrics: ProcessMetrics;
 	readonly limits: PoolLimits;
+	readonly guard: ErrorGuard;
 	/** Called once when another process leads or has to take over. */
 	readonly onLeadershipLost: (reason: string) => void;
 };
@@ -39,8 +47,9 @@
 	readonly #agentLinks = new Map<string, AgentLink>();
 	/** Addresses of agents that announced themselves while the stored state was being read, by name. */
 	readonly #announcedAgents = new Map<string, string>();
-	#lastStoreAnswerAtMs: number;
-	#lastPeerCallAtMs: number;
+	/** Addresses in the members table, by agent. */
+	readonly #storedMembers = new Map<string, string>();
+	readonly #permit: LeadershipPermit;
 	#isStopped = false;
 	#isRecovered = false;
 	#isTickScheduled = false;
@@ -52,11 +61,12 @@
 	constructor(leadership: Leadership, deps: PoolLeaderDependencies) {
 		this.#deps = deps;
 		this.#leadership = leadership;
-		this.#lastStoreAnswerAtMs = deps.clock.monotonicMs();
-		this.#lastPeerCallAtMs = this.#lastStoreAnswerAtMs;
+		this.#permit = new LeadershipPermit(deps.clock.monotonicMs(), deps.limits.deposedLeaderGraceMs);
 		this.core = new PoolCore(deps.clock, deps.limits, (event, fields) => {
 			deps.logger.info(event, {epoch: leadership.row.epoch, ...fields});
 			deps.metrics.count('decisions', {event: event.replaceAll(' ', '_')});
+		}, durationMs => {
+			deps.metrics.observe('round', durationMs);
 		});
 		this.#commitLoop = new CommitLoop(leadership, {
 			store: deps.store,
@@ -68,9 +78,11 @@
 				this.#stepDown(reason);
 			},
 			onCommit: () => {
-				this.#lastStoreAnswerAtMs = deps.clock.monotonicMs();
 				this.#scheduleTick();
 			},
+			onConfirmed: sentAtMs => {
+				this.#permit.recordConfirmation(sentAtMs);
+			},
 		});
 	}
 
@@ -95,9 +107,18 @@
 		this.#scheduleTick();
 	}
 
-	/** Records a call of another entry. */
-	recordPeerCall(): void {
-		this.#lastPeerCallAtMs = this.#deps.clock.monotonicMs();
+	/**
+	 * Records a call of another entry.
+	 *
+	 * @param knownEpoch - Highest epoch that the entry knows.
+	 */
+	recordPeerCall(knownEpoch: number): void {
+		if (knownEpoch > this.epoch) {
+			this.#stepDown(`another entry knows epoch ${knownEpoch}`);
+			return;
+		}
+
+		this.#permit.recordPeerCall(this.#deps.clock.monotonicMs());
 	}
 
 	/**
@@ -120,9 +141,10 @@
 		known?.stop();
 		const link = new AgentLink(name, address, {
 			core: this.core,
+			clock: this.#deps.clock,
 			epoch: this.epoch,
 			logger: this.#deps.logger,
-			mayRenewLeases: () => !this.#isIsolated(),
+			mayRenewLeases: () => this.#permit.mayRenewLeases(this.#deps.clock.monotonicMs()),
 			onUpdate: () => {
 				this.#scheduleTick();
 			},
@@ -131,7 +153,22 @@
 			},
 		});
 		this.#agentLinks.set(name, link);
-		void link.run();
+		void this.#deps.guard.supervise('agent link', async () => link.run());
+	}
+
+	/**
+	 * Starts watching an agent that has announced itself, and stores its address for the next leader.
+	 *
+	 * @param name - Name of the agent.
+	 * @param address - Its address.
+	 */
+	onAnnounced(name: string, address: string): void {
+		if (this.#isRecovered && this.#storedMembers.get(name) !== address) {
+			this.#storedMembers.set(name, address);
+			this.core.storeMember(name, address);
+		}
+
+		this.addAgent(name, address);
 	}
 
 	/**
@@ -168,19 +205,24 @@
 		this.core.recover({jobs: jobs.rows, runs: runs.rows, incarnations: incarnations.rows});
 		this.#isRecovered = true;
 		for (const member of members.rows) {
-			this.#announcedAgents.set(member.key, this.#announcedAgents.get(member.key) ?? (member.value as MemberRow).address);
+			const row = decodeMemberRow(member.value);
+			if (row) {
+				this.#storedMembers.set(member.key, row.address);
+				this.#announcedAgents.set(member.key, this.#announcedAgents.get(member.key) ?? row.address);
+			} else {
+				this.#recordUnreadableRow(member);
+			}
 		}
 
 		for (const [name, address] of this.#announcedAgents) {
 			this.addAgent(name, address);
 		}
 
-		void this.#tickLoop();
+		void this.#deps.guard.supervise('tick loop', async () => this.#tickLoop());
 		let {version} = jobs;
 		while (!this.#isStopped) {
 			const page = await this.#deps.store.follow(TABLES.jobs, version, FEED_WAIT_MS);
 			if (page.ok) {
-				this.#lastStoreAnswerAtMs = this.#deps.clock.monotonicMs();
 				version = Math.max(version, page.value.version);
 				this.#onJobRows(page.value.rows);
 			} else if (page.error.kind === 'history_lost') {
@@ -215,12 +257,6 @@
 		}
 	}
 
-	/** A leader that reaches neither the store nor another entry may have been replaced. */
-	#isIsolated(): boolean {
-		const sinceMs = this.#deps.clock.monotonicMs() - this.#deps.limits.deposedLeaderGraceMs;
-		return this.#lastStoreAnswerAtMs < sinceMs && this.#lastPeerCallAtMs < sinceMs;
-	}
-
 	async #readTable(table: string): Promise<{rows: readonly StoredRow[]; version: number}> {
 		const rows: StoredRow[] = [];
 		let version: number | undefined;
@@ -254,21 +290,46 @@
 
 			if (isCancellation) {
 				this.core.onCancellationStored(jobId);
+				continue;
+			}
+
+			const job = decodeJobRow(row.value);
+			if (job) {
+				this.core.onJobStored(jobId, job);
 			} else {
-				this.core.onJobStored(jobId, row.value as JobRow);
+				this.#recordUnreadableRow(row);
 			}
 		}
 
 		this.#scheduleTick();
 	}
 
+	#recordUnreadableRow(row: StoredRow): void {
+		this.#deps.logger.error('row unreadable', {table: row.table, key: row.key, rowVersion: row.version});
+		this.#deps.metrics.count('unreadable_rows', {table: row.table});
+	}
+
 	async #tickLoop(): Promise<void> {
 		while (!this.#isStopped) {
 			this.#tick();
+			this.#forgetSilentAgents();
 			await sleep(TICK_INTERVAL_MS);
 		}
 	}
 
+	/** Removes agents that have been silent for long, so that no later leader calls an address that may belong to another VM. */
+	#forgetSilentAgents(): void {
+		for (const [name, link] of this.#agentLinks) {
+			if (link.silentMs > AGENT_RETENTION_MS) {
+				this.#deps.logger.info('agent forgotten', {agent: name, address: link.address, silentMs: Math.round(link.silentMs)});
+				link.stop();
+				this.#agentLinks.delete(name);
+				this.#storedMembers.delete(name);
+				this.core.removeMember(name);
+			}
+		}
+	}
+
 	/** Schedules one tick of the core for all updates of the current turn of the event loop. */
 	#scheduleTick(): void {
 		if (this.#isTickScheduled || this.#isStopped || !this.#isRecovered) {
@@ -278,7 +339,11 @@
 		this.#isTickScheduled = true;
 		setImmediate(() => {
 			this.#isTickScheduled = false;
-			this.#tick();
+			try {
+				this.#tick();
+			} catch (error) {
+				this.#deps.guard.record('tick', error, {epoch: this.epoch});
+			}
 		});
 	}
 
@@ -288,6 +353,11 @@
 		}
 
 		const startedAtMs = this.#deps.clock.monotonicMs();
+		const pausedMs = this.#permit.recordTick(startedAtMs);
+		if (pausedMs !== undefined) {
+			this.#deps.logger.warn('process was paused', {epoch: this.epoch, pausedMs: Math.round(pausedMs)});
+		}
+
 		this.core.tick();
 		this.#deps.metrics.observe('tick', this.#deps.clock.monotonicMs() - startedAtMs);
 		if (this.core.isFenced) {
@@ -295,7 +365,16 @@
 			return;
 		}
 
+		if (this.#permit.takeConfirmationRequest(startedAtMs)) {
+			this.#commitLoop.requestConfirmation();
+		}
+
 		void this.#commitLoop.flush();
+		if (!this.#permit.mayOrder(this.#deps.clock.monotonicMs())) {
+			// Orders stay queued until the store or another entry shows that this process still leads.
+			return;
+		}
+
 		for (const outgoing of this.core.takeOrders()) {
 			const link = this.#agentLinks.get(outgoing.agent);
 			if (link) {
--- a/packages/pool-entry/tests/leadership.test.ts
+++ b/packages/pool-entry/tests/leadership.test.ts
@@ -11,7 +11,7 @@
 
 async function serveLeader(): Promise<{address: string; close: () => void}> {
 	const answer: HelloAnswer = {
-		epoch: 1, isLeading: true, configRowVersion: 0, entries: [], pending: {},
+		epoch: 1, isLeading: true, configRowVersion: 0, entries: [], pending: {}, isDeputy: true, largestCores: 1,
 	};
 	return servePeer({[PEER_PATHS.hello]: () => ({status: 200, body: answer})});
 }
@@ -25,9 +25,10 @@
 		logger: silentLogger,
 		holder: 'self/1',
 		address: '127.0.0.1:1',
+		cores: 1,
 		isLeading: () => isLeading,
 		canLead: () => true,
-		hello: () => ({address: '127.0.0.1:1', epoch: 0, configRowVersion: 0}),
+		hello: () => ({address: '127.0.0.1:1', epoch: 0, configRowVersion: 0, failureDomain: 'a', cores: 1}),
 		onHello: () => undefined,
 		onTakeover(leadership) {
 			isLeading = true;
--- a/packages/pool-entry/tests/support.ts
+++ b/packages/pool-entry/tests/support.ts
@@ -13,7 +13,9 @@
 
 /** Serves a peer's API on a free port of the loopback interface. */
 export async function servePeer(routes: Record<string, RouteHandler>): Promise<{readonly address: string; readonly close: () => void}> {
-	const server = await serveJson('127.0.0.1:0', routes);
+	const server = await serveJson('127.0.0.1:0', routes, (path, error) => {
+		throw new Error(`${path} failed`, {cause: error});
+	});
 	const address = server.address();
 	return {
 		address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`,
--- a/packages/pool-runtime/src/index.ts
+++ b/packages/pool-runtime/src/index.ts
@@ -2,3 +2,4 @@
 export * from './json-server.js';
 export * from './metrics.js';
 export * from './sleep.js';
+export * from './error-guard.js';
--- a/packages/pool-runtime/src/json-server.ts
+++ b/packages/pool-runtime/src/json-server.ts
@@ -6,9 +6,12 @@
 /** Status and JSON body of an answer. */
 export type RouteAnswer = {readonly status: number; readonly body?: unknown};
 
-/** Handles a call with a JSON body; `body` is undefined when it cannot be read or parsed. */
+/** Handles a call with a JSON body, which is undefined when it cannot be read or parsed. */
 export type RouteHandler = (body: unknown) => Promise<RouteAnswer> | RouteAnswer;
 
+/** Receives the unexpected errors of single requests. */
+export type RequestErrorHandler = (path: string, error: unknown) => void;
+
 /** Bodies of calls between the system's own processes stay below this size. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -54,21 +57,56 @@
 	response.end(text);
 }
 
+/**
+ * Answers a request whose handler may fail. An unexpected error ends this request with status 500, and nothing else.
+ *
+ * @param message - The request.
+ * @param response - The response to write.
+ * @param handle - Writes the response.
+ * @param onError - Receives the error.
+ */
+export async function answerSafely(message: IncomingMessage, response: ServerResponse, handle: () => Promise<void>, onError: RequestErrorHandler): Promise<void> {
+	try {
+		await handle();
+	} catch (error) {
+		onError((message.url ?? '').split('?')[0]!, error);
+		if (response.headersSent) {
+			response.destroy();
+		} else {
+			sendJson(response, {status: 500, body: {problem: 'unexpected error'}});
+		}
+	}
+}
+
+/**
+ * Makes a route handler that checks its requests.
+ *
+ * @param decode - Decodes the body; undefined means that it is malformed.
+ * @param handle - Handles the decoded request.
+ * @returns A handler that answers a malformed request with status 400.
+ */
+export function decoded<Request>(decode: (body: unknown) => Request | undefined, handle: (request: Request) => Promise<RouteAnswer> | RouteAnswer): RouteHandler {
+	return async body => {
+		const request = decode(body);
+		return request === undefined ? {status: 400, body: {problem: 'malformed request'}} : handle(request);
+	};
+}
+
 /**
  * Starts a server for calls between the system's own processes.
  *
  * @param address - `host:port` to listen on.
  * @param routes - Handlers of `POST` requests, by path.
+ * @param onError - Receives unexpected errors of handlers.
  * @returns The server, once it listens.
  */
-export async function serveJson(address: string, routes: Readonly<Record<string, RouteHandler>>): Promise<Server> {
+export async function serveJson(address: string, routes: Readonly<Record<string, RouteHandler>>, onError: RequestErrorHandler): Promise<Server> {
 	const app = polka();
 	for (const [path, handler] of Object.entries(routes)) {
-		app.post(path, async (message, response) => {
+		app.post(path, async (message, response) => answerSafely(message, response, async () => {
 			const text = await readBody(message);
-			const answer = await handler(text === undefined ? undefined : parseJson(text));
-			sendJson(response, answer);
-		});
+			sendJson(response, await handler(text === undefined ? undefined : parseJson(text)));
+		}, onError));
 	}
 
 	return listen(createServer(app.handler as (message: IncomingMessage, response: ServerResponse) => void), address);
--- a/packages/pool/src/commit-queue.ts
+++ b/packages/pool/src/commit-queue.ts
@@ -3,6 +3,8 @@
 /** The writes of one transaction. */
 export type Commit = {
 	readonly writes: readonly RowWrite[];
+	/** The groups of writes in this transaction, each as a commit of its own. */
+	readonly groups: readonly Commit[];
 	/** Runs the callbacks of the writes; called once they are stored. */
 	complete(): void;
 };
@@ -22,13 +24,18 @@
 	}
 
 	/**
-	 * Adds a group of writes that take effect together.
+	 * Adds a group of writes. Up to 90 take effect together; a larger group is stored in several transactions, in order.
 	 *
-	 * @param writes - At most 90 writes; none to only have `onStored` called after the earlier groups.
-	 * @param onStored - Called once the writes are stored.
+	 * @param writes - The writes; none to only have `onStored` called after the earlier groups.
+	 * @param onStored - Called once all writes are stored.
 	 */
 	enqueue(writes: readonly RowWrite[], onStored: () => void): void {
-		this.#groups.push({writes, onStored});
+		let start = 0;
+		for (; writes.length - start > MAX_TRANSACTION_WRITES; start += MAX_TRANSACTION_WRITES) {
+			this.#groups.push({writes: writes.slice(start, start + MAX_TRANSACTION_WRITES), onStored: () => undefined});
+		}
+
+		this.#groups.push({writes: writes.slice(start), onStored});
 	}
 
 	/**
@@ -68,13 +75,20 @@
 			return undefined;
 		}
 
-		return {
-			writes: [...writes.values()],
-			complete() {
-				for (const group of takenGroups) {
-					group.onStored();
-				}
-			},
-		};
+		return createCommit([...writes.values()], takenGroups);
 	}
 }
+
+function createCommit(writes: readonly RowWrite[], groups: readonly WriteGroup[]): Commit {
+	return {
+		writes,
+		get groups() {
+			return groups.map(group => createCommit(group.writes, [group]));
+		},
+		complete() {
+			for (const group of groups) {
+				group.onStored();
+			}
+		},
+	};
+}
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -2,6 +2,7 @@
 export * from './model.js';
 export type * from './ports.js';
 export * from './rows.js';
+export * from './row-decoding.js';
 export * from './task-name.js';
 export * from './pool-limits.js';
 export * from './pool-core.js';
--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -50,6 +50,7 @@
 			isCancelled: false,
 			...(row.finalState !== undefined && {endedAtWallMs: row.endedAtMs ?? row.acceptedAtMs}),
 			isEnding: false,
+			hasUnreadableRows: false,
 		};
 		this.#context.jobs.set(id, job);
 		if (!FINAL_STATES.has(job.state)) {
@@ -83,7 +84,7 @@
 	 * @param job - The job; the state of its tasks has changed.
 	 */
 	endIfFinished(job: Job): void {
-		if (job.isEnding || !job.spec || FINAL_STATES.has(job.state)) {
+		if (job.isEnding || job.hasUnreadableRows || !job.spec || FINAL_STATES.has(job.state)) {
 			return;
 		}
 
--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -103,6 +103,8 @@
 	isBeingRemoved?: boolean;
 	/** Its final row is being stored. */
 	isEnding: boolean;
+	/** One of its rows cannot be read, so that it is neither placed nor completed; it can still be cancelled. */
+	hasUnreadableRows: boolean;
 };
 
 /** States of a job that never change again. */
--- a/packages/pool/src/pending-units.ts
+++ b/packages/pool/src/pending-units.ts
@@ -55,7 +55,7 @@
 	const units: PendingUnit[] = [];
 	for (const job of context.jobs.values()) {
 		const queue = context.queueOf(job);
-		if (job.isEnding || job.isCancelled || FINAL_STATES.has(job.state) || !queue) {
+		if (job.isEnding || job.isCancelled || job.hasUnreadableRows || FINAL_STATES.has(job.state) || !queue) {
 			continue;
 		}
 
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -8,7 +8,8 @@
 import {type DecisionLogger, type OutgoingOrder, PoolContext} from './pool-context.js';
 import type {PoolLimits} from './pool-limits.js';
 import {recover, type StoredState} from './state-recovery.js';
-import type {JobRow} from './rows.js';
+import {type JobRow, type MemberRow, TABLES} from './rows.js';
+import {RoundPacer} from './round-pacer.js';
 import {RunLifecycle} from './run-lifecycle.js';
 import {SchedulingRound} from './scheduling-round.js';
 import {type AgentReport, WorkerRegistry} from './worker-registry.js';
@@ -31,6 +32,8 @@
 	readonly #jobs: JobLifecycle;
 	readonly #workers: WorkerRegistry;
 	readonly #schedulingRound: SchedulingRound;
+	readonly #roundPacer = new RoundPacer();
+	readonly #onRound: (durationMs: number) => void;
 	#isRecovered = false;
 	#checkpointsDueMs = 0;
 	#pruneDueMs = 0;
@@ -39,9 +42,11 @@
 	 * @param clock - Source of time.
 	 * @param limits - Times and limits.
 	 * @param log - Logs decisions.
+	 * @param onRound - Called with the duration of each scheduling round in milliseconds.
 	 */
-	constructor(clock: Clock, limits: PoolLimits, log: DecisionLogger) {
+	constructor(clock: Clock, limits: PoolLimits, log: DecisionLogger, onRound: (durationMs: number) => void = () => undefined) {
 		this.#context = new PoolContext(clock, limits, log);
+		this.#onRound = onRound;
 		this.#runs = new RunLifecycle(this.#context, job => {
 			this.#jobs.endIfFinished(job);
 		});
@@ -58,7 +63,7 @@
 	/** @param state - Rows as read after the takeover. */
 	recover(state: StoredState): void {
 		this.#isRecovered = true;
-		recover(state, {context: this.#context, jobs: this.#jobs, workers: this.#workers});
+		recover(state, {context: this.#context, jobs: this.#jobs, runs: this.#runs, workers: this.#workers});
 	}
 
 	/** @param config - The newest configuration. */
@@ -124,15 +129,7 @@
 			}
 		}
 
-		if (this.#context.config) {
-			this.#context.needsSchedulingRound = false;
-			this.#schedulingRound.run();
-		}
-	}
-
-	/** Whether something has changed since the last tick that may allow a placement. */
-	get needsTick(): boolean {
-		return this.#context.needsSchedulingRound;
+		this.#runDueRound();
 	}
 
 	/** @returns The next transaction, or undefined. */
@@ -158,6 +155,22 @@
 		return canRenewLease ? {leaseUntilMs: Math.floor(worker.workerClockMs + this.#context.limits.leaseMs), ackSequence: worker.ackSequence} : undefined;
 	}
 
+	/**
+	 * Stores the address of an agent for the next leader.
+	 *
+	 * @param agent - Name of the agent.
+	 * @param address - Its address.
+	 */
+	storeMember(agent: string, address: string): void {
+		const row: MemberRow = {address};
+		this.#context.commits.enqueue([{table: TABLES.members, key: agent, value: row}], () => undefined);
+	}
+
+	/** @param agent - An agent that has been silent for long; its rows are removed. */
+	removeMember(agent: string): void {
+		this.#context.commits.enqueueRemovals([{table: TABLES.members, key: agent}, {table: TABLES.lives, key: agent}], () => undefined);
+	}
+
 	/**
 	 * Looks up a job for its caller.
 	 *
@@ -195,6 +208,19 @@
 
 		return {jobs: openJobs, runs, workers: this.#context.workers.size};
 	}
+
+	#runDueRound(): void {
+		const startedAtMs = this.#context.nowMs();
+		if (!this.#context.config || !this.#roundPacer.isDue(startedAtMs, this.#context.needsSchedulingRound)) {
+			return;
+		}
+
+		this.#context.needsSchedulingRound = false;
+		this.#schedulingRound.run();
+		const endedAtMs = this.#context.nowMs();
+		this.#roundPacer.recordRound(startedAtMs, endedAtMs);
+		this.#onRound(endedAtMs - startedAtMs);
+	}
 }
 
 function visibleState(job: Job): JobState {
--- /dev/null
+++ b/packages/pool/src/row-decoding.ts
@@ -0,0 +1,104 @@
+import {
+	asFields, asList, type Fields, isAddress, isCount, numberOr,
+} from '@amaranthsail/core';
+import {
+	JOB_STATES, type JobSpec, type JobState, type TaskShape,
+} from './model.js';
+import type {
+	IncarnationRow, JobRow, LeaderRow, MemberRow, RunRow,
+} from './rows.js';
+
+const isText = (value: unknown): value is string => typeof value === 'string';
+
+/**
+ * Decodes a row of the jobs table.
+ *
+ * @param value - Decoded JSON of the row.
+ * @returns The job, or undefined when a field that the leader needs is missing or invalid.
+ */
+export function decodeJobRow(value: unknown): JobRow | undefined {
+	const {queue, account, acceptedAtMs, spec, finalState, endedAtMs} = asFields(value);
+	const hasValidState = finalState === undefined || Object.values(JOB_STATES).includes(finalState as JobState);
+	if (!isText(queue) || !isText(account) || typeof acceptedAtMs !== 'number' || !hasValidState) {
+		return undefined;
+	}
+
+	if (finalState === undefined && !isJobSpec(spec)) {
+		return undefined;
+	}
+
+	return {
+		queue,
+		account,
+		acceptedAtMs,
+		...(isJobSpec(spec) && {spec}),
+		...(finalState !== undefined && {finalState: finalState as JobState}),
+		...(typeof endedAtMs === 'number' && {endedAtMs}),
+	};
+}
+
+/**
+ * Decodes a row of the runs table.
+ *
+ * @param value - Decoded JSON of the row.
+ * @returns The newest run of the task, or undefined when the row cannot be read.
+ */
+export function decodeRunRow(value: unknown): RunRow | undefined {
+	const {run, life, isDone, failures, checkpoint} = asFields(value);
+	if (!isCount(run, 1) || !(life === undefined || isText(life))) {
+		return undefined;
+	}
+
+	return {
+		run,
+		...(isText(life) && {life}),
+		...(isDone === true && {isDone}),
+		...(isCount(failures, 1) && {failures}),
+		...(isText(checkpoint) && {checkpoint}),
+	};
+}
+
+/** @returns The row of the lives table, or undefined when it cannot be read. */
+export function decodeIncarnationRow(value: unknown): IncarnationRow | undefined {
+	const {life} = asFields(value);
+	return isText(life) ? {life} : undefined;
+}
+
+/** @returns The row of the members table, or undefined when it cannot be read. */
+export function decodeMemberRow(value: unknown): MemberRow | undefined {
+	const {address} = asFields(value);
+	return isAddress(address) ? {address} : undefined;
+}
+
+/** @returns The leader row, or undefined when it cannot be read. */
+export function decodeLeaderRow(value: unknown): LeaderRow | undefined {
+	const {holder, address, epoch, commit} = asFields(value);
+	if (!isText(holder) || !isCount(epoch) || !isAddress(address)) {
+		return undefined;
+	}
+
+	return {
+		holder, address, epoch, commit: numberOr(commit, 0),
+	};
+}
+
+function isJobSpec(value: unknown): value is JobSpec {
+	const {payload, steps, recurrence} = asFields(value);
+	return isText(payload) && Array.isArray(steps) && steps.length > 0
+		&& steps.every((step, number) => isStepSpec(asFields(step), number))
+		&& (recurrence === undefined || isRecurrence(asFields(recurrence)));
+}
+
+function isRecurrence({startAtMs, intervalMs, count}: Fields): boolean {
+	return isCount(count, 1) && typeof startAtMs === 'number' && typeof intervalMs === 'number';
+}
+
+function isStepSpec({taskCount, shape, estimatedMs, after}: Fields, number: number): boolean {
+	return isCount(taskCount, 1) && isTaskShape(shape) && typeof estimatedMs === 'number'
+		&& Array.isArray(after) && asList(after).every(earlier => isCount(earlier) && earlier < number);
+}
+
+function isTaskShape(value: unknown): value is TaskShape {
+	const {cpuMillis, memoryMb, accelerators} = asFields(value);
+	return isCount(cpuMillis) && isCount(memoryMb) && isCount(accelerators);
+}
--- a/packages/pool/src/state-recovery.ts
+++ b/packages/pool/src/state-recovery.ts
@@ -2,11 +2,12 @@
 	createRun, FINAL_STATES, type Job, RUN_PHASES, type Task,
 } from './job-model.js';
 import type {JobLifecycle} from './job-lifecycle.js';
+import type {RunLifecycle} from './run-lifecycle.js';
+import {parseTaskName} from './task-name.js';
 import type {PoolContext} from './pool-context.js';
 import type {StoredRow} from './ports.js';
-import {
-	type JobRow, type IncarnationRow, parseJobKey, type RunRow, TABLES,
-} from './rows.js';
+import {decodeIncarnationRow, decodeJobRow, decodeRunRow} from './row-decoding.js';
+import {parseJobKey, type RunRow} from './rows.js';
 import type {TrackedWorker} from './tracked-worker.js';
 import type {WorkerRegistry} from './worker-registry.js';
 
@@ -14,7 +15,7 @@
 export type StoredState = {readonly jobs: readonly StoredRow[]; readonly runs: readonly StoredRow[]; readonly incarnations: readonly StoredRow[]};
 
 /** Parts of the leader whose state is restored. */
-export type RecoveryParts = {readonly context: PoolContext; readonly jobs: JobLifecycle; readonly workers: WorkerRegistry};
+export type RecoveryParts = {readonly context: PoolContext; readonly jobs: JobLifecycle; readonly runs: RunLifecycle; readonly workers: WorkerRegistry};
 
 /**
  * Restores the leader's state from stored rows.
@@ -22,29 +23,47 @@
  * A run that is stored without an end may be running, may have ended, or may never have been sent to its worker. Its
  * start is sent again under the same number once the worker's lists have been read.
  *
+ * A row that cannot be read stops its job and nothing else: the job is not placed, and its other rows are kept.
+ *
  * @param state - The rows.
  * @param parts - The parts to restore; they are empty.
  */
 export function recover(state: StoredState, parts: RecoveryParts): void {
-	const {context, jobs, workers} = parts;
+	const {context, jobs, runs, workers} = parts;
 	const cancelled: string[] = [];
+	const unreadableJobs = new Set<string>();
 	for (const row of state.jobs) {
 		const {jobId, isCancellation} = parseJobKey(row.key);
+		const job = isCancellation ? undefined : decodeJobRow(row.value);
 		if (isCancellation) {
 			cancelled.push(jobId);
+		} else if (job) {
+			jobs.addStored(jobId, job);
 		} else {
-			jobs.addStored(jobId, row.value as JobRow);
+			unreadableJobs.add(jobId);
+			logUnreadable(row, context);
 		}
 	}
 
-	const agentsByIncarnation = new Map(state.incarnations.map(row => [(row.value as IncarnationRow).life, row.key]));
+	const agentsByIncarnation = new Map(state.incarnations.map(row => [decodeIncarnationRow(row.value)?.life, row.key]));
 	const orphanedRows: StoredRow[] = [];
 	for (const row of state.runs) {
 		const task = context.findTask(row.key);
-		if (task) {
-			restoreTask(task, row.value as RunRow, context, incarnation => workers.trackUnreported(incarnation, agentsByIncarnation.get(incarnation) ?? ''));
+		const jobId = parseTaskName(row.key)?.jobId ?? '';
+		if (!task) {
+			if (!unreadableJobs.has(jobId)) {
+				orphanedRows.push(row);
+			}
+
+			continue;
+		}
+
+		const run = decodeRunRow(row.value);
+		if (run) {
+			restoreTask(task, run, context, incarnation => workers.trackUnreported(incarnation, agentsByIncarnation.get(incarnation) ?? ''));
 		} else {
-			orphanedRows.push(row);
+			logUnreadable(row, context);
+			task.step.job.hasUnreadableRows = true;
 		}
 	}
 
@@ -53,6 +72,7 @@
 	const openJobs = [...context.jobs.values()].filter(job => !FINAL_STATES.has(job.state));
 	for (const job of openJobs) {
 		markStartedStepsReady(job);
+		restoreGangs(job, runs);
 		jobs.endIfFinished(job);
 	}
 
@@ -63,6 +83,31 @@
 	context.log('state recovered', {jobs: openJobs.length, runs: state.runs.length, cancellations: cancelled.length, workers: context.workers.size});
 }
 
+function logUnreadable(row: StoredRow, context: PoolContext): void {
+	context.log('row unreadable', {table: row.table, key: row.key, rowVersion: row.version});
+}
+
+/**
+ * Makes the members of each gang agree. The rows of a gang that is wider than a transaction are stored in several, and
+ * the earlier leader may have failed between two of them.
+ */
+function restoreGangs(job: Job, runs: RunLifecycle): void {
+	for (const step of job.occurrences.flatMap(occurrence => occurrence.steps)) {
+		if (!step.spec.isGang) {
+			continue;
+		}
+
+		const isDone = step.tasks.some(task => task.isDone);
+		const isPartial = step.tasks.some(task => task.run) && step.tasks.some(task => !task.run);
+		for (const task of step.tasks) {
+			task.isDone = isDone;
+			if (task.run && (isPartial || isDone)) {
+				runs.stop(task.run, isDone ? 'gang is done' : 'gang was stored in part');
+			}
+		}
+	}
+}
+
 function restoreTask(task: Task, row: RunRow, context: PoolContext, findOrTrackWorker: (incarnation: string) => TrackedWorker): void {
 	task.lastRunNumber = row.run;
 	task.isDone = row.isDone ?? false;
