--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -3,7 +3,7 @@
 	decodeJobRow, decodeMemberRow, type JobRow, parseJobKey, PoolCore, type PoolConfig, type PoolLimits, type PoolStore, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
 import {type ErrorGuard, type ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
-import {AgentLink} from './agent-link.js';
+import {AgentLinks} from './agent-links.js';
 import {CommitLoop, type Leadership} from './commit-loop.js';
 import {LeadershipPermit} from './leadership-permit.js';
 
@@ -20,12 +20,6 @@
 /** Counting jobs and runs takes time that grows with the pool; metrics are read every few seconds. */
 const GAUGE_INTERVAL_MS = 5000;
 
-/**
- * Agents that have been silent for this time are forgotten; one that returns announces itself again. Exceeds the
- * longest outage after which a worker's runs may go on: by then its lease has expired many times over.
- */
-const AGENT_RETENTION_MS = 60_000;
-
 /** A leader whose commits have failed for this long reports that it does not lead, so that a standby takes over. */
 const MAX_COMMIT_FAILURE_MS = 700;
 
@@ -47,11 +41,7 @@
 	readonly #deps: PoolLeaderDependencies;
 	readonly #leadership: Leadership;
 	readonly #commitLoop: CommitLoop;
-	readonly #agentLinks = new Map<string, AgentLink>();
-	/** Addresses of agents that announced themselves while the stored state was being read, by name. */
-	readonly #announcedAgents = new Map<string, string>();
-	/** Addresses in the members table, by agent. */
-	readonly #storedMembers = new Map<string, string>();
+	readonly #agentLinks: AgentLinks;
 	readonly #permit: LeadershipPermit;
 	#gaugesDueMs = Number.NEGATIVE_INFINITY;
 	#isStopped = false;
@@ -72,6 +62,20 @@
 		}, durationMs => {
 			deps.metrics.observe('round', durationMs);
 		});
+		this.#agentLinks = new AgentLinks({
+			core: this.core,
+			clock: deps.clock,
+			epoch: this.epoch,
+			logger: deps.logger,
+			guard: deps.guard,
+			mayRenewLeases: () => this.#permit.mayRenewLeases(deps.clock.monotonicMs()),
+			onUpdate: () => {
+				this.#scheduleTick();
+			},
+			onLeadershipLost: reason => {
+				this.#stepDown(reason);
+			},
+		});
 		this.#commitLoop = new CommitLoop(leadership, {
 			store: deps.store,
 			core: this.core,
@@ -131,53 +135,13 @@
 	}
 
 	/**
-	 * Starts watching an agent; once the stored state has been read, if that is not yet done.
-	 *
-	 * @param name - Name of the agent.
-	 * @param address - Its address.
-	 */
-	addAgent(name: string, address: string): void {
-		if (!this.#isRecovered) {
-			this.#announcedAgents.set(name, address);
-			return;
-		}
-
-		const known = this.#agentLinks.get(name);
-		if (known?.address === address || this.#isStopped) {
-			return;
-		}
-
-		known?.stop();
-		const link = new AgentLink(name, address, {
-			core: this.core,
-			clock: this.#deps.clock,
-			epoch: this.epoch,
-			logger: this.#deps.logger,
-			mayRenewLeases: () => this.#permit.mayRenewLeases(this.#deps.clock.monotonicMs()),
-			onUpdate: () => {
-				this.#scheduleTick();
-			},
-			onLeadershipLost: reason => {
-				this.#stepDown(reason);
-			},
-		});
-		this.#agentLinks.set(name, link);
-		void this.#deps.guard.supervise('agent link', async () => link.run());
-	}
-
-	/**
-	 * Starts watching an agent that has announced itself, and stores its address for the next leader.
+	 * Starts watching an agent that has announced itself.
 	 *
 	 * @param name - Name of the agent.
 	 * @param address - Its address.
 	 */
 	onAnnounced(name: string, address: string): void {
-		if (this.#isRecovered && this.#storedMembers.get(name) !== address) {
-			this.#storedMembers.set(name, address);
-			this.core.storeMember(name, address);
-		}
-
-		this.addAgent(name, address);
+		this.#agentLinks.onAnnounced(name, address);
 	}
 
 	/**
@@ -213,20 +177,7 @@
 
 		this.core.recover({jobs: jobs.rows, runs: runs.rows, incarnations: incarnations.rows});
 		this.#isRecovered = true;
-		for (const member of members.rows) {
-			const row = decodeMemberRow(member.value);
-			if (row) {
-				this.#storedMembers.set(member.key, row.address);
-				this.#announcedAgents.set(member.key, this.#announcedAgents.get(member.key) ?? row.address);
-			} else {
-				this.#recordUnreadableRow(member);
-			}
-		}
-
-		for (const [name, address] of this.#announcedAgents) {
-			this.addAgent(name, address);
-		}
-
+		this.#agentLinks.start(this.#readMembers(members.rows));
 		void this.#deps.guard.supervise('tick loop', async () => this.#tickLoop());
 		let {version} = jobs;
 		while (!this.#isStopped) {
@@ -261,9 +212,7 @@
 	#stop(): void {
 		this.#isStopped = true;
 		this.#commitLoop.stop();
-		for (const link of this.#agentLinks.values()) {
-			link.stop();
-		}
+		this.#agentLinks.stop();
 	}
 
 	async #readTable(table: string): Promise<{rows: readonly StoredRow[]; version: number}> {
@@ -293,7 +242,7 @@
 	#onJobRows(rows: readonly StoredRow[]): void {
 		for (const row of rows) {
 			const {jobId, isCancellation} = parseJobKey(row.key);
-			if (row.isRemoved || row.value === undefined) {
+			if (row.isRemoved) {
 				continue;
 			}
 
@@ -313,6 +262,20 @@
 		this.#scheduleTick();
 	}
 
+	#readMembers(rows: readonly StoredRow[]): ReadonlyMap<string, string> {
+		const addresses = new Map<string, string>();
+		for (const row of rows) {
+			const member = decodeMemberRow(row.value);
+			if (member) {
+				addresses.set(row.key, member.address);
+			} else {
+				this.#recordUnreadableRow(row);
+			}
+		}
+
+		return addresses;
+	}
+
 	#recordUnreadableRow(row: StoredRow): void {
 		this.#deps.logger.error('row unreadable', {table: row.table, key: row.key, rowVersion: row.version});
 		this.#deps.metrics.count('unreadable_rows', {table: row.table});
@@ -321,7 +284,7 @@
 	async #tickLoop(): Promise<void> {
 		while (!this.#isStopped) {
 			this.#tick();
-			this.#forgetSilentAgents();
+			this.#agentLinks.forgetSilent();
 			this.#updateGauges();
 			await sleep(TICK_INTERVAL_MS);
 		}
@@ -339,19 +302,6 @@
 		}
 	}
 
-	/** Removes agents that have been silent for long, so that no later leader calls an address that may belong to another VM. */
-	#forgetSilentAgents(): void {
-		for (const [name, link] of this.#agentLinks) {
-			if (link.silentMs > AGENT_RETENTION_MS) {
-				this.#deps.logger.info('agent forgotten', {agent: name, address: link.address, silentMs: Math.round(link.silentMs)});
-				link.stop();
-				this.#agentLinks.delete(name);
-				this.#storedMembers.delete(name);
-				this.core.removeMember(name);
-			}
-		}
-	}
-
 	/** Schedules one tick of the core for all updates of the current turn of the event loop. */
 	#scheduleTick(): void {
 		if (this.#isTickScheduled || this.#isStopped || !this.#isRecovered) {
@@ -398,7 +348,7 @@
 		}
 
 		for (const outgoing of this.core.takeOrders()) {
-			const link = this.#agentLinks.get(outgoing.agent);
+			const link = this.#agentLinks.linkOf(outgoing.agent);
 			if (link) {
 				void link.order(outgoing);
 			} else {
