--- a/packages/pool-entry/tests/leadership-permit.test.ts
+++ b/packages/pool-entry/tests/leadership-permit.test.ts
@@ -96,6 +96,49 @@
 	}
 });
 
+describe('PoolLeader while the store refuses its writes', () => {
+	const cases = [
+		{title: 'still knows the stored state of jobs while other entries call it', isCalled: true},
+		{title: 'answers nothing once no entry calls it either', isCalled: false},
+	];
+	for (const {title, isCalled} of cases) {
+		it(title, async () => {
+			const clock = new ManualClock(100_000);
+			const store = new MemoryPoolStore();
+			store.follow = async table => {
+				await sleep(SETTLE_MS);
+				return store.read(table, {});
+			};
+
+			const leaderRow: LeaderRow = {
+				holder: 'self/1', address: '127.0.0.1:1', epoch: 1, commit: 0,
+			};
+			const {version} = store.put(TABLES.leader, LEADER_KEY, leaderRow);
+			const metrics = new ProcessMetrics();
+			const leader = new PoolLeader({row: leaderRow, version}, {
+				store, clock, logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost: () => undefined,
+			});
+			void leader.run();
+			await sleep(SETTLE_MS);
+			store.fault = 'refuse';
+			leader.onAnnounced('agent', '127.0.0.1:9');
+			for (let step = 0; step < 10; step++) {
+				clock.advance(200);
+				if (isCalled) {
+					leader.recordPeerCall(1);
+				}
+
+				await sleep(110);
+			}
+
+			expect(leader.isLeading).to.equal(false);
+			expect(leader.canAnswer).to.equal(isCalled);
+			store.fault = 'none';
+			await leader.resign();
+		});
+	}
+});
+
 /** Serves an agent whose worker lists a run that the leader does not know, so that the leader orders a stop. */
 async function serveAgent(onOrder: (request: OrderRequest) => void): Promise<{readonly address: string; readonly close: () => void}> {
 	let watches = 0;
