Estimate the remaining run time by the pace up to the reading of the progress

Runs that cannot end in time are stopped at once, with their gangs, and that estimate divided the time up to now by a percentage read up to 1.8 s ago.

Change: the pace is that up to the reading of the progress, and the time since is subtracted. The new test stops the run with the old estimate.

--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -37,6 +37,8 @@
 	/** Leader's clock when a start first remained unanswered. */
 	startUnansweredSinceMs?: number;
 	percent: number;
+	/** Leader's clock at the reading of `percent`. */
+	percentAsOfMs: number;
 	progressAtMs: number;
 	/** It has been found stalled, and has shown no progress since. */
 	isStalled: boolean;
@@ -229,6 +231,7 @@
 		nextOrderAtMs: nowMs,
 		isOrderInFlight: false,
 		percent: 0,
+		percentAsOfMs: nowMs,
 		progressAtMs: nowMs,
 		isStalled: false,
 		startCheckpoint: unitOf(task)[0]!.checkpoint,
--- a/packages/pool/src/run-estimate.ts
+++ b/packages/pool/src/run-estimate.ts
@@ -9,10 +9,17 @@
 	return run.percent >= MIN_PERCENT_FOR_PACE ? ranMs / run.percent * 100 : run.task.step.spec.estimatedMs;
 }
 
-/** @returns The remaining run time in milliseconds, by the run's pace or by the caller's estimate. */
+/**
+ * Estimates the remaining run time, by the run's pace or by the caller's estimate.
+ *
+ * Lists may be older than a second, and an urgent task runs for three. The pace is that up to the reading of the
+ * progress; the run has gone on since.
+ *
+ * @param run - The run.
+ * @param nowMs - Leader's clock.
+ * @returns Milliseconds.
+ */
 export function estimateRemainingMs(run: Run, nowMs: number): number {
 	const ranMs = nowMs - (run.startedAtMs ?? nowMs);
-	return run.percent >= MIN_PERCENT_FOR_PACE
-		? (ranMs / run.percent) * (100 - run.percent)
-		: Math.max(0, run.task.step.spec.estimatedMs - ranMs);
+	return Math.max(0, estimateTotalMs(run, run.percentAsOfMs) - ranMs);
 }
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -238,11 +238,13 @@
 	 *
 	 * @param run - The run.
 	 * @param listed - Its entry in the list.
+	 * @param asOfMs - Leader's clock when the agent received the list.
 	 */
-	onListed(run: Run, listed: ListedRun): void {
+	onListed(run: Run, listed: ListedRun, asOfMs: number): void {
 		const nowMs = this.#context.nowMs();
 		run.mayHaveStarted = true;
 		this.#markRunning(run, nowMs);
+		run.percentAsOfMs = asOfMs;
 		if (listed.percent !== run.percent) {
 			run.percent = listed.percent;
 			run.progressAtMs = nowMs;
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -32,7 +32,7 @@
 			if (entry?.run === run.number) {
 				listed.delete(run.task.name);
 				run.firstListedAtWorkerClockMs ??= worker.workerClockMs;
-				this.#runs.onListed(run, entry);
+				this.#runs.onListed(run, entry, worker.listsAsOfMs);
 			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedOrderCount !== undefined && run.stopAcknowledgedOrderCount <= worker.orderCountBeforeLists) {
 				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
 			} else if (run.phase === RUN_PHASES.running && isRunGone(run, worker)) {
--- /dev/null
+++ b/packages/pool/tests/evacuation.test.ts
@@ -0,0 +1,40 @@
+import {expect} from 'chai';
+import {FakeWorker} from './support/fake-worker.js';
+import {makeStep, PoolHarness} from './support/pool-harness.js';
+import {WORKER_STATES} from '@amaranthsail/pool';
+
+/** An urgent task takes about this long; its worker is taken away while it runs. */
+const RUN_MS = 3000;
+
+/** A busy agent's lists reach the leader this late. */
+const LISTS_AGE_MS = 900;
+
+describe('work on a worker that leaves at short notice', () => {
+	const cases = [
+		{title: 'lets a run end that will end in time, although its progress was read a while ago', ranMs: 1800, remainingMs: 1900, isStopped: false},
+		{title: 'stops a run at once that cannot end in time', ranMs: 500, remainingMs: 1900, listsAgeMs: 0, isStopped: true},
+		{title: 'lets a run end whose progress has only just been read', ranMs: 2000, remainingMs: 1900, listsAgeMs: 0, isStopped: false},
+	];
+	for (const {title, ranMs, remainingMs, listsAgeMs = LISTS_AGE_MS, isStopped} of cases) {
+		it(title, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker]);
+			harness.runCycle();
+			harness.submit('j1', 'urgent', [makeStep({estimatedMs: RUN_MS})]);
+			harness.runCycle();
+			worker.isUnreachable = true;
+			harness.advance(ranMs);
+			const percent = Math.floor((ranMs - listsAgeMs) / RUN_MS * 100);
+			harness.core.onReport(worker.agent, {
+				facts: {...worker.facts, state: WORKER_STATES.draining, remainingMs},
+				lists: {
+					clockMs: harness.clock.monotonicMs() - listsAgeMs, ageMs: listsAgeMs, ordersBefore: 1, ended: [], running: [{
+						task: 'j1.0.0.0', run: 1, checkpoint: '', percent,
+					}],
+				},
+			});
+			harness.core.tick();
+			expect(harness.events('run stopping').length > 0).to.equal(isStopped);
+		});
+	}
+});
