--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	decodeJobRow, decodeMemberRow, type JobRow, parseJobKey, PoolCore, type PoolConfig, type PoolLimits, type PoolStore, type StoredRow, TABLES,
+	decodeJobRow, decodeMemberRow, type JobRow, parseJobKey, POOL_EVENTS, PoolCore, type PoolConfig, type PoolLimits, type PoolStore, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
 import {type ErrorGuard, type ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
 import {AgentLinks} from './agent-links.js';
@@ -59,6 +59,9 @@
 		this.core = new PoolCore(deps.clock, deps.limits, (event, fields) => {
 			deps.logger.info(event, {epoch: leadership.row.epoch, ...fields});
 			deps.metrics.count('decisions', {event: event.replaceAll(' ', '_')});
+			if (event === POOL_EVENTS.rowUnreadable) {
+				deps.metrics.count('unreadable_rows', {table: String(fields.table)});
+			}
 		}, durationMs => {
 			deps.metrics.observe('round', durationMs);
 		});
@@ -277,7 +280,7 @@
 	}
 
 	#recordUnreadableRow(row: StoredRow): void {
-		this.#deps.logger.error('row unreadable', {table: row.table, key: row.key, rowVersion: row.version});
+		this.#deps.logger.error(POOL_EVENTS.rowUnreadable, {table: row.table, key: row.key, rowVersion: row.version});
 		this.#deps.metrics.count('unreadable_rows', {table: row.table});
 	}
 
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -7,5 +7,5 @@
 export * from './pool-limits.js';
 export * from './pool-core.js';
 export type {Commit} from './commit-queue.js';
-export type {OutgoingOrder} from './pool-context.js';
+export {type OutgoingOrder, POOL_EVENTS} from './pool-context.js';
 export type {AgentReport} from './worker-registry.js';
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -10,6 +10,9 @@
 /** An order to send to a worker incarnation through its agent. */
 export type OutgoingOrder = {readonly agent: string; readonly incarnation: string; readonly order: WorkerOrder};
 
+/** Decisions that have a metric of their own; they are logged under these names. */
+export const POOL_EVENTS = {rowUnreadable: 'row unreadable'} as const;
+
 /** Logs the decisions of the pool's leader. */
 export type DecisionLogger = (event: string, fields: LogFields) => void;
 
--- a/packages/pool/src/state-recovery.ts
+++ b/packages/pool/src/state-recovery.ts
@@ -4,7 +4,7 @@
 import type {JobLifecycle} from './job-lifecycle.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {parseTaskName} from './task-name.js';
-import type {PoolContext} from './pool-context.js';
+import {type PoolContext, POOL_EVENTS} from './pool-context.js';
 import type {StoredRow} from './ports.js';
 import {decodeIncarnationRow, decodeJobRow, decodeRunRow} from './row-decoding.js';
 import {parseJobKey, type RunRow} from './rows.js';
@@ -84,7 +84,7 @@
 }
 
 function logUnreadable(row: StoredRow, context: PoolContext): void {
-	context.log('row unreadable', {table: row.table, key: row.key, rowVersion: row.version});
+	context.log(POOL_EVENTS.rowUnreadable, {table: row.table, key: row.key, rowVersion: row.version});
 }
 
 /**
