Stop runs with checkpoints in time for the longest stop before their worker leaves

Runs whose stop came too late lost their newest work and counted as running until the lease of the vanished worker had passed, 10.6 s later, and with them their gangs could not start again.

Change: the reported time is used as it is; such a run is stopped when the time left is the deployment's longest stop and 0.3 s.

--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -73,6 +73,7 @@
 			leaseMs: leaseMsWithin(settings.bounds.maxLeaseMs),
 			remoteFactor: settings.bounds.remoteFactor,
 			reclaimMs: settings.bounds.reclaimMs,
+			stopTimeoutMs: settings.bounds.stopTimeoutMs,
 		};
 		this.#config = new ConfigFollower(this.#store, {table: CONFIG_TABLE, key: CONFIG_KEY, decode: decodeConfiguration}, this.#clock, logger);
 		this.#config.onChange(config => {
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -14,6 +14,8 @@
 	readonly remoteFactor: number;
 	/** Bound on the time until a guaranteed job starts. */
 	readonly reclaimMs: number;
+	/** Longest time that a worker takes to stop a run and write its checkpoint. */
+	readonly stopTimeoutMs: number;
 	/** Time for which a worker that failed several jobs in a row gets no work. */
 	readonly quarantineMs: number;
 	/** Time for which an ended job is kept, so that callers can query it and a repeated request finds it. */
@@ -36,6 +38,8 @@
 	startTimeoutMs: 1200,
 	remoteFactor: 3,
 	reclaimMs: 2700,
+	// The longest of the known deployments.
+	stopTimeoutMs: 900,
 	// Covers the usual length of such a fault; the next run on the worker shows whether it is over.
 	quarantineMs: 6000,
 	// Callers query a job within minutes of its end, and repeat requests within seconds of the acceptance.
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -23,10 +23,10 @@
 	};
 };
 
-/** Time for stopping a run and placing it elsewhere before a draining worker leaves. */
-const EVACUATION_MARGIN_MS = 700;
+/** Time for the stop order and the report of the end, beside the stop itself, before a draining worker leaves. */
+const EVACUATION_MARGIN_MS = 300;
 
-/** Shortest time for which a draining worker stays, also when it reports no remaining time. */
+/** Time for which a draining worker is expected to stay when it reports no remaining time. */
 const MIN_DRAINING_MS = 2000;
 
 /** Tracks the workers by their agents' reports, and declares silent or replaced ones lost. */
@@ -200,7 +200,7 @@
 				this.#context.log('worker draining', {worker: worker.incarnation, remainingMs: facts.remainingMs ?? 'unknown', runs: worker.runs.size});
 			}
 
-			worker.leavesAtMs = Math.max(worker.leavesAtMs ?? 0, worker.drainingSinceMs + MIN_DRAINING_MS, facts === worker.facts ? 0 : nowMs + (facts.remainingMs ?? 0));
+			worker.leavesAtMs = Math.max(worker.leavesAtMs ?? 0, facts.remainingMs === undefined ? worker.drainingSinceMs + MIN_DRAINING_MS : nowMs + facts.remainingMs);
 		} else {
 			worker.drainingSinceMs = undefined;
 			worker.leavesAtMs = undefined;
@@ -212,10 +212,11 @@
 	/** Moves runs that cannot end before the worker leaves: at once, or just before it leaves if they write checkpoints. */
 	#evacuate(worker: TrackedWorker, leavesAtMs: number, nowMs: number): void {
 		const remainingMs = leavesAtMs - nowMs;
+		const mustStopNow = remainingMs < this.#context.limits.stopTimeoutMs + EVACUATION_MARGIN_MS;
 		for (const run of worker.runs.values()) {
 			const {isCheckpointing} = run.task.step.spec;
 			const mustMove = estimateRemainingMs(run, nowMs) > remainingMs;
-			if (mustMove && !run.task.isDone && (!isCheckpointing || remainingMs < EVACUATION_MARGIN_MS)) {
+			if (mustMove && !run.task.isDone && (!isCheckpointing || mustStopNow)) {
 				this.#runs.stopUnit(run, 'worker is leaving');
 			}
 		}
--- a/packages/pool/tests/evacuation.test.ts
+++ b/packages/pool/tests/evacuation.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolHarness} from './support/pool-harness.js';
-import {WORKER_STATES} from '@amaranthsail/pool';
+import {DEFAULT_LIMITS, WORKER_STATES} from '@amaranthsail/pool';
 
 /** An urgent task takes about this long; its worker is taken away while it runs. */
 const RUN_MS = 3000;
@@ -37,4 +37,24 @@
 			expect(harness.events('run stopping').length > 0).to.equal(isStopped);
 		});
 	}
+
+	const checkpointCases = [
+		{title: 'lets a run with checkpoints work on while there is time for a slow stop', remainingMs: 1300, stopTimeoutMs: 900, isStopped: false},
+		{title: 'stops a run with checkpoints in time for a slow stop', remainingMs: 1100, stopTimeoutMs: 900, isStopped: true},
+		{title: 'lets a run with checkpoints work on longer where stops are fast', remainingMs: 600, stopTimeoutMs: 200, isStopped: false},
+		{title: 'stops a run with checkpoints in time for a fast stop', remainingMs: 400, stopTimeoutMs: 200, isStopped: true},
+	];
+	for (const {title, remainingMs, stopTimeoutMs, isStopped} of checkpointCases) {
+		it(title, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker], {...DEFAULT_LIMITS, stopTimeoutMs});
+			harness.runCycle();
+			harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000, isCheckpointing: true})]);
+			harness.runCycle();
+			worker.facts = {...worker.facts, state: WORKER_STATES.draining, remainingMs};
+			harness.report(worker);
+			harness.core.tick();
+			expect(harness.events('run stopping').length > 0).to.equal(isStopped);
+		});
+	}
 });
