Give up leadership when the store rejects several commits in a row

Dropping the writes that the store rejects is right for a malformed row; a store that rejects everything would lose every decision of this leader. After five rejected groups in a row another entry takes over.

--- a/packages/pool-entry/src/commit-loop.ts
+++ b/packages/pool-entry/src/commit-loop.ts
@@ -13,6 +13,9 @@
 /** Rows of a dropped commit that are named in the log. */
 const MAX_LOGGED_ROWS = 10;
 
+/** After this many groups in a row that the store rejects, the writes are not at fault, and another entry takes over. */
+const MAX_REJECTED_IN_A_ROW = 5;
+
 /** The leader row in the store with its version. */
 export type Leadership = {readonly row: LeaderRow; readonly version: number};
 
@@ -23,7 +26,7 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: ProcessMetrics;
-	/** Called when the leader row belongs to another leader. */
+	/** Called when the leader row belongs to another leader, or the store rejects every commit. */
 	readonly onLeadershipLost: (reason: string) => void;
 	/** Called after each commit. */
 	readonly onCommit: () => void;
@@ -43,6 +46,7 @@
 	#isRunning = false;
 	#isStopped = false;
 	#isConfirmationRequested = false;
+	#rejectedInARow = 0;
 	/** Start of the current series of failed commits; undefined while commits succeed. */
 	#failingSinceMs: number | undefined;
 
@@ -110,6 +114,7 @@
 	async #storeInOrder(commit: Commit): Promise<void> {
 		const outcome = await this.#storeCommit(commit.writes);
 		if (outcome === 'stored') {
+			this.#rejectedInARow = 0;
 			commit.complete();
 			this.#deps.onCommit();
 			return;
@@ -124,6 +129,11 @@
 			// Sending it again would fail again, also under another leader; the affected job stays as it is stored.
 			this.#deps.logger.error('writes dropped', {reason: 'rejected by the store', rows: commit.writes.map(write => `${write.table}/${write.key}`).slice(0, MAX_LOGGED_ROWS)});
 			this.#deps.metrics.count('dropped_commits');
+			this.#rejectedInARow++;
+			if (this.#rejectedInARow >= MAX_REJECTED_IN_A_ROW) {
+				this.#deps.onLeadershipLost('the store rejects every commit');
+			}
+
 			return;
 		}
 
--- a/packages/pool-entry/tests/commit-loop.test.ts
+++ b/packages/pool-entry/tests/commit-loop.test.ts
@@ -58,6 +58,32 @@
 		});
 	}
 
+	it('gives up leadership when the store rejects everything', async () => {
+		const store = new MemoryPoolStore();
+		store.transact = async () => err({kind: 'rejected', message: 'status 400'});
+		const queue = new CommitQueue();
+		for (let index = 0; index < 8; index++) {
+			queue.enqueue([{table: TABLES.runs, key: `${index}`, value: {run: 1}}], () => undefined);
+		}
+
+		const lost: string[] = [];
+		const loop: CommitLoop = new CommitLoop({row: LEADER_ROW, version: 1}, {
+			store,
+			core: makeCore(() => queue.takeNext()),
+			clock: new ManualClock(),
+			logger: silentLogger,
+			metrics: new ProcessMetrics(),
+			onLeadershipLost(reason) {
+				lost.push(reason);
+				loop.stop();
+			},
+			onCommit: () => undefined,
+			onConfirmed: () => undefined,
+		});
+		await loop.flush();
+		expect(lost).to.deep.equal(['the store rejects every commit']);
+	});
+
 	it('rewrites the leader row once when a confirmation is requested', async () => {
 		const store = new MemoryPoolStore();
 		const {version} = store.put(TABLES.leader, LEADER_KEY, LEADER_ROW);
