--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -185,7 +185,7 @@
 			leader.setConfig(this.#config.known.config);
 		}
 
-		void this.#guard.supervise('leader', async () => leader.run());
+		void leader.run();
 	}
 
 	#routes(): Record<string, RouteHandler> {
--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -168,8 +168,23 @@
 		this.#scheduleTick();
 	}
 
-	/** Reads the stored state, then follows the store's change feed until stopped. */
+	/** Reads the stored state, then follows the store's change feed until stopped. An unexpected error ends the leadership. */
 	async run(): Promise<void> {
+		try {
+			await this.#lead();
+		} catch (error) {
+			this.#deps.guard.record('leader', error, {epoch: this.epoch});
+			this.#stepDown('unexpected error');
+		}
+	}
+
+	/** Stops leading and clears the leader row, so that a standby can take over at once. */
+	async resign(): Promise<void> {
+		this.#stop();
+		await this.#commitLoop.resign();
+	}
+
+	async #lead(): Promise<void> {
 		let jobs = await this.#readTable(TABLES.jobs);
 		const runs = await this.#readTable(TABLES.runs);
 		const incarnations = await this.#readTable(TABLES.lives);
@@ -198,12 +213,6 @@
 		}
 	}
 
-	/** Stops leading and clears the leader row, so that a standby can take over at once. */
-	async resign(): Promise<void> {
-		this.#stop();
-		await this.#commitLoop.resign();
-	}
-
 	#stepDown(reason: string): void {
 		if (!this.#isStopped) {
 			this.#deps.logger.warn('leadership lost', {epoch: this.epoch, reason});
--- a/packages/pool-entry/tests/leadership-permit.test.ts
+++ b/packages/pool-entry/tests/leadership-permit.test.ts
@@ -96,6 +96,30 @@
 	}
 });
 
+describe('PoolLeader after an unexpected error', () => {
+	it('gives up leadership', async () => {
+		const store = new MemoryPoolStore();
+		store.follow = async () => {
+			throw new TypeError('planted');
+		};
+
+		const leaderRow: LeaderRow = {
+			holder: 'self/1', address: '127.0.0.1:1', epoch: 1, commit: 0,
+		};
+		const {version} = store.put(TABLES.leader, LEADER_KEY, leaderRow);
+		const metrics = new ProcessMetrics();
+		const lost: string[] = [];
+		const leader = new PoolLeader({row: leaderRow, version}, {
+			store, clock: new ManualClock(), logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost(reason) {
+				lost.push(reason);
+			},
+		});
+		await leader.run();
+		expect(lost).to.deep.equal(['unexpected error']);
+		expect(await metrics.text()).to.match(/unexpected_errors_total\{place="leader"\} 1/v);
+	});
+});
+
 describe('PoolLeader while the store refuses its writes', () => {
 	const cases = [
 		{title: 'still knows the stored state of jobs while other entries call it', isCalled: true},
