--- a/packages/pool-entry/tests/leadership-permit.test.ts
+++ b/packages/pool-entry/tests/leadership-permit.test.ts
@@ -14,6 +14,41 @@
 /** Time for some ticks and calls of a leader over the loopback interface. */
 const SETTLE_MS = 400;
 
+const LEADER_ROW: LeaderRow = {
+	holder: 'self/1', address: '127.0.0.1:1', epoch: 1, commit: 0,
+};
+
+type LeaderFixture = {
+	readonly clock: ManualClock;
+	readonly store: MemoryPoolStore;
+	readonly metrics: ProcessMetrics;
+	readonly leader: PoolLeader;
+	/** Reasons for which the leader has given up leadership. */
+	readonly lost: readonly string[];
+};
+
+/** @returns A leader that has taken over and has not read the stored state yet. */
+function makeLeader(): LeaderFixture {
+	const clock = new ManualClock(100_000);
+	const store = new MemoryPoolStore();
+	store.follow = async table => {
+		await sleep(SETTLE_MS);
+		return store.read(table, {});
+	};
+
+	const {version} = store.put(TABLES.leader, LEADER_KEY, LEADER_ROW);
+	const metrics = new ProcessMetrics();
+	const lost: string[] = [];
+	const leader = new PoolLeader({row: LEADER_ROW, version}, {
+		store, clock, logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost(reason) {
+			lost.push(reason);
+		},
+	});
+	return {
+		clock, store, metrics, leader, lost,
+	};
+}
+
 describe('LeadershipPermit', () => {
 	type Step = {readonly atMs: number; readonly event: 'tick' | 'peer' | 'confirmed'; readonly sentAtMs?: number};
 	const ticks = (fromMs: number, untilMs: number): Step[] => Array.from({length: Math.floor((untilMs - fromMs) / 100) + 1}, (_, index) => ({atMs: fromMs + (index * 100), event: 'tick'}));
@@ -53,16 +88,9 @@
 	];
 	for (const {title, isReplaced, expectedStops} of cases) {
 		it(title, async () => {
-			const clock = new ManualClock(100_000);
-			const store = new MemoryPoolStore();
-			store.follow = async table => {
-				await sleep(SETTLE_MS);
-				return store.read(table, {});
-			};
-
-			const leaderRow: LeaderRow = {
-				holder: 'self/1', address: '127.0.0.1:1', epoch: 1, commit: 0,
-			};
+			const {
+				clock, store, leader, lost,
+			} = makeLeader();
 			const stops: string[] = [];
 			const agent = await serveAgent(request => {
 				if (request.order.kind === 'stop') {
@@ -70,18 +98,10 @@
 				}
 			});
 			store.put(TABLES.members, 'agent', {address: agent.address});
-			const row = store.put(TABLES.leader, LEADER_KEY, leaderRow);
-			const lost: string[] = [];
-			const metrics = new ProcessMetrics();
-			const leader = new PoolLeader({row: leaderRow, version: row.version}, {
-				store, clock, logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost(reason) {
-					lost.push(reason);
-				},
-			});
 			void leader.run();
 			await sleep(SETTLE_MS);
 			if (isReplaced) {
-				store.put(TABLES.leader, LEADER_KEY, {...leaderRow, holder: 'other/1', epoch: 2});
+				store.put(TABLES.leader, LEADER_KEY, {...LEADER_ROW, holder: 'other/1', epoch: 2});
 			}
 
 			// The pause, with a call of another entry that was sent before it.
@@ -98,22 +118,13 @@
 
 describe('PoolLeader after an unexpected error', () => {
 	it('gives up leadership', async () => {
-		const store = new MemoryPoolStore();
+		const {
+			store, metrics, leader, lost,
+		} = makeLeader();
 		store.follow = async () => {
 			throw new TypeError('planted');
 		};
 
-		const leaderRow: LeaderRow = {
-			holder: 'self/1', address: '127.0.0.1:1', epoch: 1, commit: 0,
-		};
-		const {version} = store.put(TABLES.leader, LEADER_KEY, leaderRow);
-		const metrics = new ProcessMetrics();
-		const lost: string[] = [];
-		const leader = new PoolLeader({row: leaderRow, version}, {
-			store, clock: new ManualClock(), logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost(reason) {
-				lost.push(reason);
-			},
-		});
 		await leader.run();
 		expect(lost).to.deep.equal(['unexpected error']);
 		expect(await metrics.text()).to.match(/unexpected_errors_total\{place="leader"\} 1/v);
@@ -127,21 +138,7 @@
 	];
 	for (const {title, isCalled} of cases) {
 		it(title, async () => {
-			const clock = new ManualClock(100_000);
-			const store = new MemoryPoolStore();
-			store.follow = async table => {
-				await sleep(SETTLE_MS);
-				return store.read(table, {});
-			};
-
-			const leaderRow: LeaderRow = {
-				holder: 'self/1', address: '127.0.0.1:1', epoch: 1, commit: 0,
-			};
-			const {version} = store.put(TABLES.leader, LEADER_KEY, leaderRow);
-			const metrics = new ProcessMetrics();
-			const leader = new PoolLeader({row: leaderRow, version}, {
-				store, clock, logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost: () => undefined,
-			});
+			const {clock, store, leader} = makeLeader();
 			void leader.run();
 			await sleep(SETTLE_MS);
 			store.fault = 'refuse';
