--- a/packages/pool-entry/src/peer-message-decoding.ts
+++ b/packages/pool-entry/src/peer-message-decoding.ts
@@ -1,5 +1,5 @@
 import {
-	asFields, asList, isAddress, isCount, numberOr,
+	asFields, asList, isAddress, isCount, numberOr, textOr,
 } from '@amaranthsail/core';
 import {
 	decodeJobRow, JOB_STATES, type JobState, type StoredRow,
@@ -16,9 +16,10 @@
 /** @returns The call of another entry, or undefined when it is malformed. */
 export function decodeHelloRequest(body: unknown): HelloRequest | undefined {
 	const {address, epoch, configRowVersion, failureDomain, cores} = asFields(body);
-	return isAddress(address) && isCount(epoch) && isCount(configRowVersion) && isText(failureDomain)
+	// An entry of an earlier release names neither its failure domain nor its capacity.
+	return isAddress(address) && isCount(epoch) && isCount(configRowVersion)
 		? {
-			address, epoch, configRowVersion, failureDomain, cores: numberOr(cores, 0),
+			address, epoch, configRowVersion, failureDomain: textOr(failureDomain, ''), cores: numberOr(cores, 0),
 		}
 		: undefined;
 }
--- a/packages/pool-entry/tests/malformed-messages.test.ts
+++ b/packages/pool-entry/tests/malformed-messages.test.ts
@@ -67,6 +67,14 @@
 	}
 });
 
+describe('decodeHelloRequest', () => {
+	it('accepts the call of an entry of an earlier release', () => {
+		expect(decodeHelloRequest({address: 'h:1', epoch: 1, configRowVersion: 2})).to.deep.equal({
+			address: 'h:1', epoch: 1, configRowVersion: 2, failureDomain: '', cores: 0,
+		});
+	});
+});
+
 describe('serveJson', () => {
 	const cases: ReadonlyArray<{readonly title: string; readonly path: string; readonly body: unknown; readonly status: number; readonly errors: number}> = [
 		{title: 'answers a malformed request with 400', path: '/checked', body: {jobId: 7}, status: 400, errors: 0},
