--- a/packages/core/src/fields.ts
+++ b/packages/core/src/fields.ts
@@ -21,6 +21,11 @@
 	return typeof value === 'number' && Number.isFinite(value) ? value : fallback;
 }
 
+/** @returns Whether the value is a text. */
+export function isText(value: unknown): value is string {
+	return typeof value === 'string';
+}
+
 /** @returns Whether the value is an integer of at least `min`. */
 export function isCount(value: unknown, min = 0): value is number {
 	return typeof value === 'number' && Number.isSafeInteger(value) && value >= min;
--- a/packages/pool-agent/src/agent-message-decoding.ts
+++ b/packages/pool-agent/src/agent-message-decoding.ts
@@ -1,15 +1,13 @@
 import {
-	asFields, asList, type Fields, isAddress, isCount, textOr,
+	asFields, asList, type Fields, isAddress, isCount, isText, textOr,
 } from '@amaranthsail/core';
 import {
-	type AgentReport, type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, type Refusal, RUN_OUTCOMES, type RunOutcome, WORKER_STATES, type WorkerState,
+	type AgentReport, isTaskShape, type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, type Refusal, RUN_OUTCOMES, type RunOutcome, WORKER_STATES, type WorkerState,
 } from '@amaranthsail/pool';
 import type {
 	AnnounceRequest, OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
 
-const isText = (value: unknown): value is string => typeof value === 'string';
-
 /** @returns The watch request, or undefined when it is malformed. */
 export function decodeWatchRequest(body: unknown): WatchRequest | undefined {
 	const {epoch, sinceVersion, waitMs, life, leaseUntilMs, ackSequence} = asFields(body);
@@ -100,11 +98,7 @@
 
 function isFacts({life, id, service, failureDomain, state, capacity, labels, remainingMs}: Fields): boolean {
 	return isTextList([life, id, service, failureDomain]) && Object.values(WORKER_STATES).includes(state as WorkerState)
-		&& isShape(asFields(capacity)) && isTextList(labels) && isOptional(remainingMs, isNumber);
-}
-
-function isShape({cpuMillis, memoryMb, accelerators}: Fields): boolean {
-	return isCount(cpuMillis) && isCount(memoryMb) && isCount(accelerators);
+		&& isTaskShape(capacity) && isTextList(labels) && isOptional(remainingMs, isNumber);
 }
 
 function isLists({clockMs, ageMs, ordersBefore, running, ended}: Fields): boolean {
--- a/packages/pool-entry/src/peer-message-decoding.ts
+++ b/packages/pool-entry/src/peer-message-decoding.ts
@@ -1,5 +1,5 @@
 import {
-	asFields, asList, isAddress, isCount, numberOr, textOr,
+	asFields, asList, isAddress, isCount, isText, numberOr, textOr,
 } from '@amaranthsail/core';
 import {
 	decodeJobRow, JOB_STATES, type JobState, type StoredRow,
@@ -9,8 +9,6 @@
 	HelloAnswer, HelloRequest, JobStateAnswer, JobStateRequest, RelayRequest, StoredNotice,
 } from './peer-messages.js';
 
-const isText = (value: unknown): value is string => typeof value === 'string';
-
 const OUTCOME_KINDS: ReadonlySet<unknown> = new Set<JobRequestOutcome['kind']>(['accepted', 'configuration_changed', 'conflict', 'state', 'no_such_job', 'not_stored', 'unknown']);
 
 /** @returns The call of another entry, or undefined when it is malformed. */
--- a/packages/pool/src/row-decoding.ts
+++ b/packages/pool/src/row-decoding.ts
@@ -1,5 +1,5 @@
 import {
-	asFields, asList, type Fields, isAddress, isCount, numberOr,
+	asFields, asList, type Fields, isAddress, isCount, isText, numberOr,
 } from '@amaranthsail/core';
 import {
 	JOB_STATES, type JobSpec, type JobState, type TaskShape,
@@ -8,8 +8,6 @@
 	IncarnationRow, JobRow, LeaderRow, MemberRow, RunRow,
 } from './rows.js';
 
-const isText = (value: unknown): value is string => typeof value === 'string';
-
 /**
  * Decodes a row of the jobs table.
  *
@@ -98,7 +96,8 @@
 		&& Array.isArray(after) && asList(after).every(earlier => isCount(earlier) && earlier < number);
 }
 
-function isTaskShape(value: unknown): value is TaskShape {
+/** @returns Whether the value is a task's or a worker's capacity. */
+export function isTaskShape(value: unknown): value is TaskShape {
 	const {cpuMillis, memoryMb, accelerators} = asFields(value);
 	return isCount(cpuMillis) && isCount(memoryMb) && isCount(accelerators);
 }
