Store the terms of its queue with each accepted job

Callers saw an accepted job of a queue that a newer configuration had removed stay queued for ever after the next takeover, with its lasting tasks and its waiting steps. The leader remembered removed queues only in memory, and the next leader knew only the queues of the newest configuration, so it skipped the job in every round and also knew no limit of attempts for it.

Class of fault: what is needed to finish accepted work depended on state that is not stored with that work. The accounts of a configuration are not affected: work without a known account only loses its guarantee.

The job's row now holds service, priority, attempts, stretch and target of the queue at the acceptance. The newest known version of the queue still has precedence. Rows of earlier releases have no terms and behave as before.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -3,7 +3,9 @@
 import {
 	type CallerHeaders, decodeCallerHeaders, decodeJobSpec, encodeJobState, encodePending, isJobId,
 } from '@amaranthsail/platform-adapter';
-import type {ClientAccount, JobRow, Queue} from '@amaranthsail/pool';
+import {
+	type ClientAccount, type JobRow, type Queue, termsOf,
+} from '@amaranthsail/pool';
 import {
 	type ProcessMetrics, readBody, type RouteAnswer, sendJson,
 } from '@amaranthsail/pool-runtime';
@@ -126,7 +128,7 @@
 					return {status: 400, body: spec};
 				}
 
-				const row: JobRow = {queue: queue.name, account: accountName, acceptedAtMs: this.#deps.clock.wallMs(), spec};
+				const row: JobRow = {queue: queue.name, account: accountName, acceptedAtMs: this.#deps.clock.wallMs(), terms: termsOf(queue), spec};
 				return this.#deps.jobs.submit({jobId, row, configRow: known.row, budgetMs: Math.min(MAX_SUBMIT_BUDGET_MS, remainingMs, (request.deadlineMs ?? DEFAULT_DEADLINE_MS) * MAX_SUBMIT_DEADLINE_SHARE), deadlineMs: remainingMs});
 			}
 
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,6 +1,7 @@
 export * from './capacity.js';
 export * from './model.js';
 export type * from './ports.js';
+export * from './queue-terms.js';
 export * from './rows.js';
 export * from './row-decoding.js';
 export * from './task-name.js';
--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -42,6 +42,7 @@
 			id,
 			queueName: row.queue,
 			account: row.account,
+			...(row.terms && {terms: row.terms}),
 			spec: row.spec,
 			acceptedAtWallMs: row.acceptedAtMs,
 			acceptedAtLeaderClockMs: this.#context.nowMs() - this.#ageMs(row),
--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -1,6 +1,7 @@
 import {
-	type JobSpec, type JobState, type Queue, type StepSpec, JOB_STATES,
+	type JobSpec, type JobState, type StepSpec, JOB_STATES,
 } from './model.js';
+import type {QueueTerms} from './queue-terms.js';
 import {formatTaskName} from './task-name.js';
 
 /** Phases of a run as its leader sees it. */
@@ -89,6 +90,8 @@
 	readonly id: string;
 	readonly queueName: string;
 	readonly account: string;
+	/** Terms of its queue at its acceptance, if its row has them. */
+	readonly terms?: QueueTerms;
 	readonly spec: JobSpec | undefined;
 	readonly acceptedAtWallMs: number;
 	/** Time of acceptance on the leader's clock. */
@@ -200,10 +203,10 @@
  * Computes the time by which a job has to end to be on time.
  *
  * @param job - The job; it has a spec.
- * @param queue - Its queue; undefined if no known configuration contains it.
+ * @param queue - Terms of its queue; undefined if they are not known.
  * @returns Leader's clock in milliseconds.
  */
-export function objectiveAtMs(job: Job, queue: Queue | undefined): number {
+export function objectiveAtMs(job: Job, queue: QueueTerms | undefined): number {
 	return job.acceptedAtLeaderClockMs + ((queue?.stretch ?? 3) * criticalPathMs(job.spec!)) + (queue?.targetLatencyMs ?? 0);
 }
 
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -3,6 +3,7 @@
 import type {Job, Task} from './job-model.js';
 import type {PoolConfig, Queue, WorkerOrder} from './model.js';
 import type {PoolLimits} from './pool-limits.js';
+import type {QueueTerms} from './queue-terms.js';
 import {parseTaskName} from './task-name.js';
 import {UrgentHeadroom} from './urgent-headroom.js';
 import type {TrackedWorker} from './tracked-worker.js';
@@ -56,9 +57,9 @@
 		}
 	}
 
-	/** @returns The queue of a job, even if the newest configuration no longer contains it. */
-	queueOf(job: Job): Queue | undefined {
-		return this.#queues.get(job.queueName);
+	/** @returns Terms of the newest known version of a job's queue, or those at its acceptance. */
+	queueOf(job: Job): QueueTerms | undefined {
+		return this.#queues.get(job.queueName) ?? job.terms;
 	}
 
 	/** @returns The task with this name, if its job is known. */
--- a/packages/pool/src/row-decoding.ts
+++ b/packages/pool/src/row-decoding.ts
@@ -4,6 +4,7 @@
 import {
 	JOB_STATES, type JobSpec, type JobState, type TaskShape,
 } from './model.js';
+import type {QueueTerms} from './queue-terms.js';
 import type {
 	IncarnationRow, JobRow, LeaderRow, MemberRow, RunRow,
 } from './rows.js';
@@ -15,7 +16,7 @@
  * @returns The job, or undefined when a field that the leader needs is missing or invalid.
  */
 export function decodeJobRow(value: unknown): JobRow | undefined {
-	const {queue, account, acceptedAtMs, spec, finalState, endedAtMs} = asFields(value);
+	const {queue, account, acceptedAtMs, terms, spec, finalState, endedAtMs} = asFields(value);
 	const hasValidState = finalState === undefined || Object.values(JOB_STATES).includes(finalState as JobState);
 	if (!isText(queue) || !isText(account) || typeof acceptedAtMs !== 'number' || !hasValidState) {
 		return undefined;
@@ -29,6 +30,7 @@
 		queue,
 		account,
 		acceptedAtMs,
+		...(isQueueTerms(terms) && {terms}),
 		...(isJobSpec(spec) && {spec}),
 		...(finalState !== undefined && {finalState: finalState as JobState}),
 		...(typeof endedAtMs === 'number' && {endedAtMs}),
@@ -80,6 +82,11 @@
 	};
 }
 
+function isQueueTerms(value: unknown): value is QueueTerms {
+	const {service, priority, maxAttempts, stretch, targetLatencyMs} = asFields(value);
+	return isText(service) && [priority, maxAttempts, stretch, targetLatencyMs].every(field => typeof field === 'number');
+}
+
 function isJobSpec(value: unknown): value is JobSpec {
 	const {payload, steps, recurrence} = asFields(value);
 	return isText(payload) && Array.isArray(steps) && steps.length > 0
--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -1,4 +1,5 @@
 import type {JobSpec, JobState} from './model.js';
+import type {QueueTerms} from './queue-terms.js';
 
 /** Tables of a pool. */
 export const TABLES = {
@@ -32,6 +33,8 @@
 	readonly queue: string;
 	readonly account: string;
 	readonly acceptedAtMs: number;
+	/** Terms of the queue at the acceptance; absent once the job has ended, and in rows of earlier releases. */
+	readonly terms?: QueueTerms;
 	/** Absent once the job has ended. */
 	readonly spec?: JobSpec;
 	/** Present once the job has ended. */
--- a/packages/pool/tests/support/pool-harness.ts
+++ b/packages/pool/tests/support/pool-harness.ts
@@ -1,7 +1,7 @@
 import {ManualClock} from '@amaranthsail/core';
 import type {FakeWorker} from './fake-worker.js';
 import {
-	cancellationKey, DEFAULT_LIMITS, type JobRow, type JobSpec, type PoolConfig, PoolCore, type PoolLimits, type Queue, type StepSpec, type StoredRow, TABLES,
+	cancellationKey, DEFAULT_LIMITS, type JobRow, type JobSpec, type PoolConfig, PoolCore, type PoolLimits, type Queue, type StepSpec, type StoredRow, TABLES, termsOf,
 } from '@amaranthsail/pool';
 
 /** @returns A step with defaults for the fields that a test does not set. */
@@ -35,9 +35,20 @@
 	],
 };
 
+/** A manual clock whose wall time can be set back or forward. */
+export class HarnessClock extends ManualClock {
+	wallOffsetMs = 0;
+
+	override wallMs(): number {
+		return super.wallMs() + this.wallOffsetMs;
+	}
+}
+
 /** Runs a core on a manual clock, with a store and workers in memory. */
 export class PoolHarness {
-	readonly clock = new ManualClock(100_000);
+	readonly clock = new HarnessClock(100_000);
+	/** Configuration that the next leader reads. */
+	config = TEST_CONFIG;
 	readonly rows = new Map<string, StoredRow>();
 	readonly log: Array<{event: string; fields: Readonly<Record<string, unknown>>}> = [];
 	/** While false, commits stay pending. */
@@ -60,11 +71,18 @@
 	}
 
 	submit(id: string, queue: string, steps: readonly StepSpec[], options: {account?: string; spec?: Partial<JobSpec>} = {}): void {
-		const row: JobRow = {queue, account: options.account ?? 'north', acceptedAtMs: this.clock.wallMs(), spec: {payload: `payload of ${id}`, steps, ...options.spec}};
+		const accepting = this.config.queues.find(({name}) => name === queue)!;
+		const row: JobRow = {queue, account: options.account ?? 'north', acceptedAtMs: this.clock.wallMs(), terms: termsOf(accepting), spec: {payload: `payload of ${id}`, steps, ...options.spec}};
 		this.write(TABLES.jobs, id, row);
 		this.core.onJobStored(id, row);
 	}
 
+	/** Replaces the configuration, also that of the present leader. */
+	configure(config: PoolConfig): void {
+		this.config = config;
+		this.core.setConfig(config);
+	}
+
 	cancel(id: string): void {
 		this.write(TABLES.jobs, cancellationKey(id), {});
 		this.core.onCancellationStored(id);
@@ -150,7 +168,7 @@
 		const core = new PoolCore(this.clock, this.limits, (event, fields) => {
 			this.log.push({event, fields});
 		});
-		core.setConfig(TEST_CONFIG);
+		core.setConfig(this.config);
 		return core;
 	}
 }
