Restore started occurrences whatever the new leader's wall clock shows

A leader whose wall clock was behind that of its predecessor did not know the last occurrences of a recurring job yet. It took their rows for those of ended jobs and removed them, stopped their runs as unexpected, and later ran their finished tasks again.

Class of fault: state that is stored was checked against a clock that may jump. The removal of ended jobs after an hour also goes by the wall clock, but only a jump of more than that matters there; it is unchanged.

A stored row of a task now brings its occurrence back. Occurrences without a row still wait for their due time on the leader's clock.

--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -111,6 +111,24 @@
 		}
 	}
 
+	/**
+	 * Creates the occurrences of a job up to one that an earlier leader has started; by this leader's wall clock it may not
+	 * be due yet.
+	 *
+	 * @param id - The job; one that is unknown or has ended is left as it is.
+	 * @param number - Number of the occurrence.
+	 */
+	restoreOccurrences(id: string, number: number): void {
+		const job = this.#context.jobs.get(id);
+		if (!job?.spec || FINAL_STATES.has(job.state) || number >= (job.spec.recurrence?.count ?? 1)) {
+			return;
+		}
+
+		while (job.occurrences.length <= number) {
+			job.occurrences.push(createOccurrence(job, job.occurrences.length));
+		}
+	}
+
 	/** Removes jobs whose retention period has passed from the store, and then from memory. */
 	pruneEnded(): void {
 		const untilMs = this.#context.clock.wallMs() - this.#context.limits.retainEndedMs;
--- a/packages/pool/src/state-recovery.ts
+++ b/packages/pool/src/state-recovery.ts
@@ -48,10 +48,14 @@
 	const agentsByIncarnation = new Map(state.incarnations.map(row => [decodeIncarnationRow(row.value)?.life, row.key]));
 	const orphanedRows: StoredRow[] = [];
 	for (const row of state.runs) {
+		const name = parseTaskName(row.key);
+		if (name) {
+			jobs.restoreOccurrences(name.jobId, name.occurrence);
+		}
+
 		const task = context.findTask(row.key);
-		const jobId = parseTaskName(row.key)?.jobId ?? '';
 		if (!task) {
-			if (!unreadableJobs.has(jobId)) {
+			if (!unreadableJobs.has(name?.jobId ?? '')) {
 				orphanedRows.push(row);
 			}
 
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -24,4 +24,19 @@
 		harness.advance(300);
 		expect(startsOf([worker], 'j1')).to.have.length(9);
 	});
+
+	it('of a recurring job is kept by a new leader whose wall clock is behind', () => {
+		const worker = new FakeWorker('w1');
+		const harness = new PoolHarness([worker]);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep()], {spec: {recurrence: {startAtMs: harness.clock.wallMs(), intervalMs: 1000, count: 3}}});
+		harness.advance(1500);
+		worker.end('j1.0.0.0', 'done');
+		harness.advance(300);
+		harness.clock.wallOffsetMs = -3000;
+		harness.replaceLeader();
+		harness.recoverLeader();
+		harness.advance(5500);
+		expect(startsOf([worker], 'j1')).to.deep.equal(['j1.0.0.0#1', 'j1.1.0.0#1', 'j1.2.0.0#1']);
+	});
 });
