Bound the wait for a rack also in a service without accelerators

Callers saw a job wait for its rack for its whole estimated run time (with the usual remote factor of 3) while most of its service was idle, if the workers of that service have no accelerators: none of none is not "more than half free", so such a service never counted as half idle, and the bound of 2 s on the wait never applied.

Class of fault: a share of a total that may be zero. The other shares are guarded (placement scores, headroom for urgent jobs).

A resource that the service does not have is now left out of the decision.

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -281,7 +281,7 @@
 	return unit.isCoveredByGuarantee || (unit.punctuality === PUNCTUALITY.onTime && lostCoreSeconds <= ownCoreSeconds);
 }
 
-/** @returns Whether less than half of the workers' accelerators and less than half of their processors are in use. */
+/** @returns Whether less than half of the workers' accelerators, if they have any, and of their processors are in use. */
 function isHalfIdle(workers: readonly RoundWorker[]): boolean {
 	let free = EMPTY_SHAPE;
 	let capacity = EMPTY_SHAPE;
@@ -290,7 +290,7 @@
 		capacity = addShapes(capacity, roundWorker.worker.facts.capacity);
 	}
 
-	return free.accelerators * 2 > capacity.accelerators && free.cpuMillis * 2 > capacity.cpuMillis;
+	return (capacity.accelerators === 0 || free.accelerators * 2 > capacity.accelerators) && free.cpuMillis * 2 > capacity.cpuMillis;
 }
 
 /** @returns Whether a worker may get new work. */
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -1,11 +1,22 @@
 import {expect} from 'chai';
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolHarness, TEST_CONFIG} from './support/pool-harness.js';
+import {type StepSpec} from '@amaranthsail/pool';
+
+const WHOLE_WORKER = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
+
+const WITHOUT_ACCELERATORS = {cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0};
+
+const MAX_IDLE_WAIT_MS = 2500;
 
 function startsOf(workers: readonly FakeWorker[], jobId: string): string[] {
 	return workers.flatMap(worker => worker.started).filter(start => start.startsWith(jobId));
 }
 
+function isRunning(workers: readonly FakeWorker[], task: string): boolean {
+	return workers.some(worker => worker.runs.has(task));
+}
+
 describe('accepted work', () => {
 	it('of a queue that the configuration no longer contains runs after a takeover', () => {
 		const worker = new FakeWorker('w1');
@@ -39,4 +50,20 @@
 		harness.advance(5500);
 		expect(startsOf([worker], 'j1')).to.deep.equal(['j1.0.0.0#1', 'j1.1.0.0#1', 'j1.2.0.0#1']);
 	});
+
+	const idleCases: ReadonlyArray<{readonly title: string; readonly capacity?: typeof WITHOUT_ACCELERATORS; readonly step: Partial<StepSpec>}> = [
+		{title: 'runs on another rack while half of a service without accelerators is idle', capacity: WITHOUT_ACCELERATORS, step: {shape: {cpuMillis: 32_000, memoryMb: 1000, accelerators: 0}}},
+		{title: 'runs on another rack while half of a service is idle', step: {shape: WHOLE_WORKER}},
+	];
+	for (const {title, capacity, step} of idleCases) {
+		it(title, () => {
+			const workers = ['r1', 'r2', 'r2', 'r2', 'r2'].map((rack, index) => new FakeWorker(`w${index}`, {labels: ['a', rack], ...(capacity && {capacity})}));
+			const harness = new PoolHarness(workers);
+			harness.runCycle();
+			harness.submit('first', 'normal', [makeStep({...step, preferredRack: 'r1', estimatedMs: 20_000})]);
+			harness.submit('second', 'normal', [makeStep({...step, preferredRack: 'r1', estimatedMs: 20_000})]);
+			harness.advance(MAX_IDLE_WAIT_MS);
+			expect(isRunning(workers, 'second.0.0.0')).to.equal(true);
+		});
+	}
 });
