Count all workers that report in the decision whether a service is half idle

Callers saw a job wait for its rack although most of the service was idle, because idle workers in quarantine, draining workers and workers with unknown runs were left out of the service's capacity: with four of seven workers in quarantine, two busy ones made the service look two thirds full.

Class of fault: a decision about the whole service took its figures from the workers that a placement may use. The headroom for urgent jobs is about usable capacity and stays as it is.

A round now keeps all workers that report, and marks those that may get work.

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -30,9 +30,10 @@
 /** Stays below the 3 s that a job must not wait while half of the pool is idle. */
 const MAX_IDLE_POOL_WAIT_MS = 2000;
 
-/** A usable worker and its capacity during one round. */
+/** A present worker and its capacity during one round. */
 type RoundWorker = {
 	readonly worker: TrackedWorker;
+	readonly isUsable: boolean;
 	free: TaskShape;
 	/** Free capacity once the runs that are being stopped have ended. */
 	freeAfterStops: TaskShape;
@@ -74,7 +75,7 @@
 		}
 
 		this.#releasesByService.clear();
-		const workers = this.#listUsableWorkers(nowMs);
+		const workers = this.#listPresentWorkers(nowMs);
 		/** Steps of which a task did not fit; their other tasks have the same shape. */
 		const blockedSteps = new Set<StepState>();
 		const reservedUnits = new Map<string, number>();
@@ -84,8 +85,9 @@
 				continue;
 			}
 
-			const serviceWorkers = workersByService.get(unit.service) ?? [];
-			const request = this.#requestFor(unit, serviceWorkers, nowMs);
+			const presentWorkers = workersByService.get(unit.service) ?? [];
+			const serviceWorkers = presentWorkers.filter(roundWorker => roundWorker.isUsable);
+			const request = this.#requestFor(unit, presentWorkers, nowMs);
 			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => freeCapacityFor(roundWorker, unit, nowMs));
 			const incarnations = this.#leavesHeadroom(unit, serviceWorkers, nowMs) ? placeUnit(request, candidates) : undefined;
 			if (incarnations) {
@@ -186,10 +188,10 @@
 		return this.#context.headroom.allows(unit.service, {capacity, perWorker, free, requested}, nowMs);
 	}
 
-	#listUsableWorkers(nowMs: number): readonly RoundWorker[] {
+	#listPresentWorkers(nowMs: number): readonly RoundWorker[] {
 		const workers: RoundWorker[] = [];
 		for (const worker of this.#context.workers.values()) {
-			if (!isUsable(worker, nowMs, this.#context.limits.suspectTimeoutMs)) {
+			if (!isPresent(worker, nowMs, this.#context.limits.suspectTimeoutMs)) {
 				continue;
 			}
 
@@ -201,7 +203,9 @@
 				}
 			}
 
-			workers.push({worker, free, freeAfterStops: addShapes(free, stopping), reservations: []});
+			workers.push({
+				worker, isUsable: isUsable(worker, nowMs), free, freeAfterStops: addShapes(free, stopping), reservations: [],
+			});
 		}
 
 		return workers;
@@ -293,12 +297,14 @@
 	return (capacity.accelerators === 0 || free.accelerators * 2 > capacity.accelerators) && free.cpuMillis * 2 > capacity.cpuMillis;
 }
 
-/** @returns Whether a worker may get new work. */
-function isUsable(worker: TrackedWorker, nowMs: number, suspectTimeoutMs: number): boolean {
-	return worker.hasReportedLists && !worker.isLost && !worker.suspicion && !worker.hasUnknownRuns
-		&& worker.facts.state === WORKER_STATES.ready
-		&& worker.quarantinedUntilMs <= nowMs
-		&& nowMs - worker.listsAsOfMs < suspectTimeoutMs;
+/** @returns Whether a worker reports; its capacity is part of its service's, whether it may get new work or not. */
+function isPresent(worker: TrackedWorker, nowMs: number, suspectTimeoutMs: number): boolean {
+	return worker.hasReportedLists && !worker.isLost && !worker.suspicion && nowMs - worker.listsAsOfMs < suspectTimeoutMs;
+}
+
+/** @returns Whether a worker that reports may get new work. */
+function isUsable(worker: TrackedWorker, nowMs: number): boolean {
+	return !worker.hasUnknownRuns && worker.facts.state === WORKER_STATES.ready && worker.quarantinedUntilMs <= nowMs;
 }
 
 /** Free capacity for a unit; reservations are subtracted if the unit would still run when they begin. */
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -66,4 +66,29 @@
 			expect(isRunning(workers, 'second.0.0.0')).to.equal(true);
 		});
 	}
+
+	it('runs on another rack while most of a service is idle because its workers are quarantined', () => {
+		const workers = ['r0', 'r0', 'r0', 'r0', 'r1', 'r2', 'r2'].map((rack, index) => new FakeWorker(`w${index}`, {labels: [rack === 'r0' ? 'y' : 'a', rack]}));
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		for (const id of ['bad1', 'bad2']) {
+			harness.submit(id, 'normal', [makeStep({taskCount: 4, maxPerWorker: 1, requiredLabel: 'y'})]);
+		}
+
+		harness.submit('long1', 'normal', [makeStep({preferredRack: 'r1', shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.submit('long2', 'normal', [makeStep({preferredRack: 'r2', shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.runCycle();
+		for (const worker of workers.slice(0, 4)) {
+			for (const task of worker.runs.keys()) {
+				worker.end(task, 'failed');
+			}
+		}
+
+		harness.runCycle();
+		harness.cancel('bad1');
+		harness.cancel('bad2');
+		harness.submit('waiting', 'normal', [makeStep({preferredRack: 'r1', estimatedMs: 20_000})]);
+		harness.advance(MAX_IDLE_WAIT_MS);
+		expect(isRunning(workers, 'waiting.0.0.0')).to.equal(true);
+	});
 });
