Bound the wait for safe workers while half of the service is idle

Callers saw jobs wait for up to 6 s, or 15 s with their last attempt, while workers that could run them were idle. Jobs that fail everywhere put the few workers with a label into quarantine, and a job on its last attempt waited for a reliable worker however long that one stayed busy.

Class of fault: a wait without a bound for a better place. The waits for a rack (half idle, share of the estimate) and of urgent jobs have bounds.

A unit that has waited for 2 s while half of its service is idle may now run on an unreliable worker, and also on a quarantined one unless it is its last attempt. Quarantine lasts for 6 s only after failures at once, which faulty workers show and most faulty jobs do not; after others it lasts for 2 s. Safe workers are still tried first, and a worker that fails everything at once gets no more than the first attempts of the jobs that have no other place.

Ruled out: ending the quarantine when a job is found at fault. Two workers that fail everything can make any job look faulty.

Evidence: the three tests of waiting jobs failed before with "expected false to equal true", the two with their own message also on. The test of the worker that fails everything states what must stay; it failed before only because the second attempts came later. All pass now.

--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -24,6 +24,8 @@
 	readonly count: number;
 	/** Whether the step may run away from its preferred rack or on several racks. */
 	readonly mayBeRemote: boolean;
+	/** Whether it may run on workers that are too risky although it would fit onto others when they are empty. */
+	readonly mayBeRisky: boolean;
 	/** Rack on which other tasks of the step run, if the step prefers one rack. */
 	readonly stepRack?: string;
 };
@@ -87,6 +89,10 @@
 		groups.push(allowed);
 	}
 
+	if (request.mayBeRisky && allowed.length < eligible.length) {
+		groups.push(eligible);
+	}
+
 	return groups;
 }
 
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -16,7 +16,7 @@
 	readonly reclaimMs: number;
 	/** Longest time that a worker takes to stop a run and write its checkpoint. */
 	readonly stopTimeoutMs: number;
-	/** Time for which a worker that failed several jobs in a row gets no work. */
+	/** Longest time for which a worker that failed several jobs in a row gets no work; less if it did not fail them immediately. */
 	readonly quarantineMs: number;
 	/** Time for which an ended job is kept, so that callers can query it and a repeated request finds it. */
 	readonly retainEndedMs: number;
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -34,6 +34,8 @@
 type RoundWorker = {
 	readonly worker: TrackedWorker;
 	readonly isUsable: boolean;
+	/** It would be usable, but its failures count against it for now. */
+	readonly isQuarantined: boolean;
 	free: TaskShape;
 	/** Free capacity once the runs that are being stopped have ended. */
 	freeAfterStops: TaskShape;
@@ -86,8 +88,9 @@
 			}
 
 			const presentWorkers = workersByService.get(unit.service) ?? [];
-			const serviceWorkers = presentWorkers.filter(roundWorker => roundWorker.isUsable);
-			const request = this.#requestFor(unit, presentWorkers, nowMs);
+			const isOverdue = nowMs - unit.waitingSinceMs >= MAX_IDLE_POOL_WAIT_MS && isHalfIdle(presentWorkers);
+			const serviceWorkers = this.#listOffered(unit, presentWorkers, isOverdue);
+			const request = this.#requestFor(unit, isOverdue, nowMs);
 			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => freeCapacityFor(roundWorker, unit, nowMs));
 			const incarnations = this.#leavesHeadroom(unit, serviceWorkers, nowMs) ? placeUnit(request, candidates) : undefined;
 			if (incarnations) {
@@ -203,14 +206,26 @@
 				}
 			}
 
+			const isQuarantined = worker.quarantinedUntilMs > nowMs;
 			workers.push({
-				worker, isUsable: isUsable(worker, nowMs), free, freeAfterStops: addShapes(free, stopping), reservations: [],
+				worker,
+				isUsable: isUsable(worker) && !isQuarantined,
+				isQuarantined: isUsable(worker) && isQuarantined,
+				free,
+				freeAfterStops: addShapes(free, stopping),
+				reservations: [],
 			});
 		}
 
 		return workers;
 	}
 
+	/** A unit that has waited for long in an idle service may try a quarantined worker, but not with its last attempt. */
+	#listOffered(unit: PendingUnit, workers: readonly RoundWorker[], isOverdue: boolean): readonly RoundWorker[] {
+		const mayUseQuarantined = isOverdue && !this.#isOnLastAttempt(unit);
+		return workers.filter(roundWorker => roundWorker.isUsable || (mayUseQuarantined && roundWorker.isQuarantined));
+	}
+
 	#listCandidates(unit: PendingUnit, workers: readonly RoundWorker[], freeOf: (roundWorker: RoundWorker) => TaskShape): readonly CandidateWorker[] {
 		const nowMs = this.#context.nowMs();
 		const cannotAffordFailure = this.#cannotAffordFailure(unit);
@@ -227,19 +242,23 @@
 				slowness: worker.slowness,
 				sameStepCount: hasLimitPerWorker ? countRunsOfStep(worker, unit.step) : 0,
 				hasFailedHere: failedWorkerIds.has(worker.facts.id),
-				isTooRisky: cannotAffordFailure && isUnreliable(worker, nowMs),
+				isTooRisky: roundWorker.isQuarantined || (cannotAffordFailure && isUnreliable(worker, nowMs)),
 			};
 		});
 	}
 
 	/** An urgent job that has just begun to wait has no time for a second run, and a job on its last attempt would fail. */
 	#cannotAffordFailure(unit: PendingUnit): boolean {
-		const maxAttempts = this.#context.queueOf(unit.step.job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
 		const hasTimeToWait = this.#context.nowMs() - unit.waitingSinceMs < this.#context.limits.reclaimMs * URGENT_WAIT_SHARE;
-		return (unit.priority === URGENT_PRIORITY && hasTimeToWait) || unit.tasks.some(task => task.failureCount >= maxAttempts - 1);
+		return (unit.priority === URGENT_PRIORITY && hasTimeToWait) || this.#isOnLastAttempt(unit);
+	}
+
+	#isOnLastAttempt(unit: PendingUnit): boolean {
+		const maxAttempts = this.#context.queueOf(unit.step.job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
+		return unit.tasks.some(task => task.failureCount >= maxAttempts - 1);
 	}
 
-	#requestFor(unit: PendingUnit, workers: readonly RoundWorker[], nowMs: number): PlacementRequest {
+	#requestFor(unit: PendingUnit, isOverdue: boolean, nowMs: number): PlacementRequest {
 		const {spec} = unit.step;
 		const waitedMs = nowMs - unit.waitingSinceMs;
 		const {remoteFactor, reclaimMs} = this.#context.limits;
@@ -251,7 +270,8 @@
 		return {
 			step: spec,
 			count: unit.tasks.length,
-			mayBeRemote: waitedMs >= maxWaitMs || (waitedMs >= MAX_IDLE_POOL_WAIT_MS && isHalfIdle(workers)),
+			mayBeRemote: isOverdue || waitedMs >= maxWaitMs,
+			mayBeRisky: isOverdue,
 			...(runningWorker && {stepRack: rackOf(runningWorker.facts)}),
 		};
 	}
@@ -302,9 +322,9 @@
 	return worker.hasReportedLists && !worker.isLost && !worker.suspicion && nowMs - worker.listsAsOfMs < suspectTimeoutMs;
 }
 
-/** @returns Whether a worker that reports may get new work. */
-function isUsable(worker: TrackedWorker, nowMs: number): boolean {
-	return !worker.hasUnknownRuns && worker.facts.state === WORKER_STATES.ready && worker.quarantinedUntilMs <= nowMs;
+/** @returns Whether a worker that reports may get new work unless it is quarantined. */
+function isUsable(worker: TrackedWorker): boolean {
+	return !worker.hasUnknownRuns && worker.facts.state === WORKER_STATES.ready;
 }
 
 /** Free capacity for a unit; reservations are subtracted if the unit would still run when they begin. */
--- a/packages/pool/src/worker-quarantine.ts
+++ b/packages/pool/src/worker-quarantine.ts
@@ -13,8 +13,8 @@
  */
 const MAX_IMMEDIATE_FAILURE_MS = 400;
 
-/** Stays below the 3 s after which a waiting job counts as forgotten; the next run shows whether the worker has recovered. */
-const IMMEDIATE_QUARANTINE_MS = 2000;
+/** Stays below the 3 s after which a waiting job counts as forgotten; the next run shows whether the worker is sound. */
+const SHORT_QUARANTINE_MS = 2000;
 
 /** Time for which a worker counts as unreliable after a failure or stall, unless a later run succeeds. */
 const UNRELIABLE_PERIOD_MS = 15_000;
@@ -44,7 +44,8 @@
 		return;
 	}
 
-	const durationMs = worker.failedJobIds.size >= MAX_CONSECUTIVE_FAILED_JOBS ? context.limits.quarantineMs : IMMEDIATE_QUARANTINE_MS;
+	// Later failures may be those of faulty jobs.
+	const durationMs = isImmediate && worker.failedJobIds.size >= MAX_CONSECUTIVE_FAILED_JOBS ? context.limits.quarantineMs : SHORT_QUARANTINE_MS;
 	worker.unreliableSinceMs = nowMs;
 	worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + durationMs);
 	context.log('worker quarantined', {
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -91,4 +91,70 @@
 		harness.advance(MAX_IDLE_WAIT_MS);
 		expect(isRunning(workers, 'waiting.0.0.0')).to.equal(true);
 	});
+
+	const quarantineCases = [
+		{title: 'after failures at once', failAfterMs: 100},
+		{title: 'after later failures', failAfterMs: 1000},
+	];
+	for (const {title, failAfterMs} of quarantineCases) {
+		it(`runs on workers quarantined ${title} when all others are unsuitable and the service is idle`, () => {
+			const workers = ['x', 'x', 'a', 'a', 'a', 'a'].map((kind, index) => new FakeWorker(`w${index}`, {labels: [kind, 'r1']}));
+			const harness = new PoolHarness(workers);
+			harness.configure({...TEST_CONFIG, queues: TEST_CONFIG.queues.map(queue => ({...queue, maxAttempts: 3}))});
+			harness.runCycle();
+			harness.submit('bad1', 'normal', [makeStep({requiredLabel: 'x'})]);
+			harness.submit('bad2', 'normal', [makeStep({requiredLabel: 'x'})]);
+			for (let attempt = 0; attempt < 2; attempt++) {
+				harness.advance(failAfterMs);
+				for (const worker of workers) {
+					for (const task of worker.runs.keys()) {
+						worker.end(task, 'failed');
+					}
+				}
+			}
+
+			harness.advance(200);
+			harness.submit('good', 'normal', [makeStep({requiredLabel: 'x'})]);
+			harness.advance(MAX_IDLE_WAIT_MS);
+			expect(isRunning(workers, 'good.0.0.0')).to.equal(true);
+		});
+	}
+
+	it('on its last attempt is kept from a quarantined worker that fails everything at once', () => {
+		const worker = new FakeWorker('w1');
+		const harness = new PoolHarness([worker]);
+		harness.configure({...TEST_CONFIG, queues: TEST_CONFIG.queues.map(queue => ({...queue, maxAttempts: 3}))});
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep()]);
+		harness.submit('j2', 'normal', [makeStep()]);
+		for (let passedMs = 0; passedMs < 7500; passedMs += 100) {
+			harness.advance(100);
+			for (const task of worker.runs.keys()) {
+				worker.end(task, 'failed');
+			}
+		}
+
+		expect(startsOf([worker], 'j')).to.have.length(4);
+		harness.advance(1500);
+		expect([...worker.runs.keys()]).to.deep.equal(['j1.0.0.0', 'j2.0.0.0']);
+	});
+
+	it('on its last attempt runs on an unreliable worker when the reliable one stays busy and the service is idle', () => {
+		const workers = ['w0', 'w1', 'w2'].map(name => new FakeWorker(name));
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('long', 'normal', [makeStep({shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.submit('good', 'normal', [makeStep({shape: WHOLE_WORKER, estimatedMs: 10_000})]);
+		harness.submit('other', 'normal', [makeStep({shape: WHOLE_WORKER})]);
+		harness.runCycle();
+		const idle = workers.filter(worker => !worker.runs.has('long.0.0.0'));
+		for (const worker of idle) {
+			worker.end([...worker.runs.keys()][0]!, 'failed');
+		}
+
+		harness.runCycle();
+		harness.cancel('other');
+		harness.advance(2000 + MAX_IDLE_WAIT_MS);
+		expect(isRunning(workers, 'good.0.0.0')).to.equal(true);
+	});
 });
