Reserve no capacity that lasting tasks would have to release

Callers saw small jobs wait without end beside idle capacity. A gang that did not fit because of lasting tasks got workers reserved from the moment at which the estimates of those tasks had passed, that is from now on and for ever, since lasting tasks run until their job is cancelled.

Class of fault: an estimated end of a run that has none.

The expected releases no longer contain lasting runs, so such a gang gets no reservation.

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -123,11 +123,11 @@
 		return true;
 	}
 
-	/** Lists the expected ends of a service's runs, once for all units of a round. */
+	/** Lists the expected ends of a service's runs, once for all units of a round; lasting tasks do not end. */
 	#releasesOf(service: string, workers: readonly RoundWorker[], nowMs: number): readonly ExpectedRelease[] {
 		let releases = this.#releasesByService.get(service);
 		if (!releases) {
-			releases = orderReleases(workers.flatMap(roundWorker => [...roundWorker.worker.runs.values()].map(run => ({
+			releases = orderReleases(workers.flatMap(roundWorker => [...roundWorker.worker.runs.values()].filter(run => !run.task.step.spec.isLasting).map(run => ({
 				incarnation: roundWorker.worker.incarnation, shape: run.task.step.spec.shape, atMs: nowMs + estimateRemainingMs(run, nowMs),
 			}))));
 			this.#releasesByService.set(service, releases);
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -157,4 +157,17 @@
 		harness.advance(2000 + MAX_IDLE_WAIT_MS);
 		expect(isRunning(workers, 'good.0.0.0')).to.equal(true);
 	});
+
+	it('is not kept off capacity reserved for a gang that lasting tasks keep from starting', () => {
+		const workers = ['x', 'x', 'a', 'a', 'a', 'a'].map((kind, index) => new FakeWorker(`w${index}`, {labels: [kind, 'r1']}));
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('lasting', 'normal', [makeStep({taskCount: 2, maxPerWorker: 1, isLasting: true, estimatedMs: 1000, requiredLabel: 'x'})]);
+		harness.advance(2000);
+		harness.submit('gang', 'normal', [makeStep({taskCount: 2, isGang: true, shape: WHOLE_WORKER, requiredLabel: 'x'})]);
+		harness.advance(1000);
+		harness.submit('good', 'batch', [makeStep({requiredLabel: 'x', estimatedMs: 5000})]);
+		harness.advance(MAX_IDLE_WAIT_MS);
+		expect(isRunning(workers, 'good.0.0.0')).to.equal(true);
+	});
 });
