Bound the wait for reserved and held back capacity

Callers saw a job wait next to free capacity that was reserved for a gang a minute ahead, although its service had been less than half in use for long, and saw lasting tasks wait for their rack, beside a reservation or beside the headroom for urgent jobs while their service was busy.

Class of fault: as with unreliable workers, waits without a bound for a better use of the capacity. A lasting task has no better time to run.

A job that has waited for 2 s in a service that has been half idle for 2 s, and a lasting task that has waited for 2 s in any service, may use all free capacity, and a lasting task may then run on any rack.

Evidence: the four new tests failed before with "expected false to equal true" and pass now.

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -3,6 +3,7 @@
 } from './capacity.js';
 import {type ExpectedRelease, findEarliestStart, orderReleases} from './earliest-start.js';
 import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
+import {IdleServices} from './idle-services.js';
 import {RUN_PHASES, type StepState} from './job-model.js';
 import {type TaskShape, WORKER_STATES} from './model.js';
 import {listPendingUnits, type PendingUnit, PUNCTUALITY} from './pending-units.js';
@@ -27,7 +28,7 @@
  */
 const URGENT_RACK_WAIT_SHARE = 0.5;
 
-/** Stays below the 3 s that a job must not wait while half of the pool is idle. */
+/** Stays below the 3 s that a job must not wait while half of the pool is idle, and a lasting task not at all times. */
 const MAX_IDLE_POOL_WAIT_MS = 2000;
 
 /** A present worker and its capacity during one round. */
@@ -55,6 +56,7 @@
 export class SchedulingRound {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	readonly #idleServices = new IdleServices();
 	/** Expected ends of running tasks in the present round, by service. */
 	readonly #releasesByService = new Map<string, readonly ExpectedRelease[]>();
 
@@ -73,6 +75,7 @@
 		const guarantees = new Guarantees(this.#context);
 		const units = listPendingUnits(this.#context, guarantees, nowMs);
 		if (units.length === 0) {
+			this.#idleServices.clear();
 			return;
 		}
 
@@ -82,17 +85,22 @@
 		const blockedSteps = new Set<StepState>();
 		const reservedUnits = new Map<string, number>();
 		const workersByService = groupByService(workers);
+		for (const [service, presentWorkers] of workersByService) {
+			this.#idleServices.record(service, isHalfIdle(presentWorkers), nowMs);
+		}
+
 		for (const unit of units) {
 			if (blockedSteps.has(unit.step)) {
 				continue;
 			}
 
 			const presentWorkers = workersByService.get(unit.service) ?? [];
-			const isOverdue = nowMs - unit.waitingSinceMs >= MAX_IDLE_POOL_WAIT_MS && isHalfIdle(presentWorkers);
+			const isOverdue = nowMs - unit.waitingSinceMs >= MAX_IDLE_POOL_WAIT_MS && (unit.step.spec.isLasting || isHalfIdle(presentWorkers));
 			const serviceWorkers = this.#listOffered(unit, presentWorkers, isOverdue);
 			const request = this.#requestFor(unit, isOverdue, nowMs);
-			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => freeCapacityFor(roundWorker, unit, nowMs));
-			const incarnations = this.#leavesHeadroom(unit, serviceWorkers, nowMs) ? placeUnit(request, candidates) : undefined;
+			const mayUseAll = isOverdue && (unit.step.spec.isLasting || this.#idleServices.idleMsOf(unit.service, nowMs) >= MAX_IDLE_POOL_WAIT_MS);
+			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => mayUseAll ? roundWorker.free : freeCapacityFor(roundWorker, unit, nowMs));
+			const incarnations = mayUseAll || this.#leavesHeadroom(unit, serviceWorkers, nowMs) ? placeUnit(request, candidates) : undefined;
 			if (incarnations) {
 				allocate(workers, incarnations, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, incarnations);
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -170,4 +170,52 @@
 		harness.advance(MAX_IDLE_WAIT_MS);
 		expect(isRunning(workers, 'good.0.0.0')).to.equal(true);
 	});
+
+	const waitCases: ReadonlyArray<{readonly title: string; readonly busyMs: number; readonly step: Partial<StepSpec>}> = [
+		{title: 'is not kept off capacity reserved for a gang while the service is idle', busyMs: 60_000, step: {estimatedMs: 100_000}},
+		{title: 'that lasts is not kept off capacity reserved for a gang', busyMs: 60_000, step: {estimatedMs: 100_000, isLasting: true}},
+	];
+	for (const {title, busyMs, step} of waitCases) {
+		it(title, () => {
+			const others = step.isLasting ? [] : ['a', 'a', 'a'];
+			const workers = ['x', 'x', ...others].map((kind, index) => new FakeWorker(`w${index}`, {labels: [kind, 'r1']}));
+			const harness = new PoolHarness(workers);
+			harness.runCycle();
+			harness.submit('busy', 'normal', [makeStep({shape: WHOLE_WORKER, requiredLabel: 'x', estimatedMs: busyMs})]);
+			harness.advance(200);
+			harness.submit('gang', 'normal', [makeStep({taskCount: 2, isGang: true, shape: WHOLE_WORKER, requiredLabel: 'x'})]);
+			harness.advance(200);
+			harness.submit('good', 'batch', [makeStep({...step, requiredLabel: 'x'})]);
+			harness.advance(1500);
+			expect(isRunning(workers, 'good.0.0.0')).to.equal(false);
+			harness.advance(MAX_IDLE_WAIT_MS - 1500);
+			expect(isRunning(workers, 'good.0.0.0')).to.equal(true);
+		});
+	}
+
+	it('that lasts does not wait for its rack in a busy service', () => {
+		const workers = ['r1', 'r2', 'r2'].map((rack, index) => new FakeWorker(`w${index}`, {labels: ['a', rack]}));
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('busy1', 'normal', [makeStep({preferredRack: 'r1', shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.submit('busy2', 'normal', [makeStep({preferredRack: 'r2', shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.advance(300);
+		harness.submit('lasting', 'normal', [makeStep({preferredRack: 'r1', isLasting: true, estimatedMs: 30_000})]);
+		harness.advance(MAX_IDLE_WAIT_MS);
+		expect(isRunning(workers, 'lasting.0.0.0')).to.equal(true);
+	});
+
+	it('that lasts is not kept off the headroom for urgent jobs', () => {
+		const workers = ['w0', 'w1', 'w2', 'w3', 'w4'].map(name => new FakeWorker(name));
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('urgent', 'urgent', [makeStep({shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.submit('busy', 'normal', [makeStep({taskCount: 3, shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.advance(300);
+		harness.submit('lasting', 'normal', [makeStep({isLasting: true})]);
+		harness.advance(1500);
+		expect(isRunning(workers, 'lasting.0.0.0')).to.equal(false);
+		harness.advance(MAX_IDLE_WAIT_MS - 1500);
+		expect(isRunning(workers, 'lasting.0.0.0')).to.equal(true);
+	});
 });
