Continue an agent's count of orders after its restart

A run whose start had got no answer, and whose stop was acknowledged just before its agent was restarted, stayed "stopping" for good: the leader ends such a run once it has lists that were requested after that stop, by the agent's count of orders, and the new agent counted from 0 again. The task waited, and its capacity stayed in use, until the worker itself was lost.

Class of fault: numbers of one incarnation compared with those of another. The sequence numbers of ends, the worker's clock and the version of the report are kept by incarnation of the worker or start anew with the agent's connection.

The count now starts at the VM's monotonic clock, which restarts with the VM only and runs faster than orders come. The leader only compares it.

Evidence: the new test failed before with "expected +0 to be at least 1" and passes now. Not reproduced with processes.

--- a/packages/pool-agent/src/agent-messages.ts
+++ b/packages/pool-agent/src/agent-messages.ts
@@ -37,7 +37,7 @@
 /** Answer to {@link OrderRequest}. */
 export type OrderAnswer = {
 	readonly outcome: OrderOutcome;
-	/** Number of orders that the agent has relayed and got an outcome for. */
+	/** Increases with each order that the agent has relayed and got an outcome for, also across its restarts. */
 	readonly orderCount: number;
 };
 
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -61,7 +61,8 @@
 	#listedIncarnation: string | undefined;
 	#leaseUntilMs = 0;
 	#ackSequence = 0;
-	#orderCount = 0;
+	/** Counts on from all earlier incarnations of the agent on this VM, which have sent less than an order each millisecond. */
+	#orderCount: number;
 	#reportVersion = 0;
 	#leftIncarnations: readonly string[] = [];
 	#watchWaiters: Array<() => void> = [];
@@ -72,6 +73,7 @@
 	/** @param deps - Dependencies. */
 	constructor(deps: PoolAgentCoreDependencies) {
 		this.#deps = deps;
+		this.#orderCount = Math.floor(deps.clock.monotonicMs());
 	}
 
 	/** Milliseconds since the last call of a leader; infinite before the first call. */
--- a/packages/pool-agent/tests/pool-agent-core.test.ts
+++ b/packages/pool-agent/tests/pool-agent-core.test.ts
@@ -52,20 +52,11 @@
 	readonly port = new FakeWorkerPort();
 	readonly store = new FakeStore();
 	readonly pausesMs: number[] = [];
-	readonly agent: PoolAgentCore;
+	agent = this.#createAgent();
 
-	constructor() {
-		this.agent = new PoolAgentCore({
-			clock: this.clock,
-			logger: silentLogger,
-			store: this.store,
-			worker: this.port,
-			leaseMs: 6000,
-			incarnation: 'a/1',
-			sleep: async ms => {
-				this.pausesMs.push(ms);
-			},
-		});
+	/** Replaces the agent by a new incarnation. */
+	restart(): void {
+		this.agent = this.#createAgent();
 	}
 
 	/** Runs the agent's loop for one poll of the worker. */
@@ -83,6 +74,20 @@
 	async watch(epoch: number, request: Record<string, unknown> = {}): Promise<WatchAnswer & StaleEpochAnswer> {
 		return await this.agent.onWatch({epoch, sinceVersion: -1, waitMs: 0, ...request}) as WatchAnswer & StaleEpochAnswer;
 	}
+
+	#createAgent(): PoolAgentCore {
+		return new PoolAgentCore({
+			clock: this.clock,
+			logger: silentLogger,
+			store: this.store,
+			worker: this.port,
+			leaseMs: 6000,
+			incarnation: 'a/1',
+			sleep: async ms => {
+				this.pausesMs.push(ms);
+			},
+		});
+	}
 }
 
 describe('PoolAgentCore', () => {
@@ -150,6 +155,19 @@
 		expect(fixture.port.orders).to.deep.equal(['stop t']);
 	});
 
+	// A run whose stop was acknowledged through the previous incarnation of the agent was never seen to have ended.
+	it('counts its orders on from those of its previous incarnation', async () => {
+		const fixture = new AgentFixture();
+		fixture.agent.onHeartbeat(FACTS, 1, 5);
+		const stopped = await fixture.agent.onOrder({epoch: 1, life: 'w1@5', order: {kind: 'stop', task: 't', run: 1}});
+		fixture.clock.advance(100);
+		fixture.restart();
+		fixture.agent.onHeartbeat(FACTS, 2, 5);
+		await fixture.pollOnce();
+		const {report} = await fixture.watch(1);
+		expect(report!.lists!.ordersBefore).to.be.at.least('orderCount' in stopped ? stopped.orderCount : Number.NaN);
+	});
+
 	it('passes on the lease of the leader, and acknowledges only the ends that the leader has stored', async () => {
 		const fixture = new AgentFixture();
 		fixture.agent.onHeartbeat(FACTS, 1, 5);
