Log crashes of workers with the runs that were on them

When a worker comes back as a new incarnation, the log only said that the earlier one was given up and how many runs it had. Whether one task crashes worker after worker, or workers crash for causes of their own, could not be told from it: both show as runs that ended as lapsed.

The leader now logs `worker crashed` with the runs of the earlier incarnation and what is known of each: just started, at work for longer, or a start that was never answered. A worker that drained first has not crashed. No decision changes.

--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -26,6 +26,10 @@
 	readonly placedAtMs: number;
 	/** A start order may have reached the worker. */
 	mayHaveStarted: boolean;
+	/** Start orders that may have reached the worker without an answer. */
+	unansweredStarts: number;
+	/** Leader's clock when the worker first acknowledged or listed the run. */
+	knownSinceMs?: number;
 	/** The agent's count of orders when the worker acknowledged a stop of this run. */
 	stopAcknowledgedOrderCount?: number;
 	/** The agent's count of orders when the worker acknowledged the start. */
@@ -228,6 +232,7 @@
 		placedAtMs: nowMs,
 		// A run in a later phase was stored by an earlier leader, which may have sent its start.
 		mayHaveStarted: phase !== RUN_PHASES.recording,
+		unansweredStarts: phase === RUN_PHASES.recording ? 0 : 1,
 		nextOrderAtMs: nowMs,
 		isOrderInFlight: false,
 		percent: 0,
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -9,6 +9,7 @@
 import type {RowWrite} from './ports.js';
 import {type RunRow, TABLES} from './rows.js';
 import type {TrackedWorker} from './tracked-worker.js';
+import {recordStartAnswer} from './worker-crash.js';
 import {recordRunFailure, recordRunSuccess} from './worker-quarantine.js';
 
 /** Weight of a new observation of a worker's slowness. */
@@ -139,6 +140,7 @@
 		if (run.phase === RUN_PHASES.starting && worker.hasReportedLists && !worker.suspicion) {
 			run.isOrderInFlight = true;
 			run.mayHaveStarted = true;
+			run.unansweredStarts++;
 			this.#context.queueOrder({
 				agent: worker.agent,
 				incarnation: run.incarnation,
@@ -181,6 +183,10 @@
 
 		run.isOrderInFlight = false;
 		run.nextOrderAtMs = this.#context.nowMs() + this.#context.limits.orderRetryDelayMs;
+		if (order.kind === 'start') {
+			recordStartAnswer(run, outcome, this.#context.nowMs());
+		}
+
 		if (order.kind === 'stop') {
 			if (outcome.kind === 'done' || (outcome.kind === 'refused' && outcome.reason === REFUSALS.superseded)) {
 				run.stopAcknowledgedOrderCount = orderCount;
@@ -243,6 +249,7 @@
 	onListed(run: Run, listed: ListedRun, asOfMs: number): void {
 		const nowMs = this.#context.nowMs();
 		run.mayHaveStarted = true;
+		run.knownSinceMs ??= nowMs;
 		this.#markRunning(run, nowMs);
 		run.percentAsOfMs = asOfMs;
 		if (listed.percent !== run.percent) {
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -6,6 +6,7 @@
 import type {RunLifecycle} from './run-lifecycle.js';
 import {createTrackedWorker, type TrackedWorker} from './tracked-worker.js';
 import {listStalledRuns, stalledMsOf} from './worker-quarantine.js';
+import {crashEvidenceOf} from './worker-crash.js';
 import {WorkerListReconciler} from './worker-list-reconciler.js';
 
 /** An agent's report on its worker. Sent to the leader under these names. */
@@ -29,6 +30,9 @@
 /** Time for which a draining worker is expected to stay when it reports no remaining time. */
 const MIN_DRAINING_MS = 2000;
 
+/** Runs of a crashed worker that are named in the log. */
+const MAX_LOGGED_RUNS = 20;
+
 /** Tracks the workers by their agents' reports, and declares silent or replaced ones lost. */
 export class WorkerRegistry {
 	readonly #context: PoolContext;
@@ -182,12 +186,24 @@
 		for (const other of this.#context.workers.values()) {
 			const isSameWorker = other.facts.id === facts.id || other.agent === worker.agent;
 			if (other !== worker && isSameWorker && startTimeOf(other.incarnation) < startTimeOf(facts.life)) {
+				if (other.drainingSinceMs === undefined) {
+					this.#logCrash(other, facts);
+				}
+
 				this.#declareLost(other, 'a new life of the worker has reported');
 				this.#removeWorker(other);
 			}
 		}
 	}
 
+	/** An incarnation that neither drained nor deregistered before the next one has crashed. */
+	#logCrash(worker: TrackedWorker, next: WorkerFacts): void {
+		const runs = [...worker.runs.values()].map(run => ({task: run.task.name, run: run.number, evidence: crashEvidenceOf(run, worker) ?? 'none'}));
+		this.#context.log('worker crashed', {
+			worker: worker.incarnation, next: next.life, silentMs: Math.round(this.#context.nowMs() - worker.listsAsOfMs), runs: runs.length, suspects: runs.slice(0, MAX_LOGGED_RUNS),
+		});
+	}
+
 	#hasLaterIncarnation(agent: string, facts: WorkerFacts): boolean {
 		return [...this.#context.workers.values()].some(other => (other.agent === agent || other.facts.id === facts.id) && startTimeOf(other.incarnation) > startTimeOf(facts.life));
 	}
--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -21,6 +21,8 @@
 	startRefusal: (typeof REFUSALS)[keyof typeof REFUSALS] | undefined;
 	/** Its tasks make no progress. */
 	isStalled = false;
+	/** Tasks whose start crashes the worker before it answers. */
+	readonly crashingTasks = new Set<string>();
 	/** Stops are acknowledged, but the runs continue until this is false again. */
 	shouldDelayStops = false;
 	readonly #stopping = new Set<string>();
@@ -73,6 +75,18 @@
 		this.ended.push({sequence: ++this.#sequence, task, run: fakeRun.run, outcome, checkpoint});
 	}
 
+	/** Loses everything that runs here, and starts again as the next incarnation under the same id. */
+	crash(): void {
+		const {id, life} = this.facts;
+		this.facts = {...this.facts, life: `${id}@${Number(life.split('@')[1]) + 1000}`};
+		this.runs.clear();
+		this.#stopping.clear();
+		this.#highestEndedRuns.clear();
+		this.ended = [];
+		this.#sequence = 0;
+		this.ackSequence = 0;
+	}
+
 	#execute(order: WorkerOrder): OrderOutcome {
 		if (order.kind === 'stop') {
 			const fakeRun = this.runs.get(order.task);
@@ -87,6 +101,12 @@
 			return {kind: 'done'};
 		}
 
+		if (this.crashingTasks.has(order.task)) {
+			this.started.push(`${order.task}#${order.run}`);
+			this.crash();
+			return {kind: 'unknown', message: 'connection reset'};
+		}
+
 		if (this.startRefusal) {
 			return {kind: 'refused', reason: this.startRefusal};
 		}
