Give up tasks that crash one worker after another

What callers would see: a task whose start ends its worker's process was started again on the next worker, for ever. Every job on those workers lost its work at each crash. No counter bounded this: only ends listed as `failed` count as attempts, and a crashed worker lists nothing.

Cause: a lost run was a lapsed run, whatever had ended the worker. Class of fault: a retry without a budget, as the failure was attributed to the place and never to the work.

Now each task keeps the workers that crashed under it, with what is known of the run there, in its own row. Two crashes shortly after its start end the job as failed, three if it had been at work or if other jobs had started there at the same time, four if no start was ever answered. The crashes of a task that is given up are taken off its neighbours. A silent worker counts only once a later incarnation shows that it has crashed. Workers that drain, deregister or report again do not count. The row of a worker's new incarnation is stored after the ends on the earlier one, so that a new leader still finds those.

Ruled out: counting crashes as failed attempts (a worker's own crash would end jobs whose queue allows two attempts), quarantine of the crashed workers (the next healthy worker crashes too), counts in memory (lost with each leader).

Evidence: crashing-tasks.test.ts, 13 cases.

--- /dev/null
+++ b/packages/pool/src/crash-ledger.ts
@@ -0,0 +1,129 @@
+import {type Job, type Task} from './job-model.js';
+import type {PoolContext} from './pool-context.js';
+import type {RunLifecycle} from './run-lifecycle.js';
+import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
+import {
+	crashWeightOf, isCrashingTask, listCrashEvidence, type WorkerCrash,
+} from './worker-crash.js';
+
+/**
+ * Counts the workers that crash under a task, and gives a task up that crashes one worker after another.
+ *
+ * A worker crashes with all its runs, of which at most one is the cause. So the crashes that a task has caused are
+ * taken off the other tasks once it is given up.
+ */
+export class CrashLedger {
+	readonly #context: PoolContext;
+	readonly #runs: RunLifecycle;
+	readonly #onGivenUp: (job: Job) => void;
+	/** Open tasks with at least one crash. */
+	readonly #suspects = new Set<Task>();
+
+	/**
+	 * @param context - State of the pool.
+	 * @param runs - Stores the crashes with their task.
+	 * @param onGivenUp - Called when a task of the job is given up.
+	 */
+	constructor(context: PoolContext, runs: RunLifecycle, onGivenUp: (job: Job) => void) {
+		this.#context = context;
+		this.#runs = runs;
+		this.#onGivenUp = onGivenUp;
+	}
+
+	/**
+	 * Adds a worker that is being declared lost to the crashes of the tasks that may have crashed it. The crashes are
+	 * stored with the ends of the runs.
+	 *
+	 * @param worker - The worker; its runs have not ended yet.
+	 */
+	recordLoss(worker: TrackedWorker): void {
+		for (const [{task}, evidence] of listCrashEvidence(worker)) {
+			if (!task.isDone) {
+				task.crashes = [...withoutCrash(task, worker.incarnation), {life: worker.incarnation, evidence, isConfirmed: false}];
+				this.#addSuspect(task);
+			}
+		}
+	}
+
+	/**
+	 * Confirms that a lost worker has crashed, and gives up the tasks that have crashed too many.
+	 *
+	 * @param incarnation - The worker's incarnation.
+	 */
+	confirm(incarnation: string): void {
+		const tasks = this.#suspectsOf(incarnation);
+		for (const task of tasks) {
+			this.#replaceCrashes(task, task.crashes.map(crash => (crash.life === incarnation ? {...crash, isConfirmed: true} : crash)));
+		}
+
+		for (const task of tasks.toSorted((left, right) => crashWeightOf(right.crashes) - crashWeightOf(left.crashes))) {
+			// An earlier task of this loop may have been found to be the cause.
+			if (isCrashingTask(task.crashes)) {
+				this.#giveUp(task);
+			}
+		}
+	}
+
+	/**
+	 * Takes a worker off the crashes of all tasks.
+	 *
+	 * @param incarnation - Incarnation of a worker that has not crashed, or whose crash has a known cause.
+	 * @param cause - Job that caused the crash; it keeps the crash.
+	 */
+	withdraw(incarnation: string, cause?: Job): void {
+		for (const task of this.#suspectsOf(incarnation)) {
+			if (task.step.job !== cause) {
+				this.#replaceCrashes(task, withoutCrash(task, incarnation));
+			}
+		}
+	}
+
+	/** @param task - A task whose stored crashes have been restored. */
+	restore(task: Task): void {
+		if (task.crashes.length > 0) {
+			this.#addSuspect(task);
+		}
+	}
+
+	#giveUp(task: Task): void {
+		const {job} = task.step;
+		this.#context.log('task given up', {job: job.id, task: task.name, reason: 'crashes its workers', crashes: task.crashes});
+		for (const {life} of task.crashes) {
+			this.withdraw(life, job);
+		}
+
+		this.#onGivenUp(job);
+	}
+
+	#addSuspect(task: Task): void {
+		this.#suspects.add(task);
+		for (const {life} of task.crashes) {
+			task.failedWorkerIds.add(workerIdOf(life));
+		}
+	}
+
+	#replaceCrashes(task: Task, crashes: readonly WorkerCrash[]): void {
+		task.crashes = crashes;
+		this.#runs.storeTask(task);
+		if (crashes.length === 0) {
+			this.#suspects.delete(task);
+		}
+	}
+
+	#suspectsOf(incarnation: string): readonly Task[] {
+		const tasks: Task[] = [];
+		for (const task of this.#suspects) {
+			if (task.isDone || task.step.job.isEnding) {
+				this.#suspects.delete(task);
+			} else if (task.crashes.some(crash => crash.life === incarnation)) {
+				tasks.push(task);
+			}
+		}
+
+		return tasks;
+	}
+}
+
+function withoutCrash(task: Task, incarnation: string): readonly WorkerCrash[] {
+	return task.crashes.filter(crash => crash.life !== incarnation);
+}
--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -1,9 +1,12 @@
 import {URGENT_PRIORITY} from './guarantees.js';
-import {createOccurrence, FINAL_STATES, isStepDone, type Job} from './job-model.js';
+import {
+	createOccurrence, FINAL_STATES, isStepDone, type Job, type Task,
+} from './job-model.js';
 import {JOB_STATES, type JobState} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import {cancellationKey, type JobRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
+import {isCrashingTask} from './worker-crash.js';
 
 /** Limits the effect of a jump of the wall clock on a job's age; jobs older than this have all missed their objective. */
 const MAX_JOB_AGE_MS = 600_000;
@@ -79,7 +82,7 @@
 	}
 
 	/**
-	 * Ends a job if all its tasks are done, or if a task has failed as often as the queue allows.
+	 * Ends a job if all its tasks are done, if a task has failed as often as the queue allows, or if one crashes its workers.
 	 *
 	 * @param job - The job; the state of its tasks has changed.
 	 */
@@ -90,7 +93,8 @@
 
 		const maxAttempts = this.#context.queueOf(job)?.maxAttempts ?? Number.POSITIVE_INFINITY;
 		const steps = job.occurrences.flatMap(occurrence => occurrence.steps);
-		if (steps.some(step => !step.spec.isLasting && step.tasks.some(task => task.failureCount >= maxAttempts))) {
+		const hasFailed = (task: Task): boolean => !task.step.spec.isLasting && task.failureCount >= maxAttempts;
+		if (steps.some(step => step.tasks.some(task => hasFailed(task) || (!task.isDone && isCrashingTask(task.crashes))))) {
 			this.#end(job, JOB_STATES.failed);
 			return;
 		}
--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -2,6 +2,7 @@
 	type JobSpec, type JobState, type Queue, type StepSpec, JOB_STATES,
 } from './model.js';
 import {formatTaskName} from './task-name.js';
+import type {WorkerCrash} from './worker-crash.js';
 
 /** Phases of a run as its leader sees it. */
 export const RUN_PHASES = {
@@ -68,8 +69,10 @@
 	endedAtMs?: number;
 	run?: Run;
 	checkpoint: string;
-	/** Ids of workers on which the task failed. */
+	/** Ids of workers on which the task failed, or that crashed under it. */
 	readonly failedWorkerIds: Set<string>;
+	/** Workers that crashed, or may have crashed, while the task ran there. */
+	crashes: readonly WorkerCrash[];
 };
 
 /** One step in one occurrence of a job. */
@@ -141,6 +144,7 @@
 				lastFailedRunNumber: 0,
 				checkpoint: '',
 				failedWorkerIds: new Set(),
+				crashes: [],
 			});
 		}
 
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@amaranthsail/core';
 import type {Commit} from './commit-queue.js';
+import {CrashLedger} from './crash-ledger.js';
 import {JobLifecycle} from './job-lifecycle.js';
 import {FINAL_STATES, type Job} from './job-model.js';
 import {
@@ -30,6 +31,7 @@
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
 	readonly #jobs: JobLifecycle;
+	readonly #crashes: CrashLedger;
 	readonly #workers: WorkerRegistry;
 	readonly #schedulingRound: SchedulingRound;
 	readonly #roundPacer = new RoundPacer();
@@ -51,7 +53,10 @@
 			this.#jobs.endIfFinished(job);
 		});
 		this.#jobs = new JobLifecycle(this.#context, this.#runs);
-		this.#workers = new WorkerRegistry(this.#context, this.#runs);
+		this.#crashes = new CrashLedger(this.#context, this.#runs, job => {
+			this.#jobs.endIfFinished(job);
+		});
+		this.#workers = new WorkerRegistry(this.#context, this.#runs, this.#crashes);
 		this.#schedulingRound = new SchedulingRound(this.#context, this.#runs);
 	}
 
@@ -63,7 +68,9 @@
 	/** @param state - Rows as read after the takeover. */
 	recover(state: StoredState): void {
 		this.#isRecovered = true;
-		recover(state, {context: this.#context, jobs: this.#jobs, runs: this.#runs, workers: this.#workers});
+		recover(state, {
+			context: this.#context, jobs: this.#jobs, runs: this.#runs, crashes: this.#crashes, workers: this.#workers,
+		});
 	}
 
 	/** @param config - The newest configuration. */
--- a/packages/pool/src/row-decoding.ts
+++ b/packages/pool/src/row-decoding.ts
@@ -7,6 +7,7 @@
 import type {
 	IncarnationRow, JobRow, LeaderRow, MemberRow, RunRow,
 } from './rows.js';
+import {CRASH_EVIDENCE, type CrashEvidence, type WorkerCrash} from './worker-crash.js';
 
 /**
  * Decodes a row of the jobs table.
@@ -42,7 +43,7 @@
  * @returns The newest run of the task, or undefined when the row cannot be read.
  */
 export function decodeRunRow(value: unknown): RunRow | undefined {
-	const {run, life, isDone, failures, checkpoint} = asFields(value);
+	const {run, life, isDone, failures, checkpoint, crashes} = asFields(value);
 	if (!isCount(run, 1) || !(life === undefined || isText(life))) {
 		return undefined;
 	}
@@ -53,9 +54,16 @@
 		...(isDone === true && {isDone}),
 		...(isCount(failures, 1) && {failures}),
 		...(isText(checkpoint) && {checkpoint}),
+		...(Array.isArray(crashes) && {crashes: asList(crashes).map(crash => decodeCrash(asFields(crash))).filter(crash => crash !== undefined)}),
 	};
 }
 
+function decodeCrash({life, evidence, isConfirmed}: Fields): WorkerCrash | undefined {
+	return isText(life) && Object.values(CRASH_EVIDENCE).includes(evidence as CrashEvidence)
+		? {life, evidence: evidence as CrashEvidence, isConfirmed: isConfirmed === true}
+		: undefined;
+}
+
 /** @returns The row of the lives table, or undefined when it cannot be read. */
 export function decodeIncarnationRow(value: unknown): IncarnationRow | undefined {
 	const {life} = asFields(value);
--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -1,4 +1,5 @@
 import type {JobSpec, JobState} from './model.js';
+import type {WorkerCrash} from './worker-crash.js';
 
 /** Tables of a pool. */
 export const TABLES = {
@@ -51,6 +52,8 @@
 	readonly failures?: number;
 	/** Checkpoint that the next run resumes from. */
 	readonly checkpoint?: string;
+	/** Workers that crashed, or may have crashed, while the task ran there. */
+	readonly crashes?: readonly WorkerCrash[];
 };
 
 /** A row of the lives table, by agent: the newest incarnation of the agent's worker that a leader has seen, in `life`. */
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -7,7 +7,7 @@
 import {lostCoreSeconds} from './lost-work.js';
 import type {PoolContext} from './pool-context.js';
 import type {RowWrite} from './ports.js';
-import {type RunRow, TABLES} from './rows.js';
+import {encodeRunRow} from './run-row.js';
 import type {TrackedWorker} from './tracked-worker.js';
 import {recordStartAnswer} from './worker-crash.js';
 import {recordRunFailure, recordRunSuccess} from './worker-quarantine.js';
@@ -50,7 +50,7 @@
 		this.#context.log('task placed', {
 			job: first!.step.job.id, task: first!.name, members: tasks.length, run: number, workers: incarnations, waitedMs: Math.round(nowMs - (first!.step.readyAtMs ?? nowMs)),
 		});
-		this.#context.commits.enqueue(tasks.map(task => this.#rowOf(task)), () => {
+		this.#context.commits.enqueue(tasks.map(task => encodeRunRow(task)), () => {
 			for (const run of runs) {
 				if (run.phase === RUN_PHASES.recording) {
 					run.phase = RUN_PHASES.starting;
@@ -97,7 +97,7 @@
 			// Any member's checkpoint serves the whole gang, and all members have to resume from the same one.
 			const [first] = unitOf(run.task);
 			first!.checkpoint = run.checkpoint;
-			rows.set(first!.name, this.#rowOf(first!));
+			rows.set(first!.name, encodeRunRow(first!));
 		}
 
 		this.#pendingCheckpoints.clear();
@@ -106,6 +106,13 @@
 		}
 	}
 
+	/** @param task - A task whose stored state has changed without a change of its run. */
+	storeTask(task: Task): void {
+		if (!task.step.job.isEnding) {
+			this.#context.commits.enqueue([encodeRunRow(task)], () => undefined);
+		}
+	}
+
 	/**
 	 * Stops a run and, if it belongs to a gang, the other members.
 	 *
@@ -375,19 +382,8 @@
 			return;
 		}
 
-		this.#context.commits.enqueue(unitOf(task).map(member => this.#rowOf(member)), () => {
+		this.#context.commits.enqueue(unitOf(task).map(member => encodeRunRow(member)), () => {
 			this.#context.needsSchedulingRound = true;
 		});
 	}
-
-	#rowOf(task: Task): RowWrite {
-		const row: RunRow = {
-			run: task.lastRunNumber,
-			...(task.run && {life: task.run.incarnation}),
-			...(task.isDone && {isDone: true}),
-			...(task.failureCount > 0 && {failures: task.failureCount}),
-			...(task.checkpoint !== '' && {checkpoint: task.checkpoint}),
-		};
-		return {table: TABLES.runs, key: task.name, value: row};
-	}
 }
--- a/packages/pool/src/state-recovery.ts
+++ b/packages/pool/src/state-recovery.ts
@@ -1,6 +1,7 @@
 import {
 	createRun, FINAL_STATES, type Job, RUN_PHASES, type Task,
 } from './job-model.js';
+import type {CrashLedger} from './crash-ledger.js';
 import type {JobLifecycle} from './job-lifecycle.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {parseTaskName} from './task-name.js';
@@ -15,7 +16,7 @@
 export type StoredState = {readonly jobs: readonly StoredRow[]; readonly runs: readonly StoredRow[]; readonly incarnations: readonly StoredRow[]};
 
 /** Parts of the leader whose state is restored. */
-export type RecoveryParts = {readonly context: PoolContext; readonly jobs: JobLifecycle; readonly runs: RunLifecycle; readonly workers: WorkerRegistry};
+export type RecoveryParts = {readonly context: PoolContext; readonly jobs: JobLifecycle; readonly runs: RunLifecycle; readonly crashes: CrashLedger; readonly workers: WorkerRegistry};
 
 /**
  * Restores the leader's state from stored rows.
@@ -29,7 +30,7 @@
  * @param parts - The parts to restore; they are empty.
  */
 export function recover(state: StoredState, parts: RecoveryParts): void {
-	const {context, jobs, runs, workers} = parts;
+	const {context, jobs, runs, crashes, workers} = parts;
 	const cancelled: string[] = [];
 	const unreadableJobs = new Set<string>();
 	for (const row of state.jobs) {
@@ -61,6 +62,7 @@
 		const run = decodeRunRow(row.value);
 		if (run) {
 			restoreTask(task, run, context, incarnation => workers.trackUnreported(incarnation, agentsByIncarnation.get(incarnation) ?? ''));
+			crashes.restore(task);
 		} else {
 			logUnreadable(row, context);
 			task.step.job.hasUnreadableRows = true;
@@ -113,6 +115,14 @@
 	task.isDone = row.isDone ?? false;
 	task.failureCount = row.failures ?? 0;
 	task.checkpoint = row.checkpoint ?? '';
+	task.crashes = row.crashes ?? [];
+	for (const crash of task.crashes) {
+		if (!crash.isConfirmed) {
+			// Tracked so that its next report, or that of a later incarnation, decides whether it has crashed.
+			findOrTrackWorker(crash.life);
+		}
+	}
+
 	if (row.life === undefined) {
 		// The newest run has ended, so its end has been counted.
 		task.lastFailedRunNumber = row.run;
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -104,3 +104,8 @@
 export function rackOf(facts: WorkerFacts): string {
 	return facts.labels[RACK_LABEL_INDEX] ?? '';
 }
+
+/** @returns Id of the worker in the name of its incarnation. */
+export function workerIdOf(incarnation: string): string {
+	return incarnation.split('@')[0]!;
+}
--- a/packages/pool/src/worker-crash.ts
+++ b/packages/pool/src/worker-crash.ts
@@ -1,11 +1,13 @@
 import type {Run} from './job-model.js';
 import type {OrderOutcome} from './model.js';
-import type {TrackedWorker} from './tracked-worker.js';
+import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
 
 /** What is known of a run on a worker that crashed. */
 export const CRASH_EVIDENCE = {
-	/** The run is known to have started shortly before. */
+	/** The run is known to have started shortly before, and runs of no other job had. */
 	atStart: 'atStart',
+	/** The run is known to have started shortly before, as runs of other jobs had. */
+	atSharedStart: 'atSharedStart',
 	/** The run had been at work for longer. */
 	duringWork: 'duringWork',
 	/** A start was sent and not answered, so the run may never have started. */
@@ -15,6 +17,25 @@
 /** One of {@link CRASH_EVIDENCE}. */
 export type CrashEvidence = (typeof CRASH_EVIDENCE)[keyof typeof CRASH_EVIDENCE];
 
+/** A worker that crashed, or was lost, while a task ran there. Stored under these names. */
+export type WorkerCrash = {
+	/** The worker's incarnation. */
+	readonly life: string;
+	readonly evidence: CrashEvidence;
+	/** A later incarnation has reported. A worker that is only silent may come back with its runs. */
+	readonly isConfirmed: boolean;
+};
+
+/** Weights of confirmed crashes; a task is given up at {@link GIVE_UP_WEIGHT}: after two crashes at its start, three in its work, four in all. */
+const CRASH_WEIGHTS: Readonly<Record<CrashEvidence, number>> = {
+	atStart: 6, atSharedStart: 4, duringWork: 4, possible: 3,
+};
+
+/** Weight of a further crash of the same worker, which may be at fault itself. */
+const REPEATED_WORKER_WEIGHT = 3;
+
+const GIVE_UP_WEIGHT = 12;
+
 /** A run that its worker is known to have had for less than this time crashed it at its start; lists are up to 1.8 s old. */
 const MAX_START_CRASH_MS = 2000;
 
@@ -22,23 +43,30 @@
 const MAX_LASTING_CRASH_MS = 60_000;
 
 /**
- * Judges whether a run may have crashed its worker.
+ * Lists the runs that may have crashed their worker.
  *
- * @param run - A run on a worker that has crashed.
- * @param worker - The worker.
- * @returns What is known of the run, or undefined when it cannot have been the cause.
+ * @param worker - A worker that has crashed.
+ * @returns What is known of each run; runs that cannot have been the cause are left out.
  */
-export function crashEvidenceOf(run: Run, worker: TrackedWorker): CrashEvidence | undefined {
-	if (run.knownSinceMs === undefined) {
-		return run.unansweredStarts > 0 ? CRASH_EVIDENCE.possible : undefined;
+export function listCrashEvidence(worker: TrackedWorker): ReadonlyMap<Run, CrashEvidence> {
+	const evidenceByRun = new Map<Run, CrashEvidence>();
+	for (const run of worker.runs.values()) {
+		const evidence = crashEvidenceOf(run, worker);
+		if (evidence !== undefined) {
+			evidenceByRun.set(run, evidence);
+		}
 	}
 
-	const workedMs = worker.listsAsOfMs - run.knownSinceMs;
-	if (run.task.step.spec.isLasting && workedMs >= MAX_LASTING_CRASH_MS) {
-		return undefined;
+	const startedJobs = new Set([...evidenceByRun].filter(([, evidence]) => evidence !== CRASH_EVIDENCE.duringWork).map(([run]) => run.task.step.job));
+	if (startedJobs.size > 1) {
+		for (const [run, evidence] of evidenceByRun) {
+			if (evidence === CRASH_EVIDENCE.atStart) {
+				evidenceByRun.set(run, CRASH_EVIDENCE.atSharedStart);
+			}
+		}
 	}
 
-	return workedMs < MAX_START_CRASH_MS ? CRASH_EVIDENCE.atStart : CRASH_EVIDENCE.duringWork;
+	return evidenceByRun;
 }
 
 /**
@@ -58,3 +86,48 @@
 		run.knownSinceMs ??= nowMs;
 	}
 }
+
+/**
+ * Judges whether a task crashes its workers, so that it must not be started again.
+ *
+ * @param crashes - The workers that crashed while it ran there.
+ * @returns Whether the confirmed crashes suffice.
+ */
+export function isCrashingTask(crashes: readonly WorkerCrash[]): boolean {
+	return crashWeightOf(crashes) >= GIVE_UP_WEIGHT;
+}
+
+/**
+ * Sums up how strongly the crashes of its workers point to a task.
+ *
+ * @param crashes - The workers that crashed while it ran there.
+ * @returns The weight of the confirmed crashes.
+ */
+export function crashWeightOf(crashes: readonly WorkerCrash[]): number {
+	const workerIds = new Set<string>();
+	let weight = 0;
+	for (const {life, evidence, isConfirmed} of crashes) {
+		if (!isConfirmed) {
+			continue;
+		}
+
+		const workerId = workerIdOf(life);
+		weight += workerIds.has(workerId) ? REPEATED_WORKER_WEIGHT : CRASH_WEIGHTS[evidence];
+		workerIds.add(workerId);
+	}
+
+	return weight;
+}
+
+function crashEvidenceOf(run: Run, worker: TrackedWorker): CrashEvidence | undefined {
+	if (run.knownSinceMs === undefined) {
+		return run.unansweredStarts > 0 ? CRASH_EVIDENCE.possible : undefined;
+	}
+
+	const workedMs = worker.listsAsOfMs - run.knownSinceMs;
+	if (run.task.step.spec.isLasting && workedMs >= MAX_LASTING_CRASH_MS) {
+		return undefined;
+	}
+
+	return workedMs < MAX_START_CRASH_MS ? CRASH_EVIDENCE.atStart : CRASH_EVIDENCE.duringWork;
+}
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -1,12 +1,13 @@
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES, type WorkerFacts, WORKER_STATES} from './model.js';
+import type {CrashLedger} from './crash-ledger.js';
 import type {PoolContext} from './pool-context.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
 import {estimateRemainingMs, estimateTotalMs} from './run-estimate.js';
 import {type IncarnationRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
-import {createTrackedWorker, type TrackedWorker} from './tracked-worker.js';
+import {createTrackedWorker, type TrackedWorker, workerIdOf} from './tracked-worker.js';
 import {listStalledRuns, stalledMsOf} from './worker-quarantine.js';
-import {crashEvidenceOf} from './worker-crash.js';
+import {listCrashEvidence} from './worker-crash.js';
 import {WorkerListReconciler} from './worker-list-reconciler.js';
 
 /** An agent's report on its worker. Sent to the leader under these names. */
@@ -37,15 +38,18 @@
 export class WorkerRegistry {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	readonly #crashes: CrashLedger;
 	readonly #reconciler: WorkerListReconciler;
 
 	/**
 	 * @param context - State of the pool.
 	 * @param runs - Ends the runs of lost workers.
+	 * @param crashes - Counts the workers that crash under a task.
 	 */
-	constructor(context: PoolContext, runs: RunLifecycle) {
+	constructor(context: PoolContext, runs: RunLifecycle, crashes: CrashLedger) {
 		this.#context = context;
 		this.#runs = runs;
+		this.#crashes = crashes;
 		this.#reconciler = new WorkerListReconciler(context, runs);
 	}
 
@@ -59,6 +63,7 @@
 		const {facts, lists} = report;
 		const nowMs = this.#context.nowMs();
 		let worker = this.#context.workers.get(facts.life);
+		const isNew = worker === undefined;
 		if (!worker && this.#hasLaterIncarnation(agent, facts)) {
 			this.#context.log('report of an earlier life', {worker: facts.life, agent});
 			return;
@@ -67,13 +72,17 @@
 		if (!worker) {
 			worker = createTrackedWorker(facts, agent, nowMs);
 			this.#context.workers.set(facts.life, worker);
-			const row: IncarnationRow = {life: facts.life};
-			this.#context.commits.enqueue([{table: TABLES.lives, key: agent, value: row}], () => undefined);
 			this.#context.log('worker known', {worker: facts.life, agent, state: facts.state, labels: facts.labels, capacity: facts.capacity});
 		}
 
 		worker.agent = agent;
 		this.#declareEarlierIncarnationsLost(worker, facts);
+		if (isNew) {
+			// Stored after the ends on earlier incarnations: a new leader finds those by the agent's row.
+			const row: IncarnationRow = {life: facts.life};
+			this.#context.commits.enqueue([{table: TABLES.lives, key: agent, value: row}], () => undefined);
+		}
+
 		this.#updateFacts(worker, facts, nowMs);
 		if (!lists) {
 			return;
@@ -112,6 +121,7 @@
 		if (worker) {
 			this.#declareLost(worker, 'left');
 			this.#removeWorker(worker);
+			this.#crashes.withdraw(incarnation);
 		}
 	}
 
@@ -129,7 +139,7 @@
 		}
 
 		const worker = createTrackedWorker({
-			life: incarnation, id: incarnation.split('@')[0]!, service: '', failureDomain: '', state: WORKER_STATES.ready, capacity: {cpuMillis: 0, memoryMb: 0, accelerators: 0}, labels: [],
+			life: incarnation, id: workerIdOf(incarnation), service: '', failureDomain: '', state: WORKER_STATES.ready, capacity: {cpuMillis: 0, memoryMb: 0, accelerators: 0}, labels: [],
 		}, agent, this.#context.nowMs());
 		this.#context.workers.set(incarnation, worker);
 		return worker;
@@ -177,6 +187,7 @@
 		this.#context.log('worker regained', {worker: worker.incarnation, runs: worker.runs.size});
 		worker.suspicion = undefined;
 		worker.isLost = false;
+		this.#crashes.withdraw(worker.incarnation);
 		this.#context.needsSchedulingRound = true;
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.incarnation, value: undefined}], () => undefined);
 	}
@@ -186,19 +197,28 @@
 		for (const other of this.#context.workers.values()) {
 			const isSameWorker = other.facts.id === facts.id || other.agent === worker.agent;
 			if (other !== worker && isSameWorker && startTimeOf(other.incarnation) < startTimeOf(facts.life)) {
-				if (other.drainingSinceMs === undefined) {
-					this.#logCrash(other, facts);
-				}
-
-				this.#declareLost(other, 'a new life of the worker has reported');
-				this.#removeWorker(other);
+				this.#declareCrashed(other, facts);
 			}
 		}
 	}
 
 	/** An incarnation that neither drained nor deregistered before the next one has crashed. */
+	#declareCrashed(worker: TrackedWorker, next: WorkerFacts): void {
+		const hasDrained = worker.drainingSinceMs !== undefined;
+		if (!hasDrained) {
+			this.#logCrash(worker, next);
+		}
+
+		this.#declareLost(worker, 'a new life of the worker has reported');
+		this.#removeWorker(worker);
+		if (!hasDrained) {
+			this.#crashes.confirm(worker.incarnation);
+		}
+	}
+
 	#logCrash(worker: TrackedWorker, next: WorkerFacts): void {
-		const runs = [...worker.runs.values()].map(run => ({task: run.task.name, run: run.number, evidence: crashEvidenceOf(run, worker) ?? 'none'}));
+		const evidence = listCrashEvidence(worker);
+		const runs = [...worker.runs.values()].map(run => ({task: run.task.name, run: run.number, evidence: evidence.get(run) ?? 'none'}));
 		this.#context.log('worker crashed', {
 			worker: worker.incarnation, next: next.life, silentMs: Math.round(this.#context.nowMs() - worker.listsAsOfMs), runs: runs.length, suspects: runs.slice(0, MAX_LOGGED_RUNS),
 		});
@@ -273,6 +293,10 @@
 		this.#context.log('worker given up', {worker: worker.incarnation, reason, runs: worker.runs.size});
 		worker.isLost = true;
 		this.#context.needsSchedulingRound = true;
+		if (worker.drainingSinceMs === undefined) {
+			this.#crashes.recordLoss(worker);
+		}
+
 		for (const run of worker.runs.values()) {
 			this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
 		}
--- /dev/null
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -0,0 +1,194 @@
+import {asFields} from '@amaranthsail/core';
+import {expect} from 'chai';
+import {FakeWorker} from './support/fake-worker.js';
+import {makeStep, PoolHarness} from './support/pool-harness.js';
+import {JOB_STATES, type StepSpec, TABLES} from '@amaranthsail/pool';
+
+const WHOLE_WORKER = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
+
+/** Starts of a task after which the rule on crashing tasks is broken: three crashes and three more starts. */
+const MAX_CRASHING_STARTS = 5;
+
+/** Longer than a silence and a lease, after which a worker's tasks start elsewhere. */
+const LONG_OUTAGE_MS = 12_000;
+
+function createWorkers(count: number): readonly FakeWorker[] {
+	return Array.from({length: count}, (_, index) => new FakeWorker(`w${index + 1}`));
+}
+
+function startsOf(task: string, workers: readonly FakeWorker[]): number {
+	return workers.flatMap(worker => worker.started).filter(start => start.startsWith(`${task}#`)).length;
+}
+
+function stateOf(harness: PoolHarness, jobId: string): string | undefined {
+	return harness.core.jobView(jobId)?.state;
+}
+
+/** Crashes each worker that has run the task for `afterMs`, until the job has ended or the task is no longer started. */
+function crashWorkersOf(task: string, harness: PoolHarness, {afterMs, outageMs = 0, onCrash = () => undefined}: {afterMs: number; outageMs?: number; onCrash?: () => void}): void {
+	for (let crash = 0; crash < 10; crash++) {
+		for (let waitedMs = 0; waitedMs < 5000 && !harness.workers.some(worker => worker.runs.has(task)); waitedMs += 100) {
+			harness.advance(100);
+		}
+
+		const worker = harness.workers.find(candidate => candidate.runs.has(task));
+		if (!worker) {
+			return;
+		}
+
+		harness.advance(afterMs);
+		worker.isUnreachable = outageMs > 0;
+		harness.advance(outageMs);
+		worker.crash();
+		worker.isUnreachable = false;
+		onCrash();
+		harness.advance(100);
+	}
+}
+
+describe('a task that crashes the workers that start it', () => {
+	const cases: ReadonlyArray<{readonly title: string; readonly step: Partial<StepSpec>; readonly afterMs: number; readonly outageMs?: number; readonly maxStarts: number}> = [
+		{title: 'shortly after their answer', step: {}, afterMs: 300, maxStarts: 2},
+		{title: 'after some work', step: {}, afterMs: 4000, maxStarts: 3},
+		{title: 'as the member of a gang', step: {taskCount: 2, isGang: true, shape: WHOLE_WORKER}, afterMs: 300, maxStarts: 2},
+		{title: 'as a lasting task', step: {isLasting: true}, afterMs: 300, maxStarts: 2},
+		{title: 'for longer than their leases', step: {}, afterMs: 300, outageMs: LONG_OUTAGE_MS, maxStarts: MAX_CRASHING_STARTS},
+	];
+	for (const {title, step, afterMs, outageMs, maxStarts} of cases) {
+		it(`${title} is given up, and its job is shown as failed`, () => {
+			const workers = createWorkers(6);
+			const harness = new PoolHarness(workers);
+			harness.runCycle();
+			harness.submit('j1', 'normal', [makeStep({estimatedMs: 20_000, ...step})]);
+			crashWorkersOf('j1.0.0.0', harness, {afterMs, ...(outageMs !== undefined && {outageMs})});
+			expect(startsOf('j1.0.0.0', workers)).to.be.within(2, maxStarts);
+			expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.failed);
+		});
+	}
+
+	it('before they answer is given up, and its job is shown as failed', () => {
+		const workers = createWorkers(6);
+		for (const worker of workers) {
+			worker.crashingTasks.add('j1.0.0.0');
+		}
+
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep()]);
+		harness.advance(30_000);
+		expect(startsOf('j1.0.0.0', workers)).to.be.within(2, MAX_CRASHING_STARTS);
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.failed);
+	});
+
+	it('is given up by a new leader that finds the crashes of earlier leaders', () => {
+		const workers = createWorkers(6);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({estimatedMs: 20_000})]);
+		crashWorkersOf('j1.0.0.0', harness, {
+			afterMs: 300,
+			onCrash() {
+				harness.replaceLeader();
+				harness.recoverLeader();
+			},
+		});
+		expect(startsOf('j1.0.0.0', workers)).to.be.within(2, MAX_CRASHING_STARTS);
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.failed);
+	});
+
+	it('is confirmed by a new leader once a worker that was declared lost comes back as a new incarnation', () => {
+		const workers = createWorkers(6);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
+		for (let crash = 0; crash < 2; crash++) {
+			harness.advance(300);
+			const worker = workers.find(candidate => candidate.runs.has('j1.0.0.0'))!;
+			worker.isUnreachable = true;
+			harness.advance(LONG_OUTAGE_MS);
+			harness.replaceLeader();
+			harness.recoverLeader();
+			harness.advance(300);
+			worker.crash();
+			worker.isUnreachable = false;
+			harness.advance(300);
+		}
+
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.failed);
+	});
+});
+
+describe('a task on workers that crash for other causes', () => {
+	it('is not given up after two crashes in its work', () => {
+		const workers = createWorkers(3);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({estimatedMs: 20_000})]);
+		for (let crash = 0; crash < 2; crash++) {
+			harness.advance(4000);
+			workers.find(worker => worker.runs.has('j1.0.0.0'))!.crash();
+			harness.advance(300);
+		}
+
+		expect(startsOf('j1.0.0.0', workers)).to.equal(3);
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
+	});
+
+	const survivals: ReadonlyArray<{readonly title: string; readonly act: (worker: FakeWorker, harness: PoolHarness) => void}> = [
+		{
+			title: 'of a worker that was only silent and reports again',
+			act(worker, harness) {
+				worker.isUnreachable = true;
+				harness.advance(LONG_OUTAGE_MS);
+				worker.runs.clear();
+				worker.isUnreachable = false;
+			},
+		},
+		{
+			title: 'of a worker that deregistered',
+			act(worker, harness) {
+				harness.core.onWorkerLeft(worker.facts.life);
+				worker.crash();
+			},
+		},
+		{
+			title: 'of a worker that drained',
+			act(worker, harness) {
+				worker.facts = {...worker.facts, state: 'draining', remainingMs: 5000};
+				harness.advance(100);
+				worker.crash();
+				worker.facts = {...worker.facts, state: 'ready'};
+			},
+		},
+	];
+	for (const {title, act} of survivals) {
+		it(`is not blamed for the loss ${title}`, () => {
+			const workers = createWorkers(4);
+			const harness = new PoolHarness(workers);
+			harness.runCycle();
+			harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
+			for (let loss = 0; loss < 4; loss++) {
+				harness.advance(300);
+				act(workers.find(worker => worker.runs.has('j1.0.0.0'))!, harness);
+				harness.advance(500);
+			}
+
+			expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
+			expect(harness.rowsOf(TABLES.runs).filter(row => asFields(row.value).crashes !== undefined)).to.deep.equal([]);
+		});
+	}
+
+	it('is not given up after two crashes of one worker, which may be at fault itself', () => {
+		const worker = new FakeWorker('w1');
+		const harness = new PoolHarness([worker]);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({estimatedMs: 20_000})]);
+		for (let crash = 0; crash < 2; crash++) {
+			harness.advance(300);
+			worker.crash();
+			harness.advance(300);
+		}
+
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
+	});
+});
