Keep tasks apart under which a worker has crashed

What callers would see: the tasks that shared a worker with a crashing task were placed together with it again, best fit first, lost their work again, and were blamed for the same crashes: in the test a healthy job was given up together with the crashing one after three common crashes.

Cause: placement did not know that one of the tasks may crash its worker. It is a preference of the placement: nothing waits for an empty worker, as waiting work beside idle capacity would harm callers more.

Ruled out: avoiding the crashed workers as those on which a task failed (it drives all suspected tasks onto the same remaining workers; this was the first trial, and the healthy job was given up).

--- a/packages/pool/src/crash-ledger.ts
+++ b/packages/pool/src/crash-ledger.ts
@@ -1,7 +1,7 @@
 import {type Job, type Task} from './job-model.js';
 import type {PoolContext} from './pool-context.js';
 import type {RunLifecycle} from './run-lifecycle.js';
-import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
+import type {TrackedWorker} from './tracked-worker.js';
 import {
 	crashWeightOf, isCrashingTask, listCrashEvidence, type WorkerCrash,
 } from './worker-crash.js';
@@ -16,8 +16,6 @@
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
 	readonly #onGivenUp: (job: Job) => void;
-	/** Open tasks with at least one crash. */
-	readonly #suspects = new Set<Task>();
 
 	/**
 	 * @param context - State of the pool.
@@ -40,7 +38,7 @@
 		for (const [{task}, evidence] of listCrashEvidence(worker)) {
 			if (!task.isDone) {
 				task.crashes = [...withoutCrash(task, worker.incarnation), {life: worker.incarnation, evidence, isConfirmed: false}];
-				this.#addSuspect(task);
+				this.#context.crashSuspects.add(task);
 			}
 		}
 	}
@@ -81,7 +79,7 @@
 	/** @param task - A task whose stored crashes have been restored. */
 	restore(task: Task): void {
 		if (task.crashes.length > 0) {
-			this.#addSuspect(task);
+			this.#context.crashSuspects.add(task);
 		}
 	}
 
@@ -95,26 +93,19 @@
 		this.#onGivenUp(job);
 	}
 
-	#addSuspect(task: Task): void {
-		this.#suspects.add(task);
-		for (const {life} of task.crashes) {
-			task.failedWorkerIds.add(workerIdOf(life));
-		}
-	}
-
 	#replaceCrashes(task: Task, crashes: readonly WorkerCrash[]): void {
 		task.crashes = crashes;
 		this.#runs.storeTask(task);
 		if (crashes.length === 0) {
-			this.#suspects.delete(task);
+			this.#context.crashSuspects.delete(task);
 		}
 	}
 
 	#suspectsOf(incarnation: string): readonly Task[] {
 		const tasks: Task[] = [];
-		for (const task of this.#suspects) {
+		for (const task of this.#context.crashSuspects) {
 			if (task.isDone || task.step.job.isEnding) {
-				this.#suspects.delete(task);
+				this.#context.crashSuspects.delete(task);
 			} else if (task.crashes.some(crash => crash.life === incarnation)) {
 				tasks.push(task);
 			}
--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -69,7 +69,7 @@
 	endedAtMs?: number;
 	run?: Run;
 	checkpoint: string;
-	/** Ids of workers on which the task failed, or that crashed under it. */
+	/** Ids of workers on which the task failed. */
 	readonly failedWorkerIds: Set<string>;
 	/** Workers that crashed, or may have crashed, while the task ran there. */
 	crashes: readonly WorkerCrash[];
--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -16,6 +16,8 @@
 	readonly hasFailedHere: boolean;
 	/** The worker is unreliable, and the unit cannot afford a failure. */
 	readonly isTooRisky: boolean;
+	/** How far the unit should be kept apart from the work there, since one of them may crash the worker; 0 to 9. */
+	readonly crashExposure: number;
 };
 
 /** What is to be placed together: a single task, or all members of a gang. */
@@ -37,6 +39,9 @@
 /** Ranks a worker that is too risky behind those that are not, but before one on which the task failed. */
 const TOO_RISKY_WEIGHT = 50;
 
+/** Ranks a worker where a crash would hit other work behind the others, but before one that is too risky. */
+const CRASH_EXPOSURE_WEIGHT = 5;
+
 /** Slowness up to which a worker counts as normal; the workers' speeds differ by a quarter. */
 const MAX_NORMAL_SLOWNESS = 1.5;
 
@@ -149,6 +154,7 @@
 		+ share(left.cpuMillis, capacity.cpuMillis)
 		+ share(left.memoryMb, capacity.memoryMb)
 		+ (SLOWNESS_WEIGHT * Math.max(0, worker.slowness - MAX_NORMAL_SLOWNESS))
+		+ (worker.crashExposure * CRASH_EXPOSURE_WEIGHT)
 		+ (worker.hasFailedHere ? FAILED_HERE_WEIGHT : 0)
 		+ (worker.isTooRisky ? TOO_RISKY_WEIGHT : 0);
 }
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -22,6 +22,8 @@
 	readonly workers = new Map<string, TrackedWorker>();
 	readonly commits = new CommitQueue();
 	readonly headroom = new UrgentHeadroom();
+	/** Open tasks under which a worker has crashed, or may have. */
+	readonly crashSuspects = new Set<Task>();
 	/** Leader's clock at its takeover. */
 	readonly takenOverAtMs: number;
 	config: PoolConfig | undefined;
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -1,6 +1,7 @@
 import {
 	addShapes, EMPTY_SHAPE, subtractShapes, weightInCores,
 } from './capacity.js';
+import {crashExposureOf} from './crash-exposure.js';
 import {type ExpectedRelease, findEarliestStart, orderReleases} from './earliest-start.js';
 import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
 import {RUN_PHASES, type StepState} from './job-model.js';
@@ -224,6 +225,7 @@
 				sameStepCount: hasLimitPerWorker ? countRunsOfStep(worker, unit.step) : 0,
 				hasFailedHere: failedWorkerIds.has(worker.facts.id),
 				isTooRisky: cannotAffordFailure && isUnreliable(worker, nowMs),
+				crashExposure: this.#context.crashSuspects.size === 0 ? 0 : crashExposureOf(unit.tasks, worker, nowMs),
 			};
 		});
 	}
--- a/packages/pool/tests/crashing-tasks.test.ts
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -134,6 +134,19 @@
 		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
 	});
 
+	it('that crash beside a crashing task is blamed for none of its crashes', () => {
+		const workers = createWorkers(4);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('good', 'normal', [makeStep({taskCount: 12, estimatedMs: 60_000})]);
+		harness.submit('bad', 'normal', [makeStep({estimatedMs: 60_000})]);
+		crashWorkersOf('bad.0.0.0', harness, {afterMs: 300});
+		harness.advance(500);
+		expect(stateOf(harness, 'bad')).to.equal(JOB_STATES.failed);
+		expect(stateOf(harness, 'good')).to.equal(JOB_STATES.running);
+		expect(harness.rowsOf(TABLES.runs).filter(row => asFields(row.value).crashes !== undefined)).to.deep.equal([]);
+	});
+
 	const survivals: ReadonlyArray<{readonly title: string; readonly act: (worker: FakeWorker, harness: PoolHarness) => void}> = [
 		{
 			title: 'of a worker that was only silent and reports again',
@@ -192,3 +205,33 @@
 		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
 	});
 });
+
+describe('a task under which a worker has crashed', () => {
+	it('shares no worker with other work while another worker is free', () => {
+		const workers = createWorkers(4);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('other', 'normal', [makeStep({taskCount: 9, estimatedMs: 60_000})]);
+		harness.advance(300);
+		harness.submit('bad', 'normal', [makeStep({estimatedMs: 60_000})]);
+		harness.advance(3000);
+		workers.find(worker => worker.runs.has('bad.0.0.0'))!.crash();
+		harness.advance(300);
+		harness.submit('next', 'normal', [makeStep({estimatedMs: 60_000})]);
+		harness.advance(300);
+		const host = workers.find(worker => worker.runs.has('bad.0.0.0'))!;
+		expect([...host.runs.keys()]).to.deep.equal(['bad.0.0.0']);
+	});
+
+	it('is placed beside other work when no worker is free', () => {
+		const workers = createWorkers(2);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('other', 'normal', [makeStep({taskCount: 9, estimatedMs: 60_000})]);
+		harness.submit('bad', 'normal', [makeStep({estimatedMs: 60_000})]);
+		harness.advance(3000);
+		workers.find(worker => worker.runs.has('bad.0.0.0'))!.crash();
+		harness.advance(500);
+		expect(workers.some(worker => worker.runs.has('bad.0.0.0'))).to.equal(true);
+	});
+});
