--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type AgentReport, decodeLeaderRow, LEADER_KEY, type PoolStore, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
+	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type PoolStore, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
@@ -94,10 +94,10 @@
 			return;
 		}
 
-		const isChanged = known?.facts.life !== facts.life || known.facts.state !== facts.state;
+		const isChanged = known?.facts.life !== facts.life || known.facts.state !== facts.state || !isSameShape(known.facts.capacity, facts.capacity);
 		this.#knownWorker = {facts, sequence, startedAtMs, receivedAtMs: this.#deps.clock.monotonicMs()};
 		if (isChanged) {
-			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, remainingMs: facts.remainingMs ?? -1});
+			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, capacity: facts.capacity, remainingMs: facts.remainingMs ?? -1});
 			this.#notifyWatchers();
 		}
 
--- a/packages/pool-agent/tests/pool-agent-core.test.ts
+++ b/packages/pool-agent/tests/pool-agent-core.test.ts
@@ -121,6 +121,24 @@
 		});
 	}
 
+	const changeCases = [
+		{title: 'a changed capacity', facts: {...FACTS, capacity: {cpuMillis: 1, memoryMb: 1, accelerators: 0}}, isChange: true},
+		{title: 'a changed state', facts: {...FACTS, state: WORKER_STATES.draining}, isChange: true},
+		{title: 'no change', facts: {...FACTS, capacity: {...FACTS.capacity}}, isChange: false},
+	];
+	for (const {title, facts, isChange} of changeCases) {
+		it(`${isChange ? 'answers waiting watches' : 'lets watches wait'} after a heartbeat with ${title}`, async () => {
+			const fixture = new AgentFixture();
+			fixture.agent.onHeartbeat(FACTS, 1, 5);
+			await fixture.pollOnce();
+			const before = await fixture.watch(1);
+			fixture.agent.onHeartbeat(facts, 2, 5);
+			const after = await fixture.watch(1);
+			expect(after.version > before.version).to.equal(isChange);
+			expect(after.report?.facts.capacity).to.deep.equal(facts.capacity);
+		});
+	}
+
 	it('keeps its lists when other lists with the same clock reading arrive later', async () => {
 		const fixture = new AgentFixture();
 		fixture.port.lists = {clockMs: 1000, bornMs: 5, running: [RUN], ended: []};
--- a/packages/pool/src/capacity.ts
+++ b/packages/pool/src/capacity.ts
@@ -26,6 +26,11 @@
 	return shape.cpuMillis <= free.cpuMillis && shape.memoryMb <= free.memoryMb && shape.accelerators <= free.accelerators;
 }
 
+/** @returns Whether two shapes are the same. */
+export function isSameShape(left: TaskShape, right: TaskShape): boolean {
+	return fitsInto(left, right) && fitsInto(right, left);
+}
+
 /** Cores that one accelerator counts as in the cost of lost work. */
 const CORES_PER_ACCELERATOR = 8;
 
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -1,3 +1,4 @@
+import {isSameShape} from './capacity.js';
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES, type WorkerFacts, WORKER_STATES} from './model.js';
 import type {CrashLedger} from './crash-ledger.js';
 import type {PoolContext} from './pool-context.js';
@@ -242,9 +243,20 @@
 			worker.leavesAtMs = undefined;
 		}
 
+		this.#recordCapacity(worker, facts);
 		worker.facts = facts;
 	}
 
+	#recordCapacity(worker: TrackedWorker, {capacity}: WorkerFacts): void {
+		const previous = worker.facts.capacity;
+		if (worker.hasReportedLists && !isSameShape(capacity, previous)) {
+			this.#context.needsSchedulingRound = true;
+			this.#context.log('worker capacity changed', {
+				worker: worker.incarnation, capacity, previous, runs: worker.runs.size,
+			});
+		}
+	}
+
 	/** Moves runs that cannot end before the worker leaves: at once, or just before it leaves if they write checkpoints. */
 	#evacuate(worker: TrackedWorker, leavesAtMs: number, nowMs: number): void {
 		const remainingMs = leavesAtMs - nowMs;
--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -17,6 +17,8 @@
 	facts: WorkerFacts;
 	/** Orders and reports are lost. */
 	isUnreachable = false;
+	/** Orders are lost; reports arrive. */
+	areOrdersLost = false;
 	/** Reason for which starts are refused. */
 	startRefusal: (typeof REFUSALS)[keyof typeof REFUSALS] | undefined;
 	/** Its tasks make no progress. */
--- a/packages/pool/tests/support/pool-harness.ts
+++ b/packages/pool/tests/support/pool-harness.ts
@@ -88,7 +88,7 @@
 			this.commit();
 			for (const outgoing of this.core.takeOrders()) {
 				const worker = this.workers.find(candidate => candidate.facts.life === outgoing.incarnation);
-				if (!worker || worker.isUnreachable) {
+				if (!worker || worker.isUnreachable || worker.areOrdersLost) {
 					this.core.onOrderOutcome(outgoing.incarnation, outgoing.order, {kind: 'unknown', message: 'no answer'}, 0);
 				} else {
 					const {outcome, orderCount} = worker.order(outgoing.order);
