Take deregistrations before the report of the next incarnation

What callers would see: a worker that deregistered and came back on its VM while the leader could not reach the agent, or changed, looked like a worker that had crashed, and the tasks that it had at the end were blamed. A heartbeat delivered after the deregistration also made the leader use the worker that had left until the next answer of the agent.

Cause: an answer of an agent has the newest report and the list of incarnations that have deregistered; the leader took the report first, and a later incarnation ends the earlier ones. It now takes the deregistrations first, and ignores a report of one of them.

Evidence: the new case of agent-links.test.ts fails on the code before (`report w@1` comes before `left w@0`, and is taken again after `left w@1`). All 84 tests of pool-entry pass.

--- a/packages/pool-entry/src/agent-link.ts
+++ b/packages/pool-entry/src/agent-link.ts
@@ -139,15 +139,17 @@
 		}
 
 		this.#reportVersion = answer.version;
-		this.#workerIncarnation = answer.report?.facts.life;
-		if (answer.report) {
-			this.#deps.core.onReport(this.#name, answer.report);
-		}
-
 		for (const incarnation of answer.leftLives) {
 			this.#deps.core.onWorkerLeft(incarnation);
 		}
 
+		// A heartbeat that was delayed until after the deregistration names a worker that has left.
+		const report = answer.report && !answer.leftLives.includes(answer.report.facts.life) ? answer.report : undefined;
+		this.#workerIncarnation = report?.facts.life;
+		if (report) {
+			this.#deps.core.onReport(this.#name, report);
+		}
+
 		this.#deps.onUpdate();
 	}
 
--- a/packages/pool-entry/tests/agent-links.test.ts
+++ b/packages/pool-entry/tests/agent-links.test.ts
@@ -60,6 +60,35 @@
 		});
 	}
 
+	it('takes deregistrations before the report of the next incarnation, and no report of a worker that has left', async () => {
+		const {core, links, reports} = makeLinks();
+		const events: string[] = [];
+		core.onWorkerLeft = incarnation => {
+			events.push(`left ${incarnation}`);
+		};
+
+		core.onReport = (agent, report) => {
+			events.push(`report ${report.facts.life}`);
+			reports.push(agent);
+		};
+
+		let leftLives = ['w@0'];
+		const server = await servePeer({
+			async [AGENT_PATHS.watch]() {
+				await sleep(20);
+				const answer = {...answerOf('agent'), leftLives};
+				leftLives = ['w@0', 'w@1'];
+				return {status: 200, body: answer};
+			},
+		});
+		links.start(new Map([['agent', server.address]]));
+		await sleep(SETTLE_MS);
+		links.stop();
+		server.close();
+		expect(events.slice(0, 4)).to.deep.equal(['left w@0', 'report w@1', 'left w@0', 'left w@1']);
+		expect(reports).to.have.length(1);
+	});
+
 	it('forgets an agent that has left, with its rows, and watches it again when it announces itself', () => {
 		const {clock, core, links} = makeLinks();
 		links.start(new Map([['left', '127.0.0.1:9']]));
