--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -3,6 +3,7 @@
 } from './model.js';
 import type {QueueTerms} from './queue-terms.js';
 import {formatTaskName} from './task-name.js';
+import type {WorkerCrash} from './worker-crash.js';
 
 /** Phases of a run as its leader sees it. */
 export const RUN_PHASES = {
@@ -27,6 +28,10 @@
 	readonly placedAtMs: number;
 	/** A start order may have reached the worker. */
 	mayHaveStarted: boolean;
+	/** Start orders that may have reached the worker without an answer. */
+	unansweredStarts: number;
+	/** Leader's clock when the worker first acknowledged or listed the run. */
+	knownSinceMs?: number;
 	/** The agent's count of orders when the worker acknowledged a stop of this run. */
 	stopAcknowledgedOrderCount?: number;
 	/** The agent's count of orders when the worker acknowledged the start. */
@@ -67,6 +72,8 @@
 	checkpoint: string;
 	/** Ids of workers on which the task failed. */
 	readonly failedWorkerIds: Set<string>;
+	/** Workers that crashed, or may have crashed, while the task ran there. */
+	crashes: readonly WorkerCrash[];
 };
 
 /** One step in one occurrence of a job. */
@@ -140,6 +147,7 @@
 				lastFailedRunNumber: 0,
 				checkpoint: '',
 				failedWorkerIds: new Set(),
+				crashes: [],
 			});
 		}
 
@@ -231,6 +239,7 @@
 		placedAtMs: nowMs,
 		// A run in a later phase was stored by an earlier leader, which may have sent its start.
 		mayHaveStarted: phase !== RUN_PHASES.recording,
+		unansweredStarts: phase === RUN_PHASES.recording ? 0 : 1,
 		nextOrderAtMs: nowMs,
 		isOrderInFlight: false,
 		percent: 0,
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -1,3 +1,4 @@
+import {fitsInto} from './capacity.js';
 import {
 	createRun, type Job, type Run, type Task, RUN_PHASES, unitOf,
 } from './job-model.js';
@@ -7,8 +8,9 @@
 import {lostCoreSeconds} from './lost-work.js';
 import type {PoolContext} from './pool-context.js';
 import type {RowWrite} from './ports.js';
-import {type RunRow, TABLES} from './rows.js';
-import type {TrackedWorker} from './tracked-worker.js';
+import {encodeRunRow} from './run-row.js';
+import {type TrackedWorker, usedCapacity} from './tracked-worker.js';
+import {recordStartAnswer} from './worker-crash.js';
 import {recordRunFailure, recordRunSuccess} from './worker-quarantine.js';
 
 /** Weight of a new observation of a worker's slowness. */
@@ -49,7 +51,7 @@
 		this.#context.log('task placed', {
 			job: first!.step.job.id, task: first!.name, members: tasks.length, run: number, workers: incarnations, waitedMs: Math.round(nowMs - (first!.step.readyAtMs ?? nowMs)),
 		});
-		this.#context.commits.enqueue(tasks.map(task => this.#rowOf(task)), () => {
+		this.#context.commits.enqueue(tasks.map(task => encodeRunRow(task)), () => {
 			for (const run of runs) {
 				if (run.phase === RUN_PHASES.recording) {
 					run.phase = RUN_PHASES.starting;
@@ -96,7 +98,7 @@
 			// Any member's checkpoint serves the whole gang, and all members have to resume from the same one.
 			const [first] = unitOf(run.task);
 			first!.checkpoint = run.checkpoint;
-			rows.set(first!.name, this.#rowOf(first!));
+			rows.set(first!.name, encodeRunRow(first!));
 		}
 
 		this.#pendingCheckpoints.clear();
@@ -105,6 +107,13 @@
 		}
 	}
 
+	/** @param task - A task whose stored state has changed without a change of its run. */
+	storeTask(task: Task): void {
+		if (!task.step.job.isEnding) {
+			this.#context.commits.enqueue([encodeRunRow(task)], () => undefined);
+		}
+	}
+
 	/**
 	 * Stops a run and, if it belongs to a gang, the other members.
 	 *
@@ -125,7 +134,7 @@
 	}
 
 	/**
-	 * Sends the start or stop order that a run's phase requires, if it is due.
+	 * Sends the start or stop order that a run's phase requires, if it is due. A run that no longer fits is not started.
 	 *
 	 * @param run - The run.
 	 */
@@ -137,8 +146,14 @@
 		}
 
 		if (run.phase === RUN_PHASES.starting && worker.hasReportedLists && !worker.suspicion) {
+			if (run.knownSinceMs === undefined && !fitsInto(usedCapacity(worker), worker.facts.capacity)) {
+				this.stopUnit(run, 'worker capacity has shrunk');
+				return;
+			}
+
 			run.isOrderInFlight = true;
 			run.mayHaveStarted = true;
+			run.unansweredStarts++;
 			this.#context.queueOrder({
 				agent: worker.agent,
 				incarnation: run.incarnation,
@@ -181,6 +196,10 @@
 
 		run.isOrderInFlight = false;
 		run.nextOrderAtMs = this.#context.nowMs() + this.#context.limits.orderRetryDelayMs;
+		if (order.kind === 'start') {
+			recordStartAnswer(run, outcome, this.#context.nowMs());
+		}
+
 		if (order.kind === 'stop') {
 			if (outcome.kind === 'done' || (outcome.kind === 'refused' && outcome.reason === REFUSALS.superseded)) {
 				run.stopAcknowledgedOrderCount = orderCount;
@@ -243,6 +262,7 @@
 	onListed(run: Run, listed: ListedRun, asOfMs: number): void {
 		const nowMs = this.#context.nowMs();
 		run.mayHaveStarted = true;
+		run.knownSinceMs ??= nowMs;
 		this.#markRunning(run, nowMs);
 		run.percentAsOfMs = asOfMs;
 		if (listed.percent !== run.percent) {
@@ -368,19 +388,8 @@
 			return;
 		}
 
-		this.#context.commits.enqueue(unitOf(task).map(member => this.#rowOf(member)), () => {
+		this.#context.commits.enqueue(unitOf(task).map(member => encodeRunRow(member)), () => {
 			this.#context.needsSchedulingRound = true;
 		});
 	}
-
-	#rowOf(task: Task): RowWrite {
-		const row: RunRow = {
-			run: task.lastRunNumber,
-			...(task.run && {life: task.run.incarnation}),
-			...(task.isDone && {isDone: true}),
-			...(task.failureCount > 0 && {failures: task.failureCount}),
-			...(task.checkpoint !== '' && {checkpoint: task.checkpoint}),
-		};
-		return {table: TABLES.runs, key: task.name, value: row};
-	}
 }
