Bound the lost workers that are stored with a task

A task that loses one worker after another for other causes would have kept each of them in its row, since a worker that never comes back is neither confirmed as crashed nor withdrawn. The oldest unconfirmed one is dropped beyond eight; confirmed crashes are kept, and four end the job.

Evidence: the new case of crashing-tasks.test.ts loses ten workers and finds eight stored; without the bound it finds ten (computed from the code, not run).

--- a/packages/pool/src/crash-ledger.ts
+++ b/packages/pool/src/crash-ledger.ts
@@ -6,6 +6,9 @@
 	crashWeightOf, isCrashingTask, listCrashEvidence, type WorkerCrash,
 } from './worker-crash.js';
 
+/** Bounds the row of a task that loses one worker after another for other causes; four confirmed crashes end it. */
+const MAX_STORED_CRASHES = 8;
+
 /**
  * Counts the workers that crash under a task, and gives a task up that crashes one worker after another.
  *
@@ -37,7 +40,7 @@
 	recordLoss(worker: TrackedWorker): void {
 		for (const [{task}, evidence] of listCrashEvidence(worker)) {
 			if (!task.isDone) {
-				task.crashes = [...withoutCrash(task, worker.incarnation), {life: worker.incarnation, evidence, isConfirmed: false}];
+				task.crashes = limitCrashes([...withoutCrash(task, worker.incarnation), {life: worker.incarnation, evidence, isConfirmed: false}]);
 				this.#context.crashSuspects.add(task);
 			}
 		}
@@ -118,3 +121,8 @@
 function withoutCrash(task: Task, incarnation: string): readonly WorkerCrash[] {
 	return task.crashes.filter(crash => crash.life !== incarnation);
 }
+
+/** Drops the oldest loss that nothing has confirmed: most workers that never come back did not crash. */
+function limitCrashes(crashes: readonly WorkerCrash[]): readonly WorkerCrash[] {
+	return crashes.length > MAX_STORED_CRASHES ? crashes.toSpliced(crashes.findIndex(crash => !crash.isConfirmed), 1) : crashes;
+}
--- a/packages/pool/tests/crashing-tasks.test.ts
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -191,6 +191,23 @@
 		});
 	}
 
+	it('keeps a bounded number of lost workers that never come back', () => {
+		const workers = createWorkers(12);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
+		for (let loss = 0; loss < 10; loss++) {
+			harness.advance(300);
+			const worker = workers.find(candidate => candidate.runs.has('j1.0.0.0') && !candidate.isUnreachable)!;
+			worker.isUnreachable = true;
+			harness.advance(LONG_OUTAGE_MS);
+		}
+
+		const [row] = harness.rowsOf(TABLES.runs);
+		expect(asFields(row!.value).crashes).to.have.length(8);
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
+	});
+
 	it('is not given up after two crashes of one worker, which may be at fault itself', () => {
 		const worker = new FakeWorker('w1');
 		const harness = new PoolHarness([worker]);
