Relay a start only to the incarnation that it was placed on

What callers saw: in the soak a task ran twice at the same time. A start without an answer is repeated; when its worker had crashed and come back under the same id, the repeated start reached the new incarnation before its first heartbeat, and was carried out there. The leader then learnt of the new incarnation, took the run for lost and placed the task again.

Cause: the agent knew the worker's incarnation from heartbeats only, and a call names the worker by its id. Class of fault: an identity that is checked by a name which the next holder inherits. The agent now relays a start only if the announced incarnation has answered within 500 ms and no call has failed since; otherwise it reads the worker's lists first, which name the incarnation. Another one is refused as otherLife, no answer as unhealthy; both say truly that nothing was started.

Ruled out: the lease (the new incarnation has a clock of its own, by which the old deadline is far ahead), and the expected id of the call (the same).

--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,10 +1,11 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type PoolStore, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
+	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type PoolStore, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
+import {AnsweringIncarnation} from './answering-incarnation.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
 const WORKER_POLL_WAIT_MS = 1000;
@@ -56,6 +57,7 @@
 	readonly #deps: PoolAgentCoreDependencies;
 	#epoch = 0;
 	#lastLeaderCallAtMs = Number.NEGATIVE_INFINITY;
+	readonly #answering = new AnsweringIncarnation();
 	#knownWorker: KnownWorker | undefined;
 	#lists: ReceivedLists | undefined;
 	#listedIncarnation: string | undefined;
@@ -173,8 +175,18 @@
 			return {outcome: {kind: 'refused', reason: REFUSALS.otherLife}, orderCount: this.#orderCount};
 		}
 
+		const refusal = request.order.kind === 'start' ? await this.#findStartRefusal(known) : undefined;
+		if (refusal) {
+			this.#deps.logger.info('start not relayed', {task: request.order.task, run: request.order.run, worker: request.life, reason: refusal, answeringSinceMs: this.#answering.startedAtMs ?? 'unknown'});
+			return {outcome: {kind: 'refused', reason: refusal}, orderCount: this.#orderCount};
+		}
+
 		const {outcome} = await this.#deps.worker.order(request.order, request.epoch, known.facts.id);
 		this.#orderCount++;
+		if (outcome.kind === 'unknown' || outcome.kind === 'gone') {
+			this.#answering.recordFailure();
+		}
+
 		this.#deps.logger.info('order relayed', {
 			task: request.order.task, run: request.order.run, order: request.order.kind, epoch: request.epoch, worker: request.life, outcome: outcome.kind, ...(outcome.kind === 'refused' && {reason: outcome.reason}),
 		});
@@ -240,11 +252,13 @@
 			...(known && {workerId: known.facts.id}),
 		});
 		if (answer.kind === 'lists') {
+			this.#answering.recordAnswer(answer.lists.bornMs, this.#deps.clock.monotonicMs());
 			this.#setWorkerAnswering(true, '');
 			this.#onLists(answer.lists, ordersBefore, known);
 			return true;
 		}
 
+		this.#answering.recordFailure();
 		this.#setWorkerAnswering(false, answer.kind === 'refused' ? answer.reason : answer.kind);
 		if (answer.kind === 'refused' && answer.reason === REFUSALS.fenced) {
 			await this.#readLeaderEpoch();
@@ -253,6 +267,19 @@
 		return false;
 	}
 
+	/** Makes sure that a start reaches the announced incarnation of the worker and not a later one. */
+	async #findStartRefusal({facts, startedAtMs}: KnownWorker): Promise<Refusal | undefined> {
+		if (!this.#answering.isRecent(this.#deps.clock.monotonicMs()) || !this.#answering.isSame(startedAtMs)) {
+			await this.#pollWorker(0);
+		}
+
+		if (this.#knownWorker?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
+			return REFUSALS.otherLife;
+		}
+
+		return this.#answering.isRecent(this.#deps.clock.monotonicMs()) ? undefined : REFUSALS.unhealthy;
+	}
+
 	#hasUnacknowledgedEnds(): boolean {
 		return this.#lists?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
 	}
--- a/packages/pool-agent/tests/pool-agent-core.test.ts
+++ b/packages/pool-agent/tests/pool-agent-core.test.ts
@@ -12,15 +12,16 @@
 	readonly orders: string[] = [];
 	outcome: OrderOutcome = {kind: 'done'};
 	lists: WorkerLists = {clockMs: 1000, bornMs: 5, running: [], ended: []};
+	isListening = true;
 
 	async order(order: {kind: string; task: string}): Promise<{outcome: OrderOutcome}> {
 		this.orders.push(`${order.kind} ${order.task}`);
 		return {outcome: this.outcome};
 	}
 
-	async renewLease(request: LeaseRenewalRequest): Promise<{kind: 'lists'; lists: WorkerLists}> {
+	async renewLease(request: LeaseRenewalRequest): Promise<{kind: 'lists'; lists: WorkerLists} | {kind: 'gone'}> {
 		this.renewalRequests.push(request);
-		return {kind: 'lists', lists: this.lists};
+		return this.isListening ? {kind: 'lists', lists: this.lists} : {kind: 'gone'};
 	}
 }
 
@@ -173,6 +174,40 @@
 		expect(fixture.port.orders).to.deep.equal(['stop t']);
 	});
 
+	const startCases: ReadonlyArray<{readonly title: string; readonly act: (fixture: AgentFixture) => void; readonly outcome: OrderOutcome}> = [
+		{title: 'relays a start to the announced incarnation', act: () => undefined, outcome: {kind: 'done'}},
+		{
+			title: 'does not relay a start to a later incarnation that has not announced itself',
+			act(fixture) {
+				fixture.port.lists = {clockMs: 10, bornMs: 6, running: [], ended: []};
+			},
+			outcome: {kind: 'refused', reason: REFUSALS.otherLife},
+		},
+		{
+			title: 'does not relay a start to a worker that has stopped answering',
+			act(fixture) {
+				fixture.port.isListening = false;
+			},
+			outcome: {kind: 'refused', reason: REFUSALS.unhealthy},
+		},
+	];
+	for (const {title, act, outcome} of startCases) {
+		it(title, async () => {
+			const fixture = new AgentFixture();
+			fixture.agent.onHeartbeat(FACTS, 1, 5);
+			await fixture.pollOnce();
+			fixture.clock.advance(1000);
+			act(fixture);
+			const answer = await fixture.agent.onOrder({
+				epoch: 1, life: 'w1@5', order: {
+					kind: 'start', task: 't', run: 1, payload: '', leaseUntilMs: 9000, checkpoint: '',
+				},
+			});
+			expect(answer).to.deep.include({outcome});
+			expect(fixture.port.orders).to.deep.equal(outcome.kind === 'done' ? ['start t'] : []);
+		});
+	}
+
 	// A run whose stop was acknowledged through the previous incarnation of the agent was never seen to have ended.
 	it('counts its orders on from those of its previous incarnation', async () => {
 		const fixture = new AgentFixture();
