Place a task elsewhere at once when its start cannot have reached its worker

What callers saw: a task whose start was refused by an unhealthy worker, or whose worker had no listener, waited for the answer to a stop of a run that had never started: until the worker came back or its lease expired, 8 to 10 s. In the soak such runs were also blamed for crashes of workers that they had never reached; tasks without a single start were given up.

Cause: once a start order had been sent, the run counted as possibly started for good, whatever was answered. The answers are now counted: a run whose every start was refused or never delivered has not started, is not stopped and ends at once; a worker without a listener gets no new work for 1.2 s, as an unhealthy one. A refusal as superseded stays open, as it may mean that the run has started and ended there.

Ruled out: blaming no run without an answer (a task that crashes its worker before the answer would never be counted).

All tests of pool and pool-entry pass.

--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -26,8 +26,6 @@
 	readonly incarnation: string;
 	phase: RunPhase;
 	readonly placedAtMs: number;
-	/** A start order may have reached the worker. */
-	mayHaveStarted: boolean;
 	/** Start orders that may have reached the worker without an answer. */
 	unansweredStarts: number;
 	/** Leader's clock when the worker first acknowledged or listed the run. */
@@ -238,7 +236,6 @@
 		phase,
 		placedAtMs: nowMs,
 		// A run in a later phase was stored by an earlier leader, which may have sent its start.
-		mayHaveStarted: phase !== RUN_PHASES.recording,
 		unansweredStarts: phase === RUN_PHASES.recording ? 0 : 1,
 		nextOrderAtMs: nowMs,
 		isOrderInFlight: false,
@@ -250,3 +247,8 @@
 		checkpoint: '',
 	};
 }
+
+/** @returns Whether a start of the run may have reached its worker, or may still do so. */
+export function mayHaveStarted(run: Run): boolean {
+	return run.unansweredStarts > 0 || run.knownSinceMs !== undefined;
+}
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -1,6 +1,6 @@
 import {fitsInto} from './capacity.js';
 import {
-	createRun, type Job, type Run, type Task, RUN_PHASES, unitOf,
+	createRun, type Job, mayHaveStarted, type Run, type Task, RUN_PHASES, unitOf,
 } from './job-model.js';
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
@@ -75,8 +75,8 @@
 		this.#context.log('run stopping', {job: run.task.step.job.id, task: run.task.name, run: run.number, worker: run.incarnation, reason});
 		run.phase = RUN_PHASES.stopping;
 		run.nextOrderAtMs = this.#context.nowMs();
-		if (!run.mayHaveStarted) {
-			// No start has been sent, so the worker has nothing to stop.
+		if (!mayHaveStarted(run)) {
+			// No start has reached the worker, so it has nothing to stop.
 			this.end(run, RUN_OUTCOMES.stopped, '');
 			return;
 		}
@@ -152,7 +152,6 @@
 			}
 
 			run.isOrderInFlight = true;
-			run.mayHaveStarted = true;
 			run.unansweredStarts++;
 			this.#context.queueOrder({
 				agent: worker.agent,
@@ -261,7 +260,6 @@
 	 */
 	onListed(run: Run, listed: ListedRun, asOfMs: number): void {
 		const nowMs = this.#context.nowMs();
-		run.mayHaveStarted = true;
 		run.knownSinceMs ??= nowMs;
 		this.#markRunning(run, nowMs);
 		run.percentAsOfMs = asOfMs;
@@ -312,7 +310,7 @@
 			return;
 		}
 
-		if (outcome.kind === 'unknown' || outcome.kind === 'gone') {
+		if (outcome.kind === 'unknown' || (outcome.kind === 'gone' && mayHaveStarted(run))) {
 			run.startUnansweredSinceMs ??= nowMs;
 			if (nowMs - run.startUnansweredSinceMs >= this.#context.limits.startTimeoutMs) {
 				this.stopUnit(run, 'start without an answer');
@@ -321,17 +319,18 @@
 			return;
 		}
 
-		if (outcome.reason === REFUSALS.late) {
+		const reason = outcome.kind === 'refused' ? outcome.reason : REFUSALS.unhealthy;
+		if (reason === REFUSALS.late) {
 			run.nextOrderAtMs = nowMs;
 			return;
 		}
 
 		const worker = this.#context.workers.get(run.incarnation);
-		if (outcome.reason === REFUSALS.unhealthy && worker) {
+		if (reason === REFUSALS.unhealthy && worker) {
 			worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + this.#context.limits.startTimeoutMs);
 		}
 
-		this.stopUnit(run, `start refused: ${outcome.reason}`);
+		this.stopUnit(run, `start refused: ${reason}`);
 	}
 
 	#markRunning(run: Run, nowMs: number): void {
--- a/packages/pool/src/worker-crash.ts
+++ b/packages/pool/src/worker-crash.ts
@@ -1,5 +1,5 @@
 import type {Run} from './job-model.js';
-import type {OrderOutcome} from './model.js';
+import {type OrderOutcome, REFUSALS} from './model.js';
 import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
 
 /** What is known of a run on a worker that crashed. */
@@ -75,14 +75,15 @@
 }
 
 /**
- * Records the answer to a start order, for {@link crashEvidenceOf}.
+ * Records the answer to a start order.
  *
  * @param run - The run.
  * @param outcome - Outcome of the order.
  * @param nowMs - Leader's clock.
  */
 export function recordStartAnswer(run: Run, outcome: OrderOutcome, nowMs: number): void {
-	if (outcome.kind === 'unknown') {
+	// A run that is superseded at its worker may have started and ended there.
+	if (outcome.kind === 'unknown' || (outcome.kind === 'refused' && outcome.reason === REFUSALS.superseded)) {
 		return;
 	}
 
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -1,7 +1,9 @@
 import {expect} from 'chai';
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolHarness} from './support/pool-harness.js';
-import {REFUSALS, TABLES, WORKER_STATES} from '@amaranthsail/pool';
+import {
+	type OrderOutcome, REFUSALS, TABLES, WORKER_STATES,
+} from '@amaranthsail/pool';
 
 const WHOLE_WORKER = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
 
@@ -435,6 +437,26 @@
 		});
 	});
 
+	describe('a task whose start cannot have reached its worker', () => {
+		const cases: ReadonlyArray<{readonly title: string; readonly outcome: OrderOutcome}> = [
+			{title: 'that refuses it as unhealthy', outcome: {kind: 'refused', reason: REFUSALS.unhealthy}},
+			{title: 'that has no listener', outcome: {kind: 'gone'}},
+		];
+		for (const {title, outcome} of cases) {
+			it(`${title} is placed elsewhere without waiting for a stop`, () => {
+				const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
+				const harness = new PoolHarness(workers);
+				harness.runCycle();
+				workers[0]!.startOutcome = outcome;
+				workers[0]!.areStopsLost = true;
+				harness.submit('j1', 'normal', [makeStep({taskCount: 9})]);
+				harness.advance(500);
+				expect(workers[1]!.runs.size).to.equal(8);
+				expect(harness.events('order answered').filter(event => event.order === 'stop')).to.deep.equal([]);
+			});
+		}
+	});
+
 	describe('a new leader', () => {
 		// A leader that processed reports before it had read the rows stopped running tasks, and lost the end of a task that
 		// was done.
--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -21,6 +21,10 @@
 	areOrdersLost = false;
 	/** Reason for which starts are refused. */
 	startRefusal: (typeof REFUSALS)[keyof typeof REFUSALS] | undefined;
+	/** Outcome of all starts, none of which is carried out. */
+	startOutcome: OrderOutcome | undefined;
+	/** Stops are not answered. */
+	areStopsLost = false;
 	/** Its tasks make no progress. */
 	isStalled = false;
 	/** Tasks whose start crashes the worker before it answers. */
@@ -90,6 +94,14 @@
 	}
 
 	#execute(order: WorkerOrder): OrderOutcome {
+		if (order.kind === 'stop' && this.areStopsLost) {
+			return {kind: 'unknown', message: 'no answer'};
+		}
+
+		if (order.kind === 'start' && this.startOutcome) {
+			return this.startOutcome;
+		}
+
 		if (order.kind === 'stop') {
 			const fakeRun = this.runs.get(order.task);
 			if (fakeRun?.run === order.run && this.shouldDelayStops) {
