Withdraw a lost worker when it reports to a new leader

What callers would see: a task that had been on a worker that was silent for longer than its lease was blamed for that worker's next crash, however much later, although it no longer ran there. Two such losses and a later crash of each worker end a healthy job as failed.

Cause: the unconfirmed loss was withdrawn only with a suspicion or a loss that the same leader had declared.

The ledger now remembers the incarnations whose loss is unconfirmed, and fresh lists of one of them withdraw it under any leader. Reports of other workers cost one look-up, and a confirmation or withdrawal searches the tasks only for such an incarnation.

Evidence: the new case of crashing-tasks.test.ts fails without the change (`w1@1000`, `atStart`, confirmed) and passes with it. All tests of the pool pass.

--- a/packages/pool/src/crash-ledger.ts
+++ b/packages/pool/src/crash-ledger.ts
@@ -19,6 +19,8 @@
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
 	readonly #onGivenUp: (job: Job) => void;
+	/** Incarnations that are stored with a task and not confirmed; most reports are from others. */
+	readonly #lostIncarnations = new Set<string>();
 
 	/**
 	 * @param context - State of the pool.
@@ -42,6 +44,7 @@
 			if (!task.isDone) {
 				task.crashes = limitCrashes([...withoutCrash(task, worker.incarnation), {life: worker.incarnation, evidence, isConfirmed: false}]);
 				this.#context.crashSuspects.add(task);
+				this.#lostIncarnations.add(worker.incarnation);
 			}
 		}
 	}
@@ -52,6 +55,10 @@
 	 * @param incarnation - The worker's incarnation.
 	 */
 	confirm(incarnation: string): void {
+		if (!this.#lostIncarnations.delete(incarnation)) {
+			return;
+		}
+
 		const tasks = this.#suspectsOf(incarnation);
 		for (const task of tasks) {
 			this.#replaceCrashes(task, task.crashes.map(crash => (crash.life === incarnation ? {...crash, isConfirmed: true} : crash)));
@@ -66,16 +73,13 @@
 	}
 
 	/**
-	 * Takes a worker off the crashes of all tasks.
+	 * Takes a lost worker off the crashes of all tasks.
 	 *
-	 * @param incarnation - Incarnation of a worker that has not crashed, or whose crash has a known cause.
-	 * @param cause - Job that caused the crash; it keeps the crash.
+	 * @param incarnation - Incarnation of a worker that has not crashed.
 	 */
-	withdraw(incarnation: string, cause?: Job): void {
-		for (const task of this.#suspectsOf(incarnation)) {
-			if (task.step.job !== cause) {
-				this.#replaceCrashes(task, withoutCrash(task, incarnation));
-			}
+	withdraw(incarnation: string): void {
+		if (this.#lostIncarnations.delete(incarnation)) {
+			this.#withdrawFrom(this.#suspectsOf(incarnation), incarnation);
 		}
 	}
 
@@ -84,18 +88,30 @@
 		if (task.crashes.length > 0) {
 			this.#context.crashSuspects.add(task);
 		}
+
+		for (const {life, isConfirmed} of task.crashes) {
+			if (!isConfirmed) {
+				this.#lostIncarnations.add(life);
+			}
+		}
 	}
 
 	#giveUp(task: Task): void {
 		const {job} = task.step;
 		this.#context.log('task given up', {job: job.id, task: task.name, reason: 'crashes its workers', crashes: task.crashes});
 		for (const {life} of task.crashes) {
-			this.withdraw(life, job);
+			this.#withdrawFrom(this.#suspectsOf(life).filter(suspect => suspect.step.job !== job), life);
 		}
 
 		this.#onGivenUp(job);
 	}
 
+	#withdrawFrom(tasks: readonly Task[], incarnation: string): void {
+		for (const task of tasks) {
+			this.#replaceCrashes(task, withoutCrash(task, incarnation));
+		}
+	}
+
 	#replaceCrashes(task: Task, crashes: readonly WorkerCrash[]): void {
 		task.crashes = crashes;
 		this.#runs.storeTask(task);
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -99,6 +99,8 @@
 		worker.workerClockMs = Math.max(worker.workerClockMs, lists.clockMs);
 		worker.orderCountBeforeLists = lists.ordersBefore;
 		if (lists.ageMs < this.#context.limits.suspectTimeoutMs) {
+			// An earlier leader may have declared it lost.
+			this.#crashes.withdraw(worker.incarnation);
 			this.#clearSuspicion(worker);
 		}
 
@@ -188,7 +190,6 @@
 		this.#context.log('worker regained', {worker: worker.incarnation, runs: worker.runs.size});
 		worker.suspicion = undefined;
 		worker.isLost = false;
-		this.#crashes.withdraw(worker.incarnation);
 		this.#context.needsSchedulingRound = true;
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.incarnation, value: undefined}], () => undefined);
 	}
--- a/packages/pool/tests/crashing-tasks.test.ts
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -191,6 +191,25 @@
 		});
 	}
 
+	it('is not blamed when a worker that was only silent, and reports to a new leader, crashes later', () => {
+		const workers = createWorkers(3);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
+		harness.advance(300);
+		const worker = workers.find(candidate => candidate.runs.has('j1.0.0.0'))!;
+		worker.isUnreachable = true;
+		harness.advance(LONG_OUTAGE_MS);
+		worker.runs.clear();
+		worker.isUnreachable = false;
+		harness.replaceLeader();
+		harness.recoverLeader();
+		harness.advance(300);
+		worker.crash();
+		harness.advance(300);
+		expect(harness.rowsOf(TABLES.runs).filter(row => asFields(row.value).crashes !== undefined)).to.deep.equal([]);
+	});
+
 	it('keeps a bounded number of lost workers that never come back', () => {
 		const workers = createWorkers(12);
 		const harness = new PoolHarness(workers);
