Withdraw starts on a worker that has begun to drain

What callers would see: a task was started on a worker long after the worker had announced its end, when the placement had been stored before but was sent later: a slow store, a start that had not been answered and was sent again, or a new leader that sent the stored starts. A task that did not end in time lost its work, and a gang lost that of all members.

Cause: the same as for a capacity that has shrunk. The state of the worker was compared at the placement and not when the start was sent.

--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -1,4 +1,3 @@
-import {fitsInto} from './capacity.js';
 import {
 	createRun, type Job, type Run, type Task, RUN_PHASES, unitOf,
 } from './job-model.js';
@@ -9,7 +8,7 @@
 import type {PoolContext} from './pool-context.js';
 import type {RowWrite} from './ports.js';
 import {encodeRunRow} from './run-row.js';
-import {type TrackedWorker, usedCapacity} from './tracked-worker.js';
+import {reasonToWithdrawStarts, type TrackedWorker} from './tracked-worker.js';
 import {recordStartAnswer} from './worker-crash.js';
 import {recordRunFailure, recordRunSuccess} from './worker-quarantine.js';
 
@@ -134,7 +133,7 @@
 	}
 
 	/**
-	 * Sends the start or stop order that a run's phase requires, if it is due. A run that no longer fits is not started.
+	 * Sends the start or stop order that a run's phase requires, if it is due. Starts that the worker may no longer get are withdrawn.
 	 *
 	 * @param run - The run.
 	 */
@@ -146,8 +145,9 @@
 		}
 
 		if (run.phase === RUN_PHASES.starting && worker.hasReportedLists && !worker.suspicion) {
-			if (run.knownSinceMs === undefined && !fitsInto(usedCapacity(worker), worker.facts.capacity)) {
-				this.stopUnit(run, 'worker capacity has shrunk');
+			const reason = run.knownSinceMs === undefined ? reasonToWithdrawStarts(worker) : undefined;
+			if (reason !== undefined) {
+				this.stopUnit(run, reason);
 				return;
 			}
 
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -1,4 +1,6 @@
-import {addShapes, EMPTY_SHAPE, subtractShapes} from './capacity.js';
+import {
+	addShapes, EMPTY_SHAPE, fitsInto, subtractShapes,
+} from './capacity.js';
 import type {Run} from './job-model.js';
 import type {TaskShape, WorkerFacts} from './model.js';
 
@@ -97,6 +99,20 @@
 	return subtractShapes(worker.facts.capacity, usedCapacity(worker));
 }
 
+/**
+ * Checks again, before a start is sent, what held when it was placed.
+ *
+ * @param worker - A worker with a run that it has neither acknowledged nor listed.
+ * @returns Why such runs have to be placed again, or undefined.
+ */
+export function reasonToWithdrawStarts(worker: TrackedWorker): string | undefined {
+	if (worker.drainingSinceMs !== undefined) {
+		return 'worker is draining';
+	}
+
+	return fitsInto(usedCapacity(worker), worker.facts.capacity) ? undefined : 'worker capacity has shrunk';
+}
+
 /** Index of the rack in a worker's labels, which hold its kind and its rack in this order. */
 const RACK_LABEL_INDEX = 1;
 
