Withdraw starts beside runs of unknown size

What callers would see: after a change of the leader a worker whose capacity had shrunk was sent starts beyond it (LIMIT): six runs on room for five.

Cause: the runs of a job that has ended are unknown to a new leader until they have stopped, so their capacity is not counted. The placement avoids such workers; the check before a start is sent did not.

Evidence: the new case of changing-capacity.test.ts fails on the code before ("expected 6 to equal 4") and passes now. 117 tests of the pool pass.

--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -110,6 +110,10 @@
 		return 'worker is draining';
 	}
 
+	if (worker.hasUnknownRuns) {
+		return 'worker has runs of unknown size';
+	}
+
 	return fitsInto(usedCapacity(worker), worker.facts.capacity) ? undefined : 'worker capacity has shrunk';
 }
 
--- a/packages/pool/tests/changing-capacity.test.ts
+++ b/packages/pool/tests/changing-capacity.test.ts
@@ -57,6 +57,29 @@
 		});
 	}
 
+	it('before a new leader sends the stored starts, beside runs of a cancelled job, gets none of them until those have ended', () => {
+		const worker = new FakeWorker('w1');
+		const harness = new PoolHarness([worker]);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({taskCount: 4, estimatedMs: 60_000})]);
+		harness.advance(300);
+		worker.shouldDelayStops = true;
+		harness.cancel('j1');
+		harness.advance(200);
+		worker.areOrdersLost = true;
+		harness.submit('j2', 'normal', [makeStep({taskCount: 2, estimatedMs: 60_000})]);
+		harness.advance(200);
+		resize(worker, 5);
+		worker.areOrdersLost = false;
+		harness.replaceLeader();
+		harness.recoverLeader();
+		harness.advance(1000);
+		expect(worker.runs.size).to.equal(4);
+		worker.shouldDelayStops = false;
+		harness.advance(1000);
+		expect([...worker.runs.keys()]).to.deep.equal(['j2.0.0.0', 'j2.0.0.1']);
+	});
+
 	it('keeps its runs, and gets new ones once it has grown again', () => {
 		const worker = new FakeWorker('w1');
 		const harness = new PoolHarness([worker]);
