Keep tasks that have waited long from being skipped with others of their step

What callers would see: a lasting task that could have been placed after 2 s waited on while another task of its step had just ended, up to 2 s more for each such task, although there was capacity for it.

Cause: a round skips the other tasks of a step once one of them does not fit, as they have the same shape. Since the waits are bounded, a task that has waited for 2 s may use capacity that one that has just ended may not, and one on its last attempt may use fewer workers than the others. The tasks of a step are now skipped only with others that have the same choice.

Evidence: the new case of lost-work.test.ts fails on the code before ("expected false to equal true") and passes now. 118 tests of the pool pass.

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -86,8 +86,8 @@
 		this.#releasesByService.clear();
 		this.#crashExposure.clear();
 		const workers = this.#listPresentWorkers(nowMs);
-		/** Steps of which a task did not fit; their other tasks have the same shape. */
-		const blockedSteps = new Set<StepState>();
+		/** Steps of which a task did not fit, apart for tasks that may use other workers; all their tasks have the same shape. */
+		const blockedSteps = [new Set<StepState>(), new Set<StepState>(), new Set<StepState>(), new Set<StepState>()];
 		const reservedUnits = new Map<string, number>();
 		const workersByService = groupByService(workers);
 		for (const [service, presentWorkers] of workersByService) {
@@ -95,12 +95,14 @@
 		}
 
 		for (const unit of units) {
-			if (blockedSteps.has(unit.step)) {
+			const hasWaitedLong = nowMs - unit.waitingSinceMs >= MAX_IDLE_POOL_WAIT_MS;
+			const blocked = blockedSteps[(hasWaitedLong ? 2 : 0) + (this.#isOnLastAttempt(unit) ? 1 : 0)]!;
+			if (blocked.has(unit.step)) {
 				continue;
 			}
 
 			const presentWorkers = workersByService.get(unit.service) ?? [];
-			const isOverdue = nowMs - unit.waitingSinceMs >= MAX_IDLE_POOL_WAIT_MS && (unit.step.spec.isLasting || isHalfIdle(presentWorkers));
+			const isOverdue = hasWaitedLong && (unit.step.spec.isLasting || isHalfIdle(presentWorkers));
 			const serviceWorkers = this.#listOffered(unit, presentWorkers, isOverdue);
 			const request = this.#requestFor(unit, isOverdue, nowMs);
 			const mayUseAll = isOverdue && (unit.step.spec.isLasting || this.#idleServices.idleMsOf(unit.service, nowMs) >= MAX_IDLE_POOL_WAIT_MS);
@@ -114,7 +116,7 @@
 			} else if (unit.priority === URGENT_PRIORITY) {
 				this.#reserveOrPreempt(unit, request, serviceWorkers, guarantees);
 			} else {
-				blockedSteps.add(unit.step);
+				blocked.add(unit.step);
 				const count = reservedUnits.get(unit.service) ?? 0;
 				if (count < MAX_RESERVED_UNITS_PER_SERVICE && this.#reserveEarliestStart(unit, request, serviceWorkers, nowMs)) {
 					reservedUnits.set(unit.service, count + 1);
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -193,6 +193,23 @@
 		});
 	}
 
+	it('that lasts does not wait for another task of its step that has just ended', () => {
+		const workers = ['r1', 'r2', 'r2'].map((rack, index) => new FakeWorker(`w${index}`, {labels: ['a', rack]}));
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('busy1', 'normal', [makeStep({preferredRack: 'r1', shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.submit('busy2', 'normal', [makeStep({preferredRack: 'r2', shape: WHOLE_WORKER, estimatedMs: 60_000})]);
+		harness.advance(300);
+		harness.submit('lasting', 'normal', [makeStep({taskCount: 2, preferredRack: 'r1', isLasting: true, estimatedMs: 30_000})]);
+		harness.advance(MAX_IDLE_WAIT_MS);
+		const worker = workers.find(candidate => candidate.runs.has('lasting.0.0.1'))!;
+		worker.end('lasting.0.0.1', 'failed');
+		harness.advance(1900);
+		worker.end('lasting.0.0.0', 'failed');
+		harness.advance(MAX_IDLE_WAIT_MS - 1900);
+		expect(isRunning(workers, 'lasting.0.0.1')).to.equal(true);
+	});
+
 	it('that lasts does not wait for its rack in a busy service', () => {
 		const workers = ['r1', 'r2', 'r2'].map((rack, index) => new FakeWorker(`w${index}`, {labels: ['a', rack]}));
 		const harness = new PoolHarness(workers);
