Test the order of the writes about a crash, and the exemption of lasting tasks

Both fixes could be reverted without a failed test. Stored before the ends of the runs, the row of the new incarnation hides a crashed worker from the next leader if the worker came back under another id; and a lasting task would be given up after crashes in its second minute of work.

--- a/packages/pool/tests/crashing-tasks.test.ts
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -96,6 +96,32 @@
 		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.failed);
 	});
 
+	for (const storedGroups of [0, 1, 2, 3]) {
+		it(`is confirmed by a new leader if the one before stored ${storedGroups} writes about a worker that came back under another id`, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker]);
+			harness.runCycle();
+			harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
+			harness.advance(300);
+			worker.crash();
+			worker.facts = {...worker.facts, life: 'x1@2000', id: 'x1'};
+			harness.isStoreAvailable = false;
+			harness.report(worker);
+			const groups = harness.core.nextCommit()!.groups.filter(({writes}) => writes.length > 0);
+			for (const {table, key, value} of groups.slice(0, storedGroups).flatMap(({writes}) => writes)) {
+				harness.write(table, key, value);
+			}
+
+			harness.isStoreAvailable = true;
+			harness.replaceLeader();
+			harness.recoverLeader();
+			harness.advance(300);
+			const [row] = harness.rowsOf(TABLES.runs);
+			expect(asFields(row!.value).crashes).to.have.deep.nested.property('[0].isConfirmed', true);
+			expect(startsOf('j1.0.0.0', [worker])).to.equal(2);
+		});
+	}
+
 	it('is confirmed by a new leader once a worker that was declared lost comes back as a new incarnation', () => {
 		const workers = createWorkers(6);
 		const harness = new PoolHarness(workers);
@@ -210,6 +236,20 @@
 		expect(harness.rowsOf(TABLES.runs).filter(row => asFields(row.value).crashes !== undefined)).to.deep.equal([]);
 	});
 
+	it('is not given up after four crashes if it lasts and had worked for over a minute', () => {
+		const workers = createWorkers(4);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({isLasting: true})]);
+		for (let crash = 0; crash < 4; crash++) {
+			harness.advance(61_000);
+			workers.find(worker => worker.runs.has('j1.0.0.0'))!.crash();
+			harness.advance(300);
+		}
+
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
+	});
+
 	it('keeps a bounded number of lost workers that never come back', () => {
 		const workers = createWorkers(12);
 		const harness = new PoolHarness(workers);
