--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -14,7 +14,7 @@
 	readonly sameStepCount: number;
 	/** One of the tasks has failed on this worker before. */
 	readonly hasFailedHere: boolean;
-	/** The worker is unreliable, and the unit cannot afford a failure. */
+	/** The worker is quarantined, or it is unreliable and the unit cannot afford a failure. */
 	readonly isTooRisky: boolean;
 	/** How far the unit should be kept apart from the work there, since one of them may crash the worker; 0 to 9. */
 	readonly crashExposure: number;
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -31,7 +31,7 @@
  */
 const URGENT_RACK_WAIT_SHARE = 0.5;
 
-/** Stays below the 3 s that a job must not wait while half of the pool is idle, and a lasting task not at all times. */
+/** Stays below 3 s, which a job must not wait while half of the pool is idle, and a lasting task must never wait. */
 const MAX_IDLE_POOL_WAIT_MS = 2000;
 
 /** A present worker and its capacity during one round. */
