Test a wide gang beside a stream of small jobs; it starves (known red)

What callers see: a gang that needs its whole service is not started while small jobs keep arriving, although they use less than half of the service.

Cause: a job that has waited for 2 s in a service that has been half idle for 2 s may use reserved capacity, so each small job moves the earliest start of the gang.

Evidence: the test fails on this code.

--- a/packages/pool/tests/peak-load.test.ts
+++ b/packages/pool/tests/peak-load.test.ts
@@ -110,4 +110,32 @@
 
 		expect(advanceEndingRuns(harness, [worker], 22_000).size).to.equal(6);
 	});
+
+	it('starts a gang as wide as its service beside a stream of small jobs that uses less than half of it', () => {
+		const workers = ['w0', 'w1', 'w2', 'w3'].map(name => new FakeWorker(name));
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		const dueAtMs = new Map<string, number>();
+		for (let passedMs = 0; passedMs < 60_000 && !workers[0]!.runs.has('gang.0.0.0'); passedMs += 100) {
+			if (passedMs % 1000 === 0) {
+				harness.submit(`small${passedMs}`, 'normal', [makeStep({estimatedMs: 10_000})]);
+			}
+
+			if (passedMs === 15_000) {
+				harness.submit('gang', 'normal', [makeStep({taskCount: 4, isGang: true, shape: WHOLE_WORKER, estimatedMs: 10_000})]);
+			}
+
+			harness.advance(100);
+			for (const worker of workers) {
+				for (const task of worker.runs.keys()) {
+					dueAtMs.set(task, dueAtMs.get(task) ?? passedMs + 10_000);
+					if (passedMs >= dueAtMs.get(task)!) {
+						worker.end(task, 'done');
+					}
+				}
+			}
+		}
+
+		expect(workers.flatMap(worker => worker.started).filter(start => start.startsWith('gang'))).to.have.length(4);
+	});
 });
