--- a/packages/pool/src/crash-exposure.ts
+++ b/packages/pool/src/crash-exposure.ts
@@ -59,5 +59,5 @@
 }
 
 function isSuspect({task, knownSinceMs}: Run, nowMs: number): boolean {
-	return task.crashes.length > 0 && (knownSinceMs === undefined || nowMs - knownSinceMs < SUSPECT_PERIOD_MS);
+	return task.crashes.some(crash => !crash.isExplained) && (knownSinceMs === undefined || nowMs - knownSinceMs < SUSPECT_PERIOD_MS);
 }
--- a/packages/pool/src/crash-ledger.ts
+++ b/packages/pool/src/crash-ledger.ts
@@ -12,8 +12,9 @@
 /**
  * Counts the workers that crash under a task, and gives a task up that crashes one worker after another.
  *
- * A worker crashes with all its runs, of which at most one is the cause. So the crashes that a task has caused are
- * taken off the other tasks once it is given up.
+ * A worker crashes with all its runs, of which at most one is the cause. So the crashes of a task that is given up
+ * weigh nothing for the other tasks from then on; they only count towards the bound on all crashes of a task, as the
+ * task that was given up may have been another victim.
  */
 export class CrashLedger {
 	readonly #context: PoolContext;
@@ -78,8 +79,12 @@
 	 * @param incarnation - Incarnation of a worker that has not crashed.
 	 */
 	withdraw(incarnation: string): void {
-		if (this.#lostIncarnations.delete(incarnation)) {
-			this.#withdrawFrom(this.#suspectsOf(incarnation), incarnation);
+		if (!this.#lostIncarnations.delete(incarnation)) {
+			return;
+		}
+
+		for (const task of this.#suspectsOf(incarnation)) {
+			this.#replaceCrashes(task, withoutCrash(task, incarnation));
 		}
 	}
 
@@ -99,16 +104,20 @@
 	#giveUp(task: Task): void {
 		const {job} = task.step;
 		this.#context.log('task given up', {job: job.id, task: task.name, reason: 'crashes its workers', crashes: task.crashes});
-		for (const {life} of task.crashes) {
-			this.#withdrawFrom(this.#suspectsOf(life).filter(suspect => suspect.step.job !== job), life);
+		for (const {life, isConfirmed} of task.crashes) {
+			if (isConfirmed) {
+				this.#explain(life, job);
+			}
 		}
 
 		this.#onGivenUp(job);
 	}
 
-	#withdrawFrom(tasks: readonly Task[], incarnation: string): void {
-		for (const task of tasks) {
-			this.#replaceCrashes(task, withoutCrash(task, incarnation));
+	#explain(incarnation: string, cause: Job): void {
+		for (const task of this.#suspectsOf(incarnation)) {
+			if (task.step.job !== cause) {
+				this.#replaceCrashes(task, task.crashes.map(crash => (crash.life === incarnation ? {...crash, isExplained: true} : crash)));
+			}
 		}
 	}
 
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -247,7 +247,7 @@
 		const cannotAffordFailure = this.#cannotAffordFailure(unit);
 		const hasLimitPerWorker = unit.step.spec.maxPerWorker !== undefined;
 		const failedWorkerIds = new Set(unit.tasks.flatMap(task => [...task.failedWorkerIds]));
-		const crashedWorkerIds = new Set(unit.tasks.flatMap(task => task.crashes.map(crash => workerIdOf(crash.life))));
+		const crashedWorkerIds = new Set(unit.tasks.flatMap(task => task.crashes.filter(crash => !crash.isExplained).map(crash => workerIdOf(crash.life))));
 		const hasCrashSuspects = this.#context.crashSuspects.size > 0;
 		return workers.map(roundWorker => {
 			const {worker} = roundWorker;
