--- a/packages/pool/src/crash-ledger.ts
+++ b/packages/pool/src/crash-ledger.ts
@@ -20,6 +20,8 @@
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
 	readonly #onGivenUp: (job: Job) => void;
+	/** Incarnations that are stored with a task and not confirmed; most reports are from others. */
+	readonly #lostIncarnations = new Set<string>();
 
 	/**
 	 * @param context - State of the pool.
@@ -43,6 +45,7 @@
 			if (!task.isDone) {
 				task.crashes = limitCrashes([...withoutCrash(task, worker.incarnation), {life: worker.incarnation, evidence, isConfirmed: false}]);
 				this.#context.crashSuspects.add(task);
+				this.#lostIncarnations.add(worker.incarnation);
 			}
 		}
 	}
@@ -53,6 +56,10 @@
 	 * @param incarnation - The worker's incarnation.
 	 */
 	confirm(incarnation: string): void {
+		if (!this.#lostIncarnations.delete(incarnation)) {
+			return;
+		}
+
 		const tasks = this.#suspectsOf(incarnation);
 		for (const task of tasks) {
 			this.#replaceCrashes(task, task.crashes.map(crash => (crash.life === incarnation ? {...crash, isConfirmed: true} : crash)));
@@ -67,11 +74,15 @@
 	}
 
 	/**
-	 * Takes a worker off the crashes of all tasks.
+	 * Takes a lost worker off the crashes of all tasks.
 	 *
 	 * @param incarnation - Incarnation of a worker that has not crashed.
 	 */
 	withdraw(incarnation: string): void {
+		if (!this.#lostIncarnations.delete(incarnation)) {
+			return;
+		}
+
 		for (const task of this.#suspectsOf(incarnation)) {
 			this.#replaceCrashes(task, withoutCrash(task, incarnation));
 		}
@@ -82,6 +93,12 @@
 		if (task.crashes.length > 0) {
 			this.#context.crashSuspects.add(task);
 		}
+
+		for (const {life, isConfirmed} of task.crashes) {
+			if (!isConfirmed) {
+				this.#lostIncarnations.add(life);
+			}
+		}
 	}
 
 	#giveUp(task: Task): void {
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -1,7 +1,7 @@
 import {
 	addShapes, EMPTY_SHAPE, subtractShapes, weightInCores,
 } from './capacity.js';
-import {crashExposureOf} from './crash-exposure.js';
+import {CrashExposure} from './crash-exposure.js';
 import {type ExpectedRelease, findEarliestStart, orderReleases} from './earliest-start.js';
 import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
 import {IdleServices} from './idle-services.js';
@@ -14,7 +14,9 @@
 import {estimateRemainingMs} from './run-estimate.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {listVictims} from './victims.js';
-import {freeCapacity, rackOf, type TrackedWorker} from './tracked-worker.js';
+import {
+	freeCapacity, rackOf, type TrackedWorker, workerIdOf,
+} from './tracked-worker.js';
 import {isUnreliable} from './worker-quarantine.js';
 
 /** A task waits for capacity near its data for this share of the extra time that it would take elsewhere. */
@@ -29,7 +31,7 @@
  */
 const URGENT_RACK_WAIT_SHARE = 0.5;
 
-/** Stays below the 3 s that a job must not wait while half of the pool is idle, and a lasting task not at all times. */
+/** Stays below 3 s, which a job must not wait while half of the pool is idle, and a lasting task must never wait. */
 const MAX_IDLE_POOL_WAIT_MS = 2000;
 
 /** A present worker and its capacity during one round. */
@@ -58,6 +60,7 @@
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
 	readonly #idleServices = new IdleServices();
+	readonly #crashExposure = new CrashExposure();
 	/** Expected ends of running tasks in the present round, by service. */
 	readonly #releasesByService = new Map<string, readonly ExpectedRelease[]>();
 
@@ -81,9 +84,10 @@
 		}
 
 		this.#releasesByService.clear();
+		this.#crashExposure.clear();
 		const workers = this.#listPresentWorkers(nowMs);
-		/** Steps of which a task did not fit; their other tasks have the same shape. */
-		const blockedSteps = new Set<StepState>();
+		/** Steps of which a task did not fit, apart for tasks that may use other workers; all their tasks have the same shape. */
+		const blockedSteps = [new Set<StepState>(), new Set<StepState>(), new Set<StepState>(), new Set<StepState>()];
 		const reservedUnits = new Map<string, number>();
 		const workersByService = groupByService(workers);
 		for (const [service, presentWorkers] of workersByService) {
@@ -91,12 +95,14 @@
 		}
 
 		for (const unit of units) {
-			if (blockedSteps.has(unit.step)) {
+			const hasWaitedLong = nowMs - unit.waitingSinceMs >= MAX_IDLE_POOL_WAIT_MS;
+			const blocked = blockedSteps[(hasWaitedLong ? 2 : 0) + (this.#isOnLastAttempt(unit) ? 1 : 0)]!;
+			if (blocked.has(unit.step)) {
 				continue;
 			}
 
 			const presentWorkers = workersByService.get(unit.service) ?? [];
-			const isOverdue = nowMs - unit.waitingSinceMs >= MAX_IDLE_POOL_WAIT_MS && (unit.step.spec.isLasting || isHalfIdle(presentWorkers));
+			const isOverdue = hasWaitedLong && (unit.step.spec.isLasting || isHalfIdle(presentWorkers));
 			const serviceWorkers = this.#listOffered(unit, presentWorkers, isOverdue);
 			const request = this.#requestFor(unit, isOverdue, nowMs);
 			const mayUseAll = isOverdue && (unit.step.spec.isLasting || this.#idleServices.idleMsOf(unit.service, nowMs) >= MAX_IDLE_POOL_WAIT_MS);
@@ -105,11 +111,12 @@
 			if (incarnations) {
 				allocate(workers, incarnations, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, incarnations);
+				this.#crashExposure.forget(incarnations);
 				this.#releasesByService.delete(unit.service);
 			} else if (unit.priority === URGENT_PRIORITY) {
 				this.#reserveOrPreempt(unit, request, serviceWorkers, guarantees);
 			} else {
-				blockedSteps.add(unit.step);
+				blocked.add(unit.step);
 				const count = reservedUnits.get(unit.service) ?? 0;
 				if (count < MAX_RESERVED_UNITS_PER_SERVICE && this.#reserveEarliestStart(unit, request, serviceWorkers, nowMs)) {
 					reservedUnits.set(unit.service, count + 1);
@@ -240,6 +247,8 @@
 		const cannotAffordFailure = this.#cannotAffordFailure(unit);
 		const hasLimitPerWorker = unit.step.spec.maxPerWorker !== undefined;
 		const failedWorkerIds = new Set(unit.tasks.flatMap(task => [...task.failedWorkerIds]));
+		const crashedWorkerIds = new Set(unit.tasks.flatMap(task => task.crashes.filter(crash => !crash.isExplained).map(crash => workerIdOf(crash.life))));
+		const hasCrashSuspects = this.#context.crashSuspects.size > 0;
 		return workers.map(roundWorker => {
 			const {worker} = roundWorker;
 			return {
@@ -252,7 +261,7 @@
 				sameStepCount: hasLimitPerWorker ? countRunsOfStep(worker, unit.step) : 0,
 				hasFailedHere: failedWorkerIds.has(worker.facts.id),
 				isTooRisky: roundWorker.isQuarantined || (cannotAffordFailure && isUnreliable(worker, nowMs)),
-				crashExposure: this.#context.crashSuspects.size === 0 ? 0 : crashExposureOf(unit.tasks, worker, nowMs),
+				crashExposure: hasCrashSuspects ? this.#crashExposure.of(worker, crashedWorkerIds, nowMs) : 0,
 			};
 		});
 	}
