--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -42,6 +42,11 @@
 		};
 	}
 
+	/** Time of the worker's clock. */
+	get clockMs(): number {
+		return this.#clockMs;
+	}
+
 	report(clockMs: number): AgentReport {
 		if (clockMs > this.#clockMs && !this.isStalled) {
 			for (const fakeRun of this.runs.values()) {
@@ -73,6 +78,18 @@
 		this.ended.push({sequence: ++this.#sequence, task, run: fakeRun.run, outcome, checkpoint});
 	}
 
+	/** Starts a new incarnation of the worker, which knows nothing of the earlier one. */
+	restart(facts: WorkerFacts): void {
+		this.facts = facts;
+		this.runs.clear();
+		this.ended = [];
+		this.ackSequence = 0;
+		this.leaseUntilMs = 0;
+		this.#sequence = 0;
+		this.#stopping.clear();
+		this.#highestEndedRuns.clear();
+	}
+
 	#execute(order: WorkerOrder): OrderOutcome {
 		if (order.kind === 'stop') {
 			const fakeRun = this.runs.get(order.task);
@@ -95,6 +112,11 @@
 			return {kind: 'refused', reason: REFUSALS.superseded};
 		}
 
+		if (order.leaseUntilMs < this.#clockMs) {
+			return {kind: 'refused', reason: REFUSALS.late};
+		}
+
+		this.leaseUntilMs = Math.max(this.leaseUntilMs, order.leaseUntilMs);
 		if (this.runs.get(order.task)?.run !== order.run) {
 			this.runs.set(order.task, {run: order.run, checkpoint: order.checkpoint, percent: 0});
 			this.started.push(`${order.task}#${order.run}`);
--- a/packages/pool/tests/support/pool-harness.ts
+++ b/packages/pool/tests/support/pool-harness.ts
@@ -1,7 +1,7 @@
 import {ManualClock} from '@amaranthsail/core';
 import type {FakeWorker} from './fake-worker.js';
 import {
-	cancellationKey, DEFAULT_LIMITS, type JobRow, type JobSpec, type PoolConfig, PoolCore, type PoolLimits, type Queue, type StepSpec, type StoredRow, TABLES, termsOf,
+	cancellationKey, DEFAULT_LIMITS, type JobRow, type JobSpec, type PoolConfig, PoolCore, type PoolLimits, type Queue, type StepSpec, type StoredRow, TABLES, termsOf, type WorkerOrder,
 } from '@amaranthsail/pool';
 
 /** @returns A step with defaults for the fields that a test does not set. */
@@ -54,6 +54,8 @@
 	/** While false, commits stay pending. */
 	isStoreAvailable = true;
 	core: PoolCore;
+	/** Called with an order that an unreachable worker does not get now. */
+	onLostOrder?: (worker: FakeWorker, order: WorkerOrder) => void;
 	#version = 1;
 
 	constructor(readonly workers: readonly FakeWorker[] = [], readonly limits: PoolLimits = DEFAULT_LIMITS) {
@@ -106,6 +108,10 @@
 			this.commit();
 			for (const outgoing of this.core.takeOrders()) {
 				const worker = this.workers.find(candidate => candidate.facts.life === outgoing.incarnation);
+				if (worker?.isUnreachable) {
+					this.onLostOrder?.(worker, outgoing.order);
+				}
+
 				if (!worker || worker.isUnreachable) {
 					this.core.onOrderOutcome(outgoing.incarnation, outgoing.order, {kind: 'unknown', message: 'no answer'}, 0);
 				} else {
