Stop no urgent work without accelerators for other urgent work

Callers saw urgent jobs whose tasks use no accelerators never run, or lose their running work, once more of them waited than fitted at the time: each waiting task stopped the one placed before it, of any job and account, also of its own.

Class of fault: a comparison with an amount that may be zero. Urgent work may be stopped up to the accelerators by which its account is beyond its guarantee; a task with none is within any such limit. Less urgent work is stopped for urgent work as before.

--- a/packages/pool/src/victims.ts
+++ b/packages/pool/src/victims.ts
@@ -31,8 +31,10 @@
 		const {job, spec} = run!.task.step;
 		const isUrgent = context.queueOf(job)?.priority === URGENT_PRIORITY;
 		if (isUrgent) {
-			const excessLeft = (excess.get(job.account) ?? 0) - (runs.length * spec.shape.accelerators);
-			if (excessLeft < 0) {
+			// Guarantees are about accelerators: stopping work without any brings no account back within its guarantee.
+			const accelerators = runs.length * spec.shape.accelerators;
+			const excessLeft = (excess.get(job.account) ?? 0) - accelerators;
+			if (accelerators === 0 || excessLeft < 0) {
 				continue;
 			}
 
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -218,4 +218,25 @@
 		harness.advance(MAX_IDLE_WAIT_MS - 1500);
 		expect(isRunning(workers, 'lasting.0.0.0')).to.equal(true);
 	});
+
+	const urgentCases = [
+		{title: 'the same job', submissions: [{id: 'j1', account: 'north', taskCount: 2}]},
+		{title: 'another job of the account', submissions: [{id: 'j1', account: 'north', taskCount: 1}, {id: 'j2', account: 'north', taskCount: 1}]},
+		{title: 'a job of another account', submissions: [{id: 'j1', account: 'north', taskCount: 1}, {id: 'j2', account: 'south', taskCount: 1}]},
+	];
+	for (const {title, submissions} of urgentCases) {
+		it(`that is urgent and uses no accelerators is not stopped for ${title}`, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker]);
+			harness.runCycle();
+			for (const {id, account, taskCount} of submissions) {
+				harness.submit(id, 'urgent', [makeStep({taskCount, shape: {cpuMillis: 32_000, memoryMb: 1000, accelerators: 0}})], {account});
+				harness.advance(500);
+			}
+
+			harness.advance(1000);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+			expect([...worker.runs.keys()]).to.deep.equal(['j1.0.0.0']);
+		});
+	}
 });
