Keep ended jobs for ten minutes of the leader's own clock

A step of the wall clock by more than the hour for which ended jobs are kept, before or after their end or at a new leader, removed them within ten seconds, and callers were told that there is no such job.

Class of fault: stored state judged by a clock that may jump, as with the occurrences of recurring jobs. The age of a job that orders waiting work is limited to ten minutes already.

An ended job is now removed only if the leader has also known its end for ten minutes of its monotonic clock. A leader that is replaced sooner removes none.

--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -8,6 +8,9 @@
 /** Limits the effect of a jump of the wall clock on a job's age; jobs older than this have all missed their objective. */
 const MAX_JOB_AGE_MS = 600_000;
 
+/** A leader keeps ended jobs for at least this time on its own clock, as the wall clock may jump. */
+const MIN_RETENTION_MS = 600_000;
+
 /** Largest number of jobs removed at once; they fit into one transaction. */
 const MAX_JOBS_PER_PRUNE = 90;
 
@@ -49,7 +52,7 @@
 			occurrences: [],
 			state: row.finalState ?? JOB_STATES.queued,
 			isCancelled: false,
-			...(row.finalState !== undefined && {endedAtWallMs: row.endedAtMs ?? row.acceptedAtMs}),
+			...(row.finalState !== undefined && {endedAtWallMs: row.endedAtMs ?? row.acceptedAtMs, endKnownSinceMs: this.#context.nowMs()}),
 			isEnding: false,
 			hasUnreadableRows: false,
 		};
@@ -132,8 +135,9 @@
 	/** Removes jobs whose retention period has passed from the store, and then from memory. */
 	pruneEnded(): void {
 		const untilMs = this.#context.clock.wallMs() - this.#context.limits.retainEndedMs;
+		const knownUntilMs = this.#context.nowMs() - Math.min(MIN_RETENTION_MS, this.#context.limits.retainEndedMs);
 		const ended = [...this.#context.jobs.values()]
-			.filter(job => FINAL_STATES.has(job.state) && !job.isBeingRemoved && (job.endedAtWallMs ?? untilMs) < untilMs)
+			.filter(job => FINAL_STATES.has(job.state) && !job.isBeingRemoved && (job.endedAtWallMs ?? untilMs) < untilMs && (job.endKnownSinceMs ?? knownUntilMs) < knownUntilMs)
 			.slice(0, MAX_JOBS_PER_PRUNE);
 		if (ended.length === 0) {
 			return;
@@ -208,6 +212,7 @@
 		this.#context.commits.enqueue([{table: TABLES.jobs, key: job.id, value: row}], () => {
 			job.state = state;
 			job.endedAtWallMs = row.endedAtMs!;
+			job.endKnownSinceMs = this.#context.nowMs();
 			this.#context.needsSchedulingRound = true;
 			this.#context.log('job ended', {job: job.id, state, sinceKnownMs: Math.round(this.#context.nowMs() - job.acceptedAtLeaderClockMs)});
 		});
--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -102,6 +102,8 @@
 	isCancelled: boolean;
 	/** Unix time at which it ended. */
 	endedAtWallMs?: number;
+	/** Leader's clock since which it is known to have ended. */
+	endKnownSinceMs?: number;
 	/** Its row is being removed. */
 	isBeingRemoved?: boolean;
 	/** Its final row is being stored. */
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -239,4 +239,30 @@
 			expect([...worker.runs.keys()]).to.deep.equal(['j1.0.0.0']);
 		});
 	}
+
+	const clockCases = [
+		{title: 'the wall clock is set forward after its end', wallOffsetMs: [0, 7_200_000], hasNewLeader: false},
+		{title: 'its end was recorded while the wall clock was behind', wallOffsetMs: [-7_200_000, 0], hasNewLeader: false},
+		{title: 'the wall clock of a new leader is ahead', wallOffsetMs: [0, 7_200_000], hasNewLeader: true},
+	];
+	for (const {title, wallOffsetMs: [beforeMs, afterMs], hasNewLeader} of clockCases) {
+		it(`stays known when ${title}`, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker]);
+			harness.clock.wallOffsetMs = beforeMs!;
+			harness.runCycle();
+			harness.submit('j1', 'normal', [makeStep()]);
+			harness.advance(300);
+			worker.end('j1.0.0.0', 'done');
+			harness.advance(300);
+			harness.clock.wallOffsetMs = afterMs!;
+			if (hasNewLeader) {
+				harness.replaceLeader();
+				harness.recoverLeader();
+			}
+
+			harness.advance(60_000);
+			expect(harness.core.jobView('j1')?.state).to.equal('completed');
+		});
+	}
 });
