--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -235,4 +235,51 @@
 		harness.advance(MAX_IDLE_WAIT_MS - 1500);
 		expect(isRunning(workers, 'lasting.0.0.0')).to.equal(true);
 	});
+
+	const urgentCases = [
+		{title: 'the same job', submissions: [{id: 'j1', account: 'north', taskCount: 2}]},
+		{title: 'another job of the account', submissions: [{id: 'j1', account: 'north', taskCount: 1}, {id: 'j2', account: 'north', taskCount: 1}]},
+		{title: 'a job of another account', submissions: [{id: 'j1', account: 'north', taskCount: 1}, {id: 'j2', account: 'south', taskCount: 1}]},
+	];
+	for (const {title, submissions} of urgentCases) {
+		it(`that is urgent and uses no accelerators is not stopped for ${title}`, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker]);
+			harness.runCycle();
+			for (const {id, account, taskCount} of submissions) {
+				harness.submit(id, 'urgent', [makeStep({taskCount, shape: {cpuMillis: 32_000, memoryMb: 1000, accelerators: 0}})], {account});
+				harness.advance(500);
+			}
+
+			harness.advance(1000);
+			expect(worker.started).to.deep.equal(['j1.0.0.0#1']);
+			expect([...worker.runs.keys()]).to.deep.equal(['j1.0.0.0']);
+		});
+	}
+
+	const clockCases = [
+		{title: 'the wall clock is set forward after its end', wallOffsetMs: [0, 7_200_000], hasNewLeader: false},
+		{title: 'its end was recorded while the wall clock was behind', wallOffsetMs: [-7_200_000, 0], hasNewLeader: false},
+		{title: 'the wall clock of a new leader is ahead', wallOffsetMs: [0, 7_200_000], hasNewLeader: true},
+	];
+	for (const {title, wallOffsetMs: [beforeMs, afterMs], hasNewLeader} of clockCases) {
+		it(`stays known when ${title}`, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker]);
+			harness.clock.wallOffsetMs = beforeMs!;
+			harness.runCycle();
+			harness.submit('j1', 'normal', [makeStep()]);
+			harness.advance(300);
+			worker.end('j1.0.0.0', 'done');
+			harness.advance(300);
+			harness.clock.wallOffsetMs = afterMs!;
+			if (hasNewLeader) {
+				harness.replaceLeader();
+				harness.recoverLeader();
+			}
+
+			harness.advance(60_000);
+			expect(harness.core.jobView('j1')?.state).to.equal('completed');
+		});
+	}
 });
--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -50,6 +50,11 @@
 		};
 	}
 
+	/** Time of the worker's clock. */
+	get clockMs(): number {
+		return this.#clockMs;
+	}
+
 	report(clockMs: number): AgentReport {
 		if (clockMs > this.#clockMs && !this.isStalled) {
 			for (const fakeRun of this.runs.values()) {
@@ -84,13 +89,19 @@
 	/** Loses everything that runs here, and starts again as the next incarnation under the same id. */
 	crash(): void {
 		const {id, life} = this.facts;
-		this.facts = {...this.facts, life: `${id}@${Number(life.split('@')[1]) + 1000}`};
+		this.restart({...this.facts, life: `${id}@${Number(life.split('@')[1]) + 1000}`});
+	}
+
+	/** Starts a new incarnation of the worker, which knows nothing of the earlier one. */
+	restart(facts: WorkerFacts): void {
+		this.facts = facts;
 		this.runs.clear();
-		this.#stopping.clear();
-		this.#highestEndedRuns.clear();
 		this.ended = [];
-		this.#sequence = 0;
 		this.ackSequence = 0;
+		this.leaseUntilMs = 0;
+		this.#sequence = 0;
+		this.#stopping.clear();
+		this.#highestEndedRuns.clear();
 	}
 
 	#execute(order: WorkerOrder): OrderOutcome {
@@ -129,6 +140,11 @@
 			return {kind: 'refused', reason: REFUSALS.superseded};
 		}
 
+		if (order.leaseUntilMs < this.#clockMs) {
+			return {kind: 'refused', reason: REFUSALS.late};
+		}
+
+		this.leaseUntilMs = Math.max(this.leaseUntilMs, order.leaseUntilMs);
 		if (this.runs.get(order.task)?.run !== order.run) {
 			this.runs.set(order.task, {run: order.run, checkpoint: order.checkpoint, percent: 0});
 			this.started.push(`${order.task}#${order.run}`);
