Check the worker's incarnation within the leader's timeout of an order

A start whose worker had not answered for 500 ms was preceded by a poll of up to 700 ms, and the relay itself takes up to 700 ms, so that the leader gave the order up after 1000 ms and never learnt that nothing had been relayed. The check now takes at most 250 ms.

--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -25,6 +25,9 @@
 /** The agent renews the lease itself when no leader has called for this time. */
 const LEADER_TIMEOUT_MS = 2000;
 
+/** Timeout of the check which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
+const INCARNATION_CHECK_TIMEOUT_MS = 250;
+
 /** Timeout of a store read; the store answers within milliseconds unless it is slow. */
 const STORE_TIMEOUT_MS = 1500;
 
@@ -241,13 +244,14 @@
 	}
 
 	/** Renews the lease, acknowledges ends of runs, and reads the worker's lists. */
-	async #pollWorker(waitMs: number): Promise<boolean> {
+	async #pollWorker(waitMs: number, graceMs?: number): Promise<boolean> {
 		const known = this.#knownWorker;
 		const ordersBefore = this.#orderCount;
 		const answer = await this.#deps.worker.renewLease({
 			epoch: this.#epoch,
 			ackSequence: this.#ackSequence,
 			waitMs,
+			...(graceMs !== undefined && {graceMs}),
 			...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs}),
 			...(known && {workerId: known.facts.id}),
 		});
@@ -270,7 +274,7 @@
 	/** Makes sure that a start reaches the announced incarnation of the worker and not a later one. */
 	async #findStartRefusal({facts, startedAtMs}: KnownWorker): Promise<Refusal | undefined> {
 		if (!this.#answering.isRecent(this.#deps.clock.monotonicMs()) || !this.#answering.isSame(startedAtMs)) {
-			await this.#pollWorker(0);
+			await this.#pollWorker(0, INCARNATION_CHECK_TIMEOUT_MS);
 		}
 
 		if (this.#knownWorker?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
--- a/packages/pool-entry/src/agent-link.ts
+++ b/packages/pool-entry/src/agent-link.ts
@@ -20,7 +20,7 @@
 /** Delay between calls to an agent that has been silent for long. */
 const LONG_SILENCE_RETRY_DELAY_MS = 2000;
 
-/** Exceeds the agent's own timeout of 700 ms for relaying an order to its worker. */
+/** Exceeds the agent's own timeouts: 250 ms for a check which incarnation answers, and 700 ms for relaying an order to its worker. */
 const ORDER_TIMEOUT_MS = 1000;
 
 /** Connections to one agent: one for the watch, the others for orders of a job with many tasks. */
--- a/packages/pool/src/ports.ts
+++ b/packages/pool/src/ports.ts
@@ -57,8 +57,8 @@
 	/** Sends an order to the worker; one with another id refuses it. */
 	order(order: WorkerOrder, epoch: number, workerId: string): Promise<{readonly outcome: OrderOutcome; readonly clockMs?: number}>;
 
-	/** Renews the worker's lease, acknowledges listed ends, and returns the running and ended runs. */
-	renewLease(request: {readonly epoch: number; readonly ackSequence: number; readonly leaseUntilMs?: number; readonly waitMs: number; readonly workerId?: string}): Promise<
+	/** Renews the worker's lease, acknowledges listed ends, and returns the running and ended runs within `waitMs` and `graceMs`. */
+	renewLease(request: {readonly epoch: number; readonly ackSequence: number; readonly leaseUntilMs?: number; readonly waitMs: number; readonly graceMs?: number; readonly workerId?: string}): Promise<
 		| {readonly kind: 'lists'; readonly lists: WorkerLists}
 		| {readonly kind: 'refused'; readonly reason: Refusal}
 		| {readonly kind: 'unknown'; readonly message: string}
