Give a task up only with two known starts under crashes, or after four crashes

What callers would see: a job could be shown as failed although none, or only one, of its starts was known to have been carried out, and after two crashes that had come long into its work, each shortly after a takeover.

Cause: two unanswered starts weighed as much as a known one, and a new leader took the time since its own first look for the time at work. Unanswered starts now weigh less, so that fewer than two known ones never suffice below the bound of four crashes, and runs of an earlier leader count as at work.

--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -30,6 +30,8 @@
 	unansweredStarts: number;
 	/** Leader's clock when the worker first acknowledged or listed the run. */
 	knownSinceMs?: number;
+	/** It was placed by an earlier leader, so it may have been at work for longer than this one knows. */
+	readonly isRestored: boolean;
 	/** The agent's count of orders when the worker acknowledged a stop of this run. */
 	stopAcknowledgedOrderCount?: number;
 	/** The agent's count of orders when the worker acknowledged the start. */
@@ -239,6 +241,7 @@
 		placedAtMs: nowMs,
 		// A run in a later phase was stored by an earlier leader, which may have sent its start.
 		unansweredStarts: phase === RUN_PHASES.recording ? 0 : 1,
+		isRestored: phase !== RUN_PHASES.recording,
 		nextOrderAtMs: nowMs,
 		isOrderInFlight: false,
 		percent: 0,
--- a/packages/pool/src/worker-crash.ts
+++ b/packages/pool/src/worker-crash.ts
@@ -30,7 +30,7 @@
 
 /** Weights of confirmed crashes; a task is given up at {@link GIVE_UP_WEIGHT}: after two crashes at its start, or three in its work. */
 const CRASH_WEIGHTS: Readonly<Record<CrashEvidence, number>> = {
-	atStart: 6, atSharedStart: 4, duringWork: 4, possible: 3,
+	atStart: 6, atSharedStart: 4, duringWork: 4, possible: 2,
 };
 
 /** Weight of a further crash of the same worker, which may be at fault itself. */
@@ -118,7 +118,7 @@
 		}
 
 		const workerId = workerIdOf(life);
-		weight += workerIds.has(workerId) ? REPEATED_WORKER_WEIGHT : CRASH_WEIGHTS[evidence];
+		weight += Math.min(CRASH_WEIGHTS[evidence], workerIds.has(workerId) ? REPEATED_WORKER_WEIGHT : Number.POSITIVE_INFINITY);
 		workerIds.add(workerId);
 	}
 
@@ -135,5 +135,5 @@
 		return undefined;
 	}
 
-	return workedMs < MAX_START_CRASH_MS ? CRASH_EVIDENCE.atStart : CRASH_EVIDENCE.duringWork;
+	return workedMs < MAX_START_CRASH_MS && !run.isRestored ? CRASH_EVIDENCE.atStart : CRASH_EVIDENCE.duringWork;
 }
--- a/packages/pool/tests/crashing-tasks.test.ts
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -139,7 +139,7 @@
 		const harness = new PoolHarness(workers);
 		harness.runCycle();
 		harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
-		for (let crash = 0; crash < 2; crash++) {
+		for (let crash = 0; crash < 3; crash++) {
 			harness.advance(300);
 			const worker = workers.find(candidate => candidate.runs.has('j1.0.0.0'))!;
 			worker.isUnreachable = true;
@@ -152,6 +152,7 @@
 			harness.advance(300);
 		}
 
+		expect(startsOf('j1.0.0.0', workers)).to.be.at.most(MAX_CRASHING_STARTS);
 		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.failed);
 	});
 });
@@ -172,6 +173,58 @@
 		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
 	});
 
+	it('is not given up after two crashes that come shortly after a takeover', () => {
+		const workers = createWorkers(3);
+		const harness = new PoolHarness(workers);
+		harness.runCycle();
+		harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
+		for (let crash = 0; crash < 2; crash++) {
+			harness.advance(4000);
+			harness.replaceLeader();
+			harness.recoverLeader();
+			harness.advance(500);
+			workers.find(worker => worker.runs.has('j1.0.0.0'))!.crash();
+			harness.advance(300);
+		}
+
+		expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
+	});
+
+	const unansweredCases = [
+		{title: 'one known start and two unanswered ones', knownCrashes: 1, unansweredCrashes: 2},
+		{title: 'three unanswered starts', knownCrashes: 0, unansweredCrashes: 3},
+	];
+	for (const {title, knownCrashes, unansweredCrashes} of unansweredCases) {
+		it(`is not given up after crashes with ${title}`, () => {
+			const workers = createWorkers(6);
+			const harness = new PoolHarness(workers);
+			harness.runCycle();
+			harness.submit('j1', 'normal', [makeStep({estimatedMs: 60_000})]);
+			for (let crash = 0; crash < knownCrashes; crash++) {
+				harness.advance(300);
+				workers.find(worker => worker.runs.has('j1.0.0.0'))!.crash();
+			}
+
+			for (let crash = 0; crash < unansweredCrashes; crash++) {
+				for (const worker of workers) {
+					worker.areOrdersLost = true;
+				}
+
+				harness.advance(300);
+				workers.find(worker => worker.facts.life === (harness.events('task placed').at(-1)!.workers as readonly string[])[0])!.crash();
+				harness.runCycle();
+			}
+
+			for (const worker of workers) {
+				worker.areOrdersLost = false;
+			}
+
+			harness.advance(3000);
+			expect(harness.events('worker crashed')).to.have.length(knownCrashes + unansweredCrashes);
+			expect(stateOf(harness, 'j1')).to.equal(JOB_STATES.running);
+		});
+	}
+
 	it('that crash beside a crashing task is blamed for none of its crashes', () => {
 		const workers = createWorkers(4);
 		const harness = new PoolHarness(workers);
