Keep reservations of units that have waited for 10 s

Small jobs that had waited for 2 s in a half idle service used the capacity reserved for the gang.

Cause: the bound on waits for reserved capacity had no counterpart for the unit that the capacity is reserved for. Class of fault: a remedy for the wait of one that starves the other. A unit's reservations become firm once it has waited for 10 s; lasting tasks still pass them, as they have no better time to run.

Ruled out: taking the bound back (jobs would wait for more than 3 s beside idle capacity again).

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -47,7 +47,15 @@
 	readonly reservations: Reservation[];
 };
 
-type Reservation = {readonly shape: TaskShape; readonly fromMs: number};
+type Reservation = {
+	readonly shape: TaskShape;
+	readonly fromMs: number;
+	/** Units that have waited long in an idle service may not use it either. */
+	readonly isFirm: boolean;
+};
+
+/** A unit that has waited for this long no longer leaves its reservations to others, so that small jobs do not starve wide ones. */
+const FIRM_RESERVATION_WAIT_MS = 10_000;
 
 /** Waiting units per service that get workers reserved; more would leave too much capacity unused. */
 const MAX_RESERVED_UNITS_PER_SERVICE = 2;
@@ -106,7 +114,7 @@
 			const serviceWorkers = this.#listOffered(unit, presentWorkers, isOverdue);
 			const request = this.#requestFor(unit, isOverdue, nowMs);
 			const mayUseAll = isOverdue && (unit.step.spec.isLasting || this.#idleServices.idleMsOf(unit.service, nowMs) >= MAX_IDLE_POOL_WAIT_MS);
-			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => mayUseAll ? roundWorker.free : freeCapacityFor(roundWorker, unit, nowMs));
+			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => freeCapacityFor(roundWorker, unit, {nowMs, mayUseAll}));
 			const incarnations = mayUseAll || this.#leavesHeadroom(unit, serviceWorkers, nowMs) ? placeUnit(request, candidates) : undefined;
 			if (incarnations) {
 				allocate(workers, incarnations, unit.step.spec.shape);
@@ -133,7 +141,9 @@
 		}
 
 		for (const incarnation of start.incarnations) {
-			workers.find(roundWorker => roundWorker.worker.incarnation === incarnation)!.reservations.push({shape: unit.step.spec.shape, fromMs: start.atMs});
+			workers.find(roundWorker => roundWorker.worker.incarnation === incarnation)!.reservations.push({
+				shape: unit.step.spec.shape, fromMs: start.atMs, isFirm: nowMs - unit.waitingSinceMs >= FIRM_RESERVATION_WAIT_MS,
+			});
 		}
 
 		return true;
@@ -347,15 +357,16 @@
 }
 
 /** Free capacity for a unit; reservations are subtracted if the unit would still run when they begin. */
-function freeCapacityFor(roundWorker: RoundWorker, unit: PendingUnit, nowMs: number): TaskShape {
-	if (unit.priority === URGENT_PRIORITY) {
+function freeCapacityFor(roundWorker: RoundWorker, unit: PendingUnit, {nowMs, mayUseAll}: {readonly nowMs: number; readonly mayUseAll: boolean}): TaskShape {
+	const {isLasting, estimatedMs} = unit.step.spec;
+	if (unit.priority === URGENT_PRIORITY || (mayUseAll && isLasting)) {
 		return roundWorker.free;
 	}
 
-	const endMs = nowMs + unit.step.spec.estimatedMs;
+	const endMs = nowMs + estimatedMs;
 	let {free} = roundWorker;
 	for (const reservation of roundWorker.reservations) {
-		if (endMs > reservation.fromMs) {
+		if (endMs > reservation.fromMs && (reservation.isFirm || !mayUseAll)) {
 			free = subtractShapes(free, reservation.shape);
 		}
 	}
