Keep the last attempt off risky workers on which the task has failed

What callers would see: a job failed for good after 2 to 4 s although a sound worker was only busy: after two workers that fail everything had failed it, its last attempt went to one of them again, once it had waited for 2 s in a half idle service (attempts 3 and 4; before the bound on that wait the job waited for the sound worker).

Cause: the bound on the wait of a last attempt allowed every unreliable worker, also those that had just shown that they fail this task.

Evidence: found by the review; the two new cases of lost-work.test.ts fail on the code before and pass now.

--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -28,6 +28,8 @@
 	readonly mayBeRemote: boolean;
 	/** Whether it may run on workers that are too risky although it would fit onto others when they are empty. */
 	readonly mayBeRisky: boolean;
+	/** Whether a failure would end the job; then a risky worker on which one of the tasks has failed is no choice. */
+	readonly isLastAttempt: boolean;
 	/** Rack on which other tasks of the step run, if the step prefers one rack. */
 	readonly stepRack?: string;
 };
@@ -95,7 +97,7 @@
 	}
 
 	if (request.mayBeRisky && allowed.length < eligible.length) {
-		groups.push(eligible);
+		groups.push(eligible.filter(worker => !(request.isLastAttempt && worker.isTooRisky && worker.hasFailedHere)));
 	}
 
 	return groups;
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -301,6 +301,7 @@
 			count: unit.tasks.length,
 			mayBeRemote: isOverdue || waitedMs >= maxWaitMs,
 			mayBeRisky: isOverdue,
+			isLastAttempt: this.#isOnLastAttempt(unit),
 			...(runningWorker && {stepRack: rackOf(runningWorker.facts)}),
 		};
 	}
--- a/packages/pool/tests/lost-work.test.ts
+++ b/packages/pool/tests/lost-work.test.ts
@@ -158,6 +158,29 @@
 		expect(isRunning(workers, 'good.0.0.0')).to.equal(true);
 	});
 
+	for (const maxAttempts of [3, 4]) {
+		it(`with ${maxAttempts} attempts does not use up its last one on workers that failed it while a sound worker is busy`, () => {
+			const workers = ['w0', 'w1', 'w2'].map(name => new FakeWorker(name));
+			const harness = new PoolHarness(workers);
+			harness.configure({...TEST_CONFIG, queues: TEST_CONFIG.queues.map(queue => ({...queue, maxAttempts}))});
+			harness.runCycle();
+			harness.submit('long', 'normal', [makeStep({shape: WHOLE_WORKER, estimatedMs: 10_000})]);
+			harness.advance(200);
+			const sound = workers.find(worker => worker.runs.has('long.0.0.0'))!;
+			harness.submit('good', 'normal', [makeStep({estimatedMs: 3000})]);
+			for (let passedMs = 0; passedMs < 10_000; passedMs += 100) {
+				harness.advance(100);
+				for (const worker of workers.filter(candidate => candidate !== sound && candidate.runs.has('good.0.0.0'))) {
+					worker.end('good.0.0.0', 'failed');
+				}
+			}
+
+			sound.end('long.0.0.0', 'done');
+			harness.advance(300);
+			expect(isRunning([sound], 'good.0.0.0')).to.equal(true);
+		});
+	}
+
 	it('is not kept off capacity reserved for a gang that lasting tasks keep from starting', () => {
 		const workers = ['x', 'x', 'a', 'a', 'a', 'a'].map((kind, index) => new FakeWorker(`w${index}`, {labels: [kind, 'r1']}));
 		const harness = new PoolHarness(workers);
