Handle signals from the start of a program until its exit

Callers saw: a second SIGTERM reset the connections of requests that the entry had read; an entry or agent that got SIGHUP while it started was gone.

Cause: SIGTERM was handled once, and both handlers were installed after the servers listened, so the default action of the signal ended the process.

Ruled out: the stop itself; with one SIGTERM the same request is answered.

Before Node.js runs the program, SIGHUP still ends it.

--- a/packages/pool-agent/src/bin.ts
+++ b/packages/pool-agent/src/bin.ts
@@ -1,7 +1,9 @@
 #!/usr/bin/env -S node --max-semi-space-size=1
 import process from 'node:process';
 import {readNodeSettings} from '@amaranthsail/platform-adapter';
-import {ErrorGuard, ProcessLog, ProcessMetrics} from '@amaranthsail/pool-runtime';
+import {
+	ErrorGuard, ProcessLog, ProcessMetrics, runProgram,
+} from '@amaranthsail/pool-runtime';
 import {runPoolAgent} from './pool-agent-program.js';
 
 const settings = readNodeSettings();
@@ -13,15 +15,8 @@
 	process.exit(2);
 }
 
-logger.info('starting', {ip: settings.ip, failureDomain: settings.failureDomain});
-const agent = await runPoolAgent(settings, logger, metrics);
-process.once('SIGTERM', () => {
-	logger.info('stopping', {signal: 'SIGTERM'});
-	void (async () => {
-		await agent.stop();
-		process.exit(0);
-	})();
-});
-process.on('SIGHUP', () => {
-	logger.info('reload', {changed: 'nothing; addresses are read at start'});
+await runProgram(logger, async () => {
+	logger.info('starting', {ip: settings.ip, failureDomain: settings.failureDomain});
+	return runPoolAgent(settings, logger, metrics);
 });
+process.exit(0);
--- a/packages/pool-entry/src/bin.ts
+++ b/packages/pool-entry/src/bin.ts
@@ -1,7 +1,9 @@
 #!/usr/bin/env -S node --max-semi-space-size=1
 import process from 'node:process';
 import {readNodeSettings} from '@amaranthsail/platform-adapter';
-import {ErrorGuard, ProcessLog, ProcessMetrics} from '@amaranthsail/pool-runtime';
+import {
+	ErrorGuard, ProcessLog, ProcessMetrics, runProgram,
+} from '@amaranthsail/pool-runtime';
 import {PoolEntryProgram} from './pool-entry-program.js';
 
 const settings = readNodeSettings();
@@ -13,16 +15,10 @@
 	process.exit(2);
 }
 
-logger.info('starting', {ip: settings.ip, failureDomain: settings.failureDomain});
-const entry = new PoolEntryProgram(settings, logger, metrics);
-await entry.start();
-process.once('SIGTERM', () => {
-	logger.info('stopping', {signal: 'SIGTERM'});
-	void (async () => {
-		await entry.stop();
-		process.exit(0);
-	})();
-});
-process.on('SIGHUP', () => {
-	logger.info('reload', {changed: 'nothing; addresses are read at start'});
+await runProgram(logger, async () => {
+	logger.info('starting', {ip: settings.ip, failureDomain: settings.failureDomain});
+	const entry = new PoolEntryProgram(settings, logger, metrics);
+	await entry.start();
+	return entry;
 });
+process.exit(0);
