Answer all requests of a connection before a stopping entry closes it

Callers saw: while an entry was stopping, a connection ended after the first of several requests that had been sent on it before the first answer.

Cause: every answer announced the end of its connection, and Node.js then ends it although it has read further requests.

Ruled out: the drain delay; the connection ended with the first answer.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -45,8 +45,6 @@
 	readonly isConfigUsable: () => boolean;
 	/** Number of jobs of a queue that have not started; undefined when no leader has reported recently. */
 	readonly pendingCount: (queue: string) => number | undefined;
-	/** Whether the process is shutting down. */
-	readonly isStopping: () => boolean;
 };
 
 type CallerRequest = CallerHeaders & {readonly method: string; readonly path: string; readonly body: string | undefined};
@@ -76,7 +74,6 @@
 		const tookMs = this.#deps.clock.monotonicMs() - startedAtMs;
 		sendJson(response, answer, {
 			...((answer.status === 503 || answer.status === 429) && {'retry-after': RETRY_AFTER_S}),
-			...(this.#deps.isStopping() && {connection: 'close'}),
 		});
 		const {known} = this.#deps.config;
 		this.#deps.logger.info('request answered', {
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer} from 'node:http';
 import {
 	asFields, JsonClient, type Logger, SystemClock,
 } from '@amaranthsail/core';
@@ -8,7 +8,7 @@
 import {DEFAULT_LIMITS, leaseMsWithin, type PoolLimits} from '@amaranthsail/pool';
 import {ANNOUNCE_PATH, type AnnounceRequest, decodeAnnounceRequest} from '@amaranthsail/pool-agent';
 import {
-	answerSafely, decoded, ErrorGuard, listen, type ProcessMetrics, type RouteAnswer, type RouteHandler, serveJson, sleep,
+	answerSafely, decoded, ErrorGuard, GracefulServer, listen, type ProcessMetrics, type RouteAnswer, type RouteHandler, serveJson, sleep,
 } from '@amaranthsail/pool-runtime';
 import {CallerApi} from './caller-api.js';
 import type {Leadership} from './commit-loop.js';
@@ -50,7 +50,7 @@
 	readonly #address: string;
 	readonly #limits: PoolLimits;
 	readonly #entries: EntryDirectory;
-	readonly #servers: Server[] = [];
+	readonly #servers: GracefulServer[] = [];
 	#leader: PoolLeader | undefined;
 	#pending: {readonly counts: Readonly<Record<string, number>>; readonly atMs: number} | undefined;
 	#isStopping = false;
@@ -113,7 +113,6 @@
 			jobs: this.#jobs,
 			isConfigUsable: () => this.#isConfigUsable(),
 			pendingCount: queue => this.#pendingCount(queue),
-			isStopping: () => this.#isStopping,
 		});
 	}
 
@@ -121,20 +120,20 @@
 	async start(): Promise<void> {
 		const {callerAddress, readinessAddress, ip, metricsPort} = this.#settings;
 		this.#servers.push(
-			await serveJson(this.#address, this.#routes(), (path, error) => {
+			new GracefulServer(await serveJson(this.#address, this.#routes(), (path, error) => {
 				this.#guard.record('peer request', error, {path});
-			}),
-			await this.#metrics.serve(`${ip}:${metricsPort}`),
-			await listen(createServer((message, response) => {
+			})),
+			new GracefulServer(await this.#metrics.serve(`${ip}:${metricsPort}`)),
+			new GracefulServer(await listen(createServer((message, response) => {
 				const isReady = message.url === READINESS_PATH && this.#isReady();
 				response.writeHead(isReady ? 200 : 503);
 				response.end();
-			}), readinessAddress!),
-			await listen(createServer((message, response) => {
+			}), readinessAddress!)),
+			new GracefulServer(await listen(createServer((message, response) => {
 				void answerSafely(message, response, async () => this.#callerApi.serve(message, response), (path, error) => {
 					this.#guard.record('caller request', error, {path});
 				});
-			}), callerAddress!),
+			}), callerAddress!)),
 		);
 		void this.#guard.supervise('configuration', async () => this.#config.run());
 		void this.#guard.supervise('leader follower', async () => this.#follower.run());
@@ -144,11 +143,12 @@
 	async stop(): Promise<void> {
 		this.#isStopping = true;
 		this.#follower.stop();
+		for (const server of this.#servers) {
+			server.drain();
+		}
+
 		await Promise.all([this.#leader?.resign(), sleep(DRAIN_DELAY_MS)]);
-		const closed = this.#servers.map(async server => new Promise(resolve => {
-			server.close(resolve);
-			server.closeIdleConnections();
-		}));
+		const closed = this.#servers.map(async server => server.close());
 		await Promise.race([Promise.all(closed), sleep(this.#settings.bounds.shutdownGraceMs - DRAIN_DELAY_MS - CONFIG_MARGIN_MS)]);
 		this.#logger.info('stopped', {});
 	}
--- a/packages/pool-runtime/src/index.ts
+++ b/packages/pool-runtime/src/index.ts
@@ -4,3 +4,4 @@
 export * from './sleep.js';
 export * from './error-guard.js';
 export * from './run-program.js';
+export * from './graceful-server.js';
