Answer the requests in progress before a stopping entry exits

Callers saw: a request whose deadline is after the grace time ended without an answer when the entry exited.

Cause: the entry waited for such requests until shortly before the end of the grace time and then exited. It now answers them 1 s before that end with the status of an unknown outcome, and a GET with 503.

Ruled out: SIGKILL; the entry had exited by itself 5.7 s after SIGTERM.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -54,6 +54,8 @@
 /** HTTP API for callers: submits, cancels and reads jobs. */
 export class CallerApi {
 	readonly #deps: CallerApiDependencies;
+	readonly #unansweredRequests = new Set<() => void>();
+	#isEnded = false;
 
 	/** @param deps - Dependencies. */
 	constructor(deps: CallerApiDependencies) {
@@ -70,7 +72,7 @@
 		const startedAtMs = this.#deps.clock.monotonicMs();
 		const body = await readBody(message, MAX_BODY_BYTES);
 		const request: CallerRequest = {...decodeCallerHeaders(message.headers), method: message.method ?? '', path: (message.url ?? '').split('?')[0]!, body};
-		const answer = await this.#answer(request);
+		const answer = await this.#answerBeforeEnd(request);
 		const tookMs = this.#deps.clock.monotonicMs() - startedAtMs;
 		sendJson(response, answer, {
 			...((answer.status === 503 || answer.status === 429) && {'retry-after': RETRY_AFTER_S}),
@@ -82,6 +84,34 @@
 		this.#deps.metrics.observe('request', tookMs, {method: request.method, status: String(answer.status)});
 	}
 
+	/** Answers all requests in progress, and those that arrive later, at once: their outcome is unknown to the caller. */
+	end(): void {
+		this.#isEnded = true;
+		for (const answer of this.#unansweredRequests) {
+			answer();
+		}
+	}
+
+	async #answerBeforeEnd(request: CallerRequest): Promise<RouteAnswer> {
+		const unfinished: RouteAnswer = request.method === 'GET' ? {status: 503, body: {problem: 'this entry is stopping'}} : toAnswer({kind: 'unknown'});
+		if (this.#isEnded) {
+			return unfinished;
+		}
+
+		let end = (): void => undefined;
+		const ended = new Promise<RouteAnswer>(resolve => {
+			end = () => {
+				resolve(unfinished);
+			};
+		});
+		this.#unansweredRequests.add(end);
+		try {
+			return await Promise.race([this.#answer(request), ended]);
+		} finally {
+			this.#unansweredRequests.delete(end);
+		}
+	}
+
 	async #answer(request: CallerRequest): Promise<RouteAnswer> {
 		const endMs = this.#deps.clock.monotonicMs() + Math.max(ANSWER_MARGIN_MS, (request.deadlineMs ?? DEFAULT_DEADLINE_MS) - ANSWER_MARGIN_MS);
 		for (let check = 0; check < MAX_CONFIG_CHECKS; check++) {
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -33,6 +33,12 @@
 /** New connections may still arrive after SIGTERM until two readiness checks of the platform have failed. */
 const DRAIN_DELAY_MS = 2500;
 
+/** Time before the end of the grace time at which requests that are still in progress are answered. */
+const END_MARGIN_MS = 1000;
+
+/** Longest time for sending these answers; the rest of the margin is for the exit of a process that is short of processor time. */
+const LAST_ANSWERS_TIMEOUT_MS = 300;
+
 const PEER_TIMEOUT_MS = 500;
 
 /** An entry process: the callers' API, the API for peers and agents, and the leader while this process leads. */
@@ -139,8 +145,9 @@
 		void this.#guard.supervise('leader follower', async () => this.#follower.run());
 	}
 
-	/** Resigns leadership and lets open requests finish; the process may exit afterwards. */
+	/** Resigns leadership and answers all requests within the grace time; the process may exit afterwards. */
 	async stop(): Promise<void> {
+		const endMs = this.#clock.monotonicMs() + this.#settings.bounds.shutdownGraceMs - END_MARGIN_MS;
 		this.#isStopping = true;
 		this.#follower.stop();
 		for (const server of this.#servers) {
@@ -149,7 +156,10 @@
 
 		await Promise.all([this.#leader?.resign(), sleep(DRAIN_DELAY_MS)]);
 		const closed = this.#servers.map(async server => server.close());
-		await Promise.race([Promise.all(closed), sleep(this.#settings.bounds.shutdownGraceMs - DRAIN_DELAY_MS - CONFIG_MARGIN_MS)]);
+		const allClosed = Promise.all(closed);
+		await Promise.race([allClosed, sleep(endMs - this.#clock.monotonicMs())]);
+		this.#callerApi.end();
+		await Promise.race([allClosed, sleep(LAST_ANSWERS_TIMEOUT_MS)]);
 		this.#logger.info('stopped', {});
 	}
 
