Stop an agent within the grace time

Operators saw: agents were still there at the end of the grace time after SIGTERM and were killed.

Cause: a stopping agent waited for its announcement, which calls the store and then one entry after another, 0.8 s each, and for calls in progress to the worker and the store, without a limit. It now does not wait for the announcement, answers the requests that it has read, and waits for the rest until 1 s before the end of the grace time.

Ruled out: the poll of the worker alone, with a limit of 1.7 s.

--- a/packages/pool-agent/src/pool-agent-program.ts
+++ b/packages/pool-agent/src/pool-agent-program.ts
@@ -11,7 +11,7 @@
 	decodeLeaderRow, leaseMsWithin, LEADER_KEY, type PoolStore, TABLES,
 } from '@amaranthsail/pool';
 import {
-	answerSafely, decoded, ErrorGuard, listen, type ProcessMetrics, readBody, type RouteHandler, sendJson, serveJson, sleep,
+	answerSafely, decoded, ErrorGuard, GracefulServer, listen, type ProcessMetrics, readBody, type RouteHandler, sendJson, serveJson, sleep,
 } from '@amaranthsail/pool-runtime';
 import {decodeOrderRequest, decodeWatchRequest} from './agent-message-decoding.js';
 import {PoolAgentCore} from './pool-agent-core.js';
@@ -30,9 +30,12 @@
 /** An entry answers an announcement at once. */
 const ANNOUNCE_TIMEOUT_MS = 800;
 
+/** Time before the end of the grace time at which the agent exits even if the worker or the store has not answered. */
+const STOP_MARGIN_MS = 1000;
+
 /** A running agent. */
 export type RunningPoolAgent = {
-	/** Stops serving; runs on the worker continue until its lease expires. */
+	/** Answers the requests in progress and stops serving, within the grace time; runs on the worker continue until its lease expires. */
 	stop(): Promise<void>;
 };
 
@@ -64,15 +67,15 @@
 			return {status: 200, body: await core.onOrder(request)};
 		}),
 	};
-	const servers: Server[] = [
-		await serveJson(address, routes, (path, error) => {
+	const servers: readonly GracefulServer[] = [
+		new GracefulServer(await serveJson(address, routes, (path, error) => {
 			guard.record('leader request', error, {path});
-		}),
-		await listen(createControlServer(core, guard, logger, metrics), settings.controlAddress!),
-		await metrics.serve(`${settings.ip}:${settings.metricsPort}`),
+		})),
+		new GracefulServer(await listen(createControlServer(core, guard, logger, metrics), settings.controlAddress!)),
+		new GracefulServer(await metrics.serve(`${settings.ip}:${settings.metricsPort}`)),
 	];
 	const stopping = new AbortController();
-	const announcing = guard.supervise('announcing', async () => {
+	void guard.supervise('announcing', async () => {
 		await registerMember(store, settings.name, address, logger);
 		while (!stopping.signal.aborted) {
 			if (core.leaderSilentMs > ANNOUNCE_AFTER_SILENCE_MS) {
@@ -87,12 +90,8 @@
 		async stop() {
 			stopping.abort();
 			core.stop();
-			for (const server of servers) {
-				server.close();
-				server.closeIdleConnections();
-			}
-
-			await Promise.all([announcing, polling]);
+			const closed = servers.map(async server => server.close());
+			await Promise.race([Promise.all([...closed, polling]), sleep(settings.bounds.shutdownGraceMs - STOP_MARGIN_MS)]);
 		},
 	};
 }
