--- a/packages/pool-runtime/src/index.ts
+++ b/packages/pool-runtime/src/index.ts
@@ -3,3 +3,5 @@
 export * from './metrics.js';
 export * from './sleep.js';
 export * from './error-guard.js';
+export * from './run-program.js';
+export * from './graceful-server.js';
--- a/packages/pool/tests/support/pool-harness.ts
+++ b/packages/pool/tests/support/pool-harness.ts
@@ -108,7 +108,7 @@
 			this.commit();
 			for (const outgoing of this.core.takeOrders()) {
 				const worker = this.workers.find(candidate => candidate.facts.life === outgoing.incarnation);
-				const isLost = worker?.isUnreachable || worker?.areOrdersLost;
+				const isLost = worker !== undefined && (worker.isUnreachable || worker.areOrdersLost);
 				if (worker && isLost) {
 					this.onLostOrder?.(worker, outgoing.order);
 				}
