Give a task under which two workers have crashed a worker for itself

When a worker came back, all tasks that were waiting were placed there together; a crashing one among them ended it at its start, and the starts of the others, in flight at that moment, counted as possible causes.

Cause: keeping suspected tasks apart was a preference of the placement only, and in a pool with several workers down no other place was left. A task under which two workers have crashed now waits up to 1.5 s for a worker without other work, and other work waits as long for a worker without such a task; urgent work waits only if a worker has crashed under it. And a task with fewer than two known starts is given up only after five crashes, still within two more starts after the third.

Ruled out: not counting unanswered starts at all (a task that crashes its worker before the answer would never be given up), and counting them only if no known start shares the crash (the known one may be the neighbour).

Evidence: the two new cases of crashing-tasks.test.ts fail on the code before. All 141 tests of the pool pass.

--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -34,6 +34,9 @@
 /** Stays below 3 s, which a job must not wait while half of the pool is idle, and a lasting task must never wait. */
 const MAX_IDLE_POOL_WAIT_MS = 2000;
 
+/** Longest wait for a worker without a task that has crashed others, or of such a task for a worker of its own; urgent work waits only for the latter. */
+const MAX_CRASH_SEPARATION_WAIT_MS = 1500;
+
 /** A present worker and its capacity during one round. */
 type RoundWorker = {
 	readonly worker: TrackedWorker;
@@ -249,7 +252,11 @@
 	/** A unit that has waited for long in an idle service may try a quarantined worker, but not with its last attempt. */
 	#listOffered(unit: PendingUnit, workers: readonly RoundWorker[], isOverdue: boolean): readonly RoundWorker[] {
 		const mayUseQuarantined = isOverdue && !this.#isOnLastAttempt(unit);
-		return workers.filter(roundWorker => roundWorker.isUsable || (mayUseQuarantined && roundWorker.isQuarantined));
+		const nowMs = this.#context.nowMs();
+		const hasCrashes = unit.tasks.some(task => task.crashes.length > 0);
+		const isKeptApart = this.#context.crashSuspects.size > 0 && nowMs - unit.waitingSinceMs < MAX_CRASH_SEPARATION_WAIT_MS && (hasCrashes || unit.priority !== URGENT_PRIORITY);
+		return workers.filter(({worker, isUsable, isQuarantined}) => (isUsable || (mayUseQuarantined && isQuarantined))
+			&& (!isKeptApart || this.#crashExposure.mayShare(unit.tasks, worker, nowMs)));
 	}
 
 	#listCandidates(unit: PendingUnit, workers: readonly RoundWorker[], freeOf: (roundWorker: RoundWorker) => TaskShape): readonly CandidateWorker[] {
--- a/packages/pool/src/worker-crash.ts
+++ b/packages/pool/src/worker-crash.ts
@@ -38,7 +38,10 @@
 
 const GIVE_UP_WEIGHT = 12;
 
-/** A task is given up after this many confirmed crashes, explained or not: the task given up for them may have been another victim. */
+/**
+ * A task is given up after this many confirmed crashes, explained or not: the task given up for them may have been another
+ * victim. One more if fewer than two of its starts are known.
+ */
 const MAX_CRASHES = 4;
 
 /** A run that its worker is known to have had for less than this time crashed it at its start; lists are up to 1.8 s old. */
@@ -100,7 +103,9 @@
  * @returns Whether the confirmed crashes suffice.
  */
 export function isCrashingTask(crashes: readonly WorkerCrash[]): boolean {
-	return crashWeightOf(crashes) >= GIVE_UP_WEIGHT || crashes.filter(crash => crash.isConfirmed).length >= MAX_CRASHES;
+	const confirmed = crashes.filter(crash => crash.isConfirmed);
+	const knownStarts = confirmed.filter(crash => crash.evidence !== CRASH_EVIDENCE.possible).length;
+	return crashWeightOf(crashes) >= GIVE_UP_WEIGHT || confirmed.length >= (knownStarts < 2 ? MAX_CRASHES + 1 : MAX_CRASHES);
 }
 
 /**
--- a/packages/pool/tests/crashing-tasks.test.ts
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -376,4 +376,30 @@
 		harness.advance(500);
 		expect(workers.some(worker => worker.runs.has('bad.0.0.0'))).to.equal(true);
 	});
+
+	const separationCases = [
+		{title: 'has a worker for itself for a while after two crashes', queue: 'normal', first: 'bad.0.0.0', second: 'next.0.0.0'},
+		{title: 'waits for a worker of its own for a while after two crashes', queue: 'urgent', first: 'next.0.0.0', second: 'bad.0.0.0'},
+	];
+	for (const {title, queue, first, second} of separationCases) {
+		it(title, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker]);
+			harness.runCycle();
+			harness.submit('bad', 'normal', [makeStep({estimatedMs: 60_000})]);
+			for (let crash = 0; crash < 2; crash++) {
+				harness.advance(4000);
+				worker.crash();
+				if (crash === 1) {
+					harness.submit('next', queue, [makeStep({estimatedMs: 60_000})]);
+				}
+
+				harness.advance(300);
+			}
+
+			expect([...worker.runs.keys()]).to.deep.equal([first]);
+			harness.advance(1500);
+			expect([...worker.runs.keys()]).to.deep.equal([first, second]);
+		});
+	}
 });
