--- a/packages/pool/src/crash-ledger.ts
+++ b/packages/pool/src/crash-ledger.ts
@@ -1,4 +1,4 @@
-import {type Job, type Task} from './job-model.js';
+import type {Job, Task} from './job-model.js';
 import type {PoolContext} from './pool-context.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import type {TrackedWorker} from './tracked-worker.js';
@@ -6,7 +6,7 @@
 	crashWeightOf, isCrashingTask, listCrashEvidence, type WorkerCrash,
 } from './worker-crash.js';
 
-/** Bounds the row of a task that loses one worker after another for other causes; four confirmed crashes end it. */
+/** Bounds the row of a task that loses one worker after another without a crash; more than any task has confirmed crashes. */
 const MAX_STORED_CRASHES = 8;
 
 /**
