--- a/packages/pool/src/worker-crash.ts
+++ b/packages/pool/src/worker-crash.ts
@@ -39,8 +39,8 @@
 const GIVE_UP_WEIGHT = 12;
 
 /**
- * A task is given up after this many confirmed crashes, one more if fewer than two of its starts are known. Explained ones
- * count if it is known to have started there, as the task given up for them may have been another victim.
+ * A task is given up after this many confirmed crashes, explained or not: the task given up for them may have been another
+ * victim. One more if fewer than two of its starts are known.
  */
 const MAX_CRASHES = 4;
 
@@ -103,9 +103,9 @@
  * @returns Whether the confirmed crashes suffice.
  */
 export function isCrashingTask(crashes: readonly WorkerCrash[]): boolean {
-	const knownStarts = crashes.filter(crash => crash.isConfirmed && crash.evidence !== CRASH_EVIDENCE.possible).length;
-	const possibleStarts = crashes.filter(crash => crash.isConfirmed && crash.evidence === CRASH_EVIDENCE.possible && !crash.isExplained).length;
-	return crashWeightOf(crashes) >= GIVE_UP_WEIGHT || knownStarts + possibleStarts >= (knownStarts < 2 ? MAX_CRASHES + 1 : MAX_CRASHES);
+	const confirmed = crashes.filter(crash => crash.isConfirmed);
+	const knownStarts = confirmed.filter(crash => crash.evidence !== CRASH_EVIDENCE.possible).length;
+	return crashWeightOf(crashes) >= GIVE_UP_WEIGHT || confirmed.length >= (knownStarts < 2 ? MAX_CRASHES + 1 : MAX_CRASHES);
 }
 
 /**
--- a/packages/pool/tests/worker-crash-evidence.test.ts
+++ b/packages/pool/tests/worker-crash-evidence.test.ts
@@ -23,7 +23,8 @@
 		{title: 'two losses without a crash', unconfirmed: ['atStart', 'atStart'], isCrashing: false},
 		{title: 'three crashes that another task explains', explained: ['atStart', 'atStart', 'atStart'], isCrashing: false},
 		{title: 'four crashes that another task explains', explained: ['atStart', 'atStart', 'atStart', 'atStart'], isCrashing: true},
-		{title: 'unanswered starts whose crashes another task explains', confirmed: ['atSharedStart'], explained: ['possible', 'possible', 'possible', 'possible'], isCrashing: false},
+		{title: 'a known start and three unanswered ones whose crashes another task explains', confirmed: ['atSharedStart'], explained: ['possible', 'possible', 'possible'], isCrashing: false},
+		{title: 'a known start and four unanswered ones whose crashes another task explains', confirmed: ['atSharedStart'], explained: ['possible', 'possible', 'possible', 'possible'], isCrashing: true},
 	];
 	for (const {title, confirmed = [], explained = [], unconfirmed = [], isCrashing} of cases) {
 		it(`is ${isCrashing ? 'yes' : 'no'} after ${title}`, () => {
