Answer requests that have arrived when an entry of the records deployment closes

An entry that gets little processor time closes its idle connections before it reads what has arrived on them, so the request is lost with the connection. The pool programs already close through GracefulServer, which reads first; the server of the records deployment now does too.

--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {err, ok, type Address, type Logger, type Result} from '@amaranthsail/core';
+import {GracefulServer} from '@amaranthsail/pool-runtime';
 import polka, {type Polka, type Request} from 'polka';
 import {apiError, statusOf, type ApiError} from './api-error.js';
 import type {Authenticator, Identity, Role} from './authenticator.js';
@@ -48,8 +49,8 @@
 export class HttpServer {
 	readonly server: Server;
 	readonly #options: HttpServerOptions;
+	readonly #connections: GracefulServer;
 	#openRequests = 0;
-	#isClosing = false;
 
 	/**
 	 * @param options - Dependencies and routes.
@@ -58,6 +59,7 @@
 		this.#options = options;
 		this.server = createServer();
 		this.server.requestTimeout = REQUEST_TIMEOUT_MS;
+		this.#connections = new GracefulServer(this.server);
 		const app = polka({
 			server: this.server,
 			onNoMatch(_request, response) {
@@ -98,23 +100,17 @@
 	}
 
 	/**
-	 * Stops listening and waits until open requests are answered. Each connection is closed after its response: one that
-	 * stayed open would delay the close, and its next request could be aborted at the timeout.
+	 * Stops listening and waits until open requests are answered, also those that have arrived and are not read yet. Each
+	 * connection is closed after its response: one that stayed open would delay the close, and its next request could be
+	 * aborted at the timeout.
 	 *
 	 * @param timeoutMs - Longest wait, in milliseconds, after which the remaining connections are closed.
 	 */
 	async close(timeoutMs: number): Promise<void> {
-		this.#isClosing = true;
-		const closed = new Promise<void>(resolve => {
-			this.server.close(() => {
-				resolve();
-			});
-		});
-		this.server.closeIdleConnections();
 		const timer = setTimeout(() => {
 			this.server.closeAllConnections();
 		}, timeoutMs);
-		await closed;
+		await this.#connections.close();
 		clearTimeout(timer);
 	}
 
@@ -123,10 +119,6 @@
 			this.#openRequests += 1;
 			try {
 				const result = await this.#handle(route, request);
-				if (this.#isClosing) {
-					response.setHeader('connection', 'close');
-				}
-
 				if (result.ok) {
 					sendJson(response, result.value.status, result.value.body);
 				} else {
