Log incarnation changes, sent acknowledgements and missing ends in the agent

Operators saw a task start again after its run had ended as done. The logs could not tell whether an acknowledgement had removed an end that nobody had read, or a start had been carried out late.

The agent now logs when lists of another incarnation arrive (both start times and the last acknowledged number), each acknowledgement with a higher number, and numbers that are missing below or between the listed ends: something has acknowledged ends that were never listed, or an end could not be read. After a restart of the agent the first listed end is the baseline, since earlier acknowledgements are unknown to it.

No behaviour changes.

--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -6,6 +6,8 @@
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
+import {IncarnationTrace} from './incarnation-trace.js';
+import {fingerprintOf, type ReceivedLists} from './received-lists.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
 const WORKER_POLL_WAIT_MS = 1000;
@@ -47,8 +49,6 @@
 	readonly sleep: (ms: number) => Promise<void>;
 };
 
-type ReceivedLists = WorkerLists & {readonly receivedAtMs: number; readonly ordersBefore: number};
-
 type KnownWorker = {readonly facts: WorkerFacts; readonly sequence: number; readonly startedAtMs: number; readonly receivedAtMs: number};
 
 /**
@@ -61,6 +61,7 @@
 	#epoch = 0;
 	#lastLeaderCallAtMs = Number.NEGATIVE_INFINITY;
 	readonly #answering = new AnsweringIncarnation();
+	readonly #trace: IncarnationTrace;
 	#knownWorker: KnownWorker | undefined;
 	#lists: ReceivedLists | undefined;
 	#listedIncarnation: string | undefined;
@@ -78,6 +79,7 @@
 	/** @param deps - Dependencies. */
 	constructor(deps: PoolAgentCoreDependencies) {
 		this.#deps = deps;
+		this.#trace = new IncarnationTrace(deps.logger);
 		this.#orderCount = Math.floor(deps.clock.monotonicMs());
 	}
 
@@ -247,6 +249,7 @@
 	async #pollWorker(waitMs: number, graceMs?: number): Promise<boolean> {
 		const known = this.#knownWorker;
 		const ordersBefore = this.#orderCount;
+		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
 		const answer = await this.#deps.worker.renewLease({
 			epoch: this.#epoch,
 			ackSequence: this.#ackSequence,
@@ -300,6 +303,7 @@
 			return;
 		}
 
+		this.#trace.onLists(this.#knownWorker?.facts.life, lists);
 		if (this.#listedIncarnation !== incarnation || (previous && previous.bornMs !== lists.bornMs)) {
 			this.#ackSequence = 0;
 			this.#leaseUntilMs = 0;
@@ -307,7 +311,7 @@
 
 		this.#lists = {...lists, receivedAtMs: this.#deps.clock.monotonicMs(), ordersBefore};
 		this.#listedIncarnation = incarnation;
-		if (!previous || fingerprint(previous) !== fingerprint(this.#lists)) {
+		if (!previous || fingerprintOf(previous) !== fingerprintOf(this.#lists)) {
 			this.#notifyWatchers();
 		}
 	}
@@ -388,8 +392,3 @@
 		]);
 	}
 }
-
-/** Changes when a run starts or ends; progress alone does not wake the waiting watches. */
-function fingerprint(lists: ReceivedLists): string {
-	return `${lists.bornMs}/${lists.ordersBefore}/${lists.running.map(run => `${run.task}#${run.run}`).join(',')}/${lists.ended.map(end => end.sequence).join(',')}`;
-}
