Acknowledge no end whose rows the store rejected

What callers see: a task that was done may be started again. An entry whose store rejects the row of an ended run drops that write and goes on; the worker is told to forget the end all the same. The next leader finds the run stored as unended and absent from the worker's lists, and places the task again.

Cause: the acknowledgement hung on an empty group of writes behind the group of the end. Groups are dropped one by one, and an empty group is always stored. The same with a gang that is wider than a transaction: its starts were sent although the first part of its placement had been dropped.

Evidence: the new tests of CommitLoop failed before: three ends, the second of which is rejected, were acknowledged up to 3 instead of 1, also when only a part of a wide gang's rows was rejected; the callback of a gang of 200 was called although its first 90 rows were dropped.

Now a callback depends on all groups that it was added with, and a dropped group keeps it from being called. Acknowledgements are cumulative, so an end that has to stay listed holds back the later ones of its worker: until it is stored, or its job is known to have ended, or another leader reads it again.

--- a/packages/pool-entry/src/commit-loop.ts
+++ b/packages/pool-entry/src/commit-loop.ts
@@ -127,6 +127,7 @@
 		const {groups} = commit;
 		if (groups.length === 1) {
 			// Sending it again would fail again, also under another leader; the affected job stays as it is stored.
+			commit.drop();
 			this.#deps.logger.error('writes dropped', {reason: 'rejected by the store', rows: commit.writes.map(write => `${write.table}/${write.key}`).slice(0, MAX_LOGGED_ROWS)});
 			this.#deps.metrics.count('dropped_commits');
 			this.#rejectedInARow++;
--- a/packages/pool-entry/tests/commit-loop.test.ts
+++ b/packages/pool-entry/tests/commit-loop.test.ts
@@ -3,7 +3,7 @@
 	err, ManualClock, silentLogger,
 } from '@amaranthsail/core';
 import {
-	type Commit, DEFAULT_LIMITS, LEADER_KEY, type LeaderRow, PoolCore, TABLES,
+	type AgentReport, type Commit, DEFAULT_LIMITS, LEADER_KEY, type LeaderRow, type ListedEnd, PoolCore, type RowWrite, TABLES,
 } from '@amaranthsail/pool';
 import {CommitQueue} from '@amaranthsail/pool/commit-queue.js';
 import {ProcessMetrics} from '@amaranthsail/pool-runtime';
@@ -14,6 +14,24 @@
 	holder: 'self/1', address: 'h:1', epoch: 1, commit: 0,
 };
 
+const SHAPE = {cpuMillis: 1000, memoryMb: 1000, accelerators: 0};
+
+const STEP = {
+	shape: SHAPE, estimatedMs: 1000, after: [], prefersOneRack: false, isCheckpointing: false, isLasting: false,
+};
+
+/** Reports of a worker that lists these ends. */
+function makeReport(ended: readonly ListedEnd[], clockMs: number): AgentReport {
+	return {
+		facts: {
+			life: 'w1@1', id: 'w1', service: 's', failureDomain: 'z', state: 'ready', capacity: {cpuMillis: 1_000_000, memoryMb: 1_000_000, accelerators: 0}, labels: [],
+		},
+		lists: {
+			clockMs, ageMs: 0, ordersBefore: 0, running: [], ended,
+		},
+	};
+}
+
 /** A core of which only the commits are used. */
 function makeCore(nextCommit: () => Commit | undefined): PoolCore {
 	const core = new PoolCore(new ManualClock(), DEFAULT_LIMITS, () => undefined);
@@ -58,6 +76,81 @@
 		});
 	}
 
+	describe('when the store rejects the rows of some ends', () => {
+		const doneRows = (write: RowWrite): boolean => write.table === TABLES.runs && (write.value as {isDone?: boolean}).isDone === true;
+		const cases: ReadonlyArray<{readonly title: string; readonly taskCount: number; readonly isRejected: (write: RowWrite) => boolean; readonly ackSequence: number}> = [
+			{title: 'acknowledges only the ends before the first of them', taskCount: 1, isRejected: write => write.key === 'b.0.0.0' && doneRows(write), ackSequence: 1},
+			{title: 'acknowledges no end whose rows are stored in part', taskCount: 200, isRejected: write => write.key === 'b.0.0.0' && doneRows(write), ackSequence: 1},
+			{title: 'acknowledges all ends when it rejects none', taskCount: 1, isRejected: () => false, ackSequence: 3},
+		];
+		for (const {title, taskCount, isRejected, ackSequence} of cases) {
+			it(title, async () => {
+				const store = new MemoryPoolStore();
+				const transact = store.transact.bind(store);
+				store.transact = async (conditions, writes) => writes.some(write => isRejected(write))
+					? err({kind: 'rejected', message: 'status 400'})
+					: transact(conditions, writes);
+				const {version} = store.put(TABLES.leader, LEADER_KEY, LEADER_ROW);
+				const clock = new ManualClock(1000);
+				const core = new PoolCore(clock, DEFAULT_LIMITS, () => undefined);
+				const loop = new CommitLoop({row: LEADER_ROW, version}, {
+					store, core, clock, logger: silentLogger, metrics: new ProcessMetrics(),
+					onLeadershipLost: () => undefined,
+					onCommit: () => undefined,
+					onConfirmed: () => undefined,
+				});
+				core.recover({jobs: [], runs: [], incarnations: []});
+				core.setConfig({
+					version: 1, accounts: [], queues: [{
+						name: 'q', host: 'h', pathPrefix: '/', service: 's', priority: 1, maxAttempts: 2, stretch: 2, targetLatencyMs: 1, isPublic: true,
+					}],
+				});
+				for (const id of ['a', 'b', 'c']) {
+					// A second step keeps the job open.
+					const gang = {...STEP, taskCount: id === 'b' ? taskCount : 1, isGang: true};
+					const next = {
+						...STEP, taskCount: 1, isGang: false, after: [0], requiredLabel: 'none',
+					};
+					core.onJobStored(id, {
+						queue: 'q', account: 'north', acceptedAtMs: 0, spec: {payload: '', steps: [gang, next]},
+					});
+				}
+
+				core.onReport('agent', makeReport([], 1));
+				core.tick();
+				await loop.flush();
+				const ended = ['a', 'b', 'c'].map((id, index): ListedEnd => ({
+					sequence: index + 1, task: `${id}.0.0.0`, run: 1, outcome: 'done', checkpoint: '',
+				}));
+				core.onReport('agent', makeReport(ended, 2));
+				await loop.flush();
+				expect(core.leaseFor('w1@1')?.ackSequence).to.equal(ackSequence);
+			});
+		}
+
+		it('starts no gang whose placement is stored in part', async () => {
+			const queue = new CommitQueue();
+			const stored: string[] = [];
+			queue.enqueue(Array.from({length: 200}, (_, index) => ({table: TABLES.runs, key: `g${index}`, value: {run: 1}})), () => {
+				stored.push('gang');
+			});
+			const store = new MemoryPoolStore();
+			const transact = store.transact.bind(store);
+			store.transact = async (conditions, writes) => writes.some(write => write.key === 'g0')
+				? err({kind: 'rejected', message: 'status 400'})
+				: transact(conditions, writes);
+			const {version} = store.put(TABLES.leader, LEADER_KEY, LEADER_ROW);
+			const loop = new CommitLoop({row: LEADER_ROW, version}, {
+				store, core: makeCore(() => queue.takeNext()), clock: new ManualClock(), logger: silentLogger, metrics: new ProcessMetrics(),
+				onLeadershipLost: () => undefined,
+				onCommit: () => undefined,
+				onConfirmed: () => undefined,
+			});
+			await loop.flush();
+			expect(stored).to.deep.equal([]);
+		});
+	});
+
 	it('gives up leadership when the store rejects everything', async () => {
 		const store = new MemoryPoolStore();
 		store.transact = async () => err({kind: 'rejected', message: 'status 400'});
--- a/packages/pool/src/commit-queue.ts
+++ b/packages/pool/src/commit-queue.ts
@@ -7,9 +7,15 @@
 	readonly groups: readonly Commit[];
 	/** Runs the callbacks of the writes; called once they are stored. */
 	complete(): void;
+	/** Keeps the callbacks that depend on these writes from being called; called when the store has rejected them. */
+	drop(): void;
 };
 
-type WriteGroup = {readonly writes: readonly RowWrite[]; readonly onStored: () => void};
+/** Groups that a callback depends on. */
+type Scope = {isDropped: boolean};
+
+/** `scope` holds all groups that `onStored` depends on; `outerScope` the groups of a call of {@link CommitQueue.enqueueAll}. */
+type WriteGroup = {readonly writes: readonly RowWrite[]; readonly onStored: () => void; readonly scope: Scope; readonly outerScope: Scope | undefined};
 
 /** Largest number of writes in one transaction; the store accepts 100 entries, including conditions. */
 const MAX_TRANSACTION_WRITES = 90;
@@ -17,6 +23,7 @@
 /** Queue of the leader's pending writes: groups are stored whole and in order, several in one transaction. */
 export class CommitQueue {
 	readonly #groups: WriteGroup[] = [];
+	#outerScope: Scope | undefined;
 
 	/** Whether no writes are pending. */
 	get isEmpty(): boolean {
@@ -26,16 +33,42 @@
 	/**
 	 * Adds a group of writes. Up to 90 take effect together; a larger group is stored in several transactions, in order.
 	 *
-	 * @param writes - The writes; none to only have `onStored` called after the earlier groups.
+	 * @param writes - The writes; none to only have `onStored` called after the earlier groups, stored or not.
 	 * @param onStored - Called once all writes are stored.
 	 */
 	enqueue(writes: readonly RowWrite[], onStored: () => void): void {
+		const scope: Scope = {isDropped: false};
+		const outerScope = this.#outerScope;
 		let start = 0;
 		for (; writes.length - start > MAX_TRANSACTION_WRITES; start += MAX_TRANSACTION_WRITES) {
-			this.#groups.push({writes: writes.slice(start, start + MAX_TRANSACTION_WRITES), onStored: () => undefined});
+			this.#groups.push({
+				writes: writes.slice(start, start + MAX_TRANSACTION_WRITES), onStored: () => undefined, scope, outerScope,
+			});
+		}
+
+		this.#groups.push({
+			writes: writes.slice(start), onStored, scope, outerScope,
+		});
+	}
+
+	/**
+	 * Has a callback depend on all groups that a function adds.
+	 *
+	 * @param addGroups - Adds the groups.
+	 * @param onStored - Called once all of them are stored; never if the store rejects one.
+	 */
+	enqueueAll(addGroups: () => void, onStored: () => void): void {
+		const scope: Scope = {isDropped: false};
+		this.#outerScope = scope;
+		try {
+			addGroups();
+		} finally {
+			this.#outerScope = undefined;
 		}
 
-		this.#groups.push({writes: writes.slice(start), onStored});
+		this.#groups.push({
+			writes: [], onStored, scope, outerScope: undefined,
+		});
 	}
 
 	/**
@@ -86,8 +119,18 @@
 			return groups.map(group => createCommit(group.writes, [group]));
 		},
 		complete() {
-			for (const group of groups) {
-				group.onStored();
+			for (const {scope, onStored} of groups) {
+				if (!scope.isDropped) {
+					onStored();
+				}
+			}
+		},
+		drop() {
+			for (const {scope, outerScope} of groups) {
+				scope.isDropped = true;
+				if (outerScope) {
+					outerScope.isDropped = true;
+				}
 			}
 		},
 	};
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -1,6 +1,6 @@
 import type {Clock, LogFields} from '@amaranthsail/core';
 import {CommitQueue} from './commit-queue.js';
-import type {Job, Task} from './job-model.js';
+import {FINAL_STATES, type Job, type Task} from './job-model.js';
 import type {PoolConfig, Queue, WorkerOrder} from './model.js';
 import type {PoolLimits} from './pool-limits.js';
 import type {QueueTerms} from './queue-terms.js';
@@ -71,6 +71,12 @@
 			?.steps[parsed.step]?.tasks[parsed.index];
 	}
 
+	/** @returns Whether the job of the task with this name is known, and its end stored. */
+	hasJobEnded(name: string): boolean {
+		const job = this.jobs.get(parseTaskName(name)?.jobId ?? '');
+		return job !== undefined && FINAL_STATES.has(job.state);
+	}
+
 	/** @param order - An order to send. */
 	queueOrder(order: OutgoingOrder): void {
 		this.#orders.push(order);
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -153,13 +153,13 @@
 	 * Computes the lease of a worker, and the ends to acknowledge.
 	 *
 	 * @param incarnation - The worker's incarnation.
-	 * @returns End of the lease on the worker's clock, and the sequence number of the highest end that is stored; undefined
+	 * @returns End of the lease on the worker's clock, and the sequence number up to which all ends are stored; undefined
 	 * for a worker whose lists have not been read, or that is suspected or lost.
 	 */
 	leaseFor(incarnation: string): {readonly leaseUntilMs: number; readonly ackSequence: number} | undefined {
 		const worker = this.#context.workers.get(incarnation);
 		const canRenewLease = worker?.hasReportedLists && !worker.suspicion && !worker.isLost;
-		return canRenewLease ? {leaseUntilMs: Math.floor(worker.workerClockMs + this.#context.limits.leaseMs), ackSequence: worker.ackSequence} : undefined;
+		return canRenewLease ? {leaseUntilMs: Math.floor(worker.workerClockMs + this.#context.limits.leaseMs), ackSequence: worker.endAcknowledgements.sequence} : undefined;
 	}
 
 	/**
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -361,7 +361,7 @@
 
 /** @returns Whether a worker that reports may get new work unless it is quarantined. */
 function isUsable(worker: TrackedWorker): boolean {
-	return !worker.hasUnknownRuns && worker.facts.state === WORKER_STATES.ready;
+	return !worker.hasUnknownRuns && !worker.endAcknowledgements.isFull && worker.facts.state === WORKER_STATES.ready;
 }
 
 /** Free capacity for a unit; reservations are subtracted if the unit would still run when they begin. */
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -1,6 +1,7 @@
 import {
 	addShapes, EMPTY_SHAPE, fitsInto, subtractShapes,
 } from './capacity.js';
+import {EndAcknowledgements} from './end-acknowledgements.js';
 import type {Run} from './job-model.js';
 import type {TaskShape, WorkerFacts} from './model.js';
 
@@ -18,8 +19,8 @@
 	workerClockMs: number;
 	/** The agent's count of orders when it requested the newest lists. */
 	orderCountBeforeLists: number;
-	/** Sequence number of the highest end to acknowledge; its outcome is stored. */
-	ackSequence: number;
+	/** Ends to acknowledge. */
+	readonly endAcknowledgements: EndAcknowledgements;
 	/** Sequence number of the highest end that has been processed. */
 	processedSequence: number;
 	readonly runs: Map<string, Run>;
@@ -70,7 +71,7 @@
 		listsAsOfMs: nowMs,
 		workerClockMs: 0,
 		orderCountBeforeLists: 0,
-		ackSequence: 0,
+		endAcknowledgements: new EndAcknowledgements(),
 		processedSequence: 0,
 		runs: new Map(),
 		hasUnknownRuns: false,
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -26,6 +26,7 @@
 	 * @param running - The runs that it lists as running.
 	 */
 	reconcile(worker: TrackedWorker, running: readonly ListedRun[]): void {
+		worker.endAcknowledgements.settleEnded(name => this.#context.hasJobEnded(name));
 		const listed = new Map(running.map(entry => [entry.task, entry]));
 		for (const run of worker.runs.values()) {
 			const entry = listed.get(run.task.name);
@@ -53,15 +54,16 @@
 	onListedEnd(worker: TrackedWorker, listed: ListedEnd): void {
 		const run = worker.runs.get(listed.task);
 		worker.highestEndedRuns.set(listed.task, Math.max(listed.run, worker.highestEndedRuns.get(listed.task) ?? 0));
-		if (run?.number === listed.run) {
-			this.#runs.end(run, listed.outcome, listed.checkpoint);
-		} else {
-			this.#runs.onLateEnd(worker, listed);
-		}
-
+		worker.endAcknowledgements.add(listed.sequence, listed.task);
 		// An end may be acknowledged only after its outcome is stored.
-		this.#context.commits.enqueue([], () => {
-			worker.ackSequence = Math.max(worker.ackSequence, listed.sequence);
+		this.#context.commits.enqueueAll(() => {
+			if (run?.number === listed.run) {
+				this.#runs.end(run, listed.outcome, listed.checkpoint);
+			} else {
+				this.#runs.onLateEnd(worker, listed);
+			}
+		}, () => {
+			worker.endAcknowledgements.settle(listed.sequence);
 		});
 	}
 
