Store the ends of runs whose job or task row cannot be read

What callers see: after a leader that could not read a job's row, or the row of a task, work that was done is started again, and a task may get more attempts than its queue allows.

Cause: a leader that cannot read a job knows none of its tasks, so the end of a run that an earlier leader had started was acknowledged and stored nowhere. A leader that could read the row again, such as one of the release that wrote it, found the run without an end. The end of a task whose own row cannot be read was stored as run 0, which no leader can read, so the job stayed open for good.

Now the row of the task records that it is done, or that it failed, although its job is unknown. The end is acknowledged once that is stored, as any other, so one damaged row holds no other ends back. A failure of a task whose own row cannot be read either is not counted, as its earlier failures are not known; its row is kept as it is. A stored end never ends a lasting task for good.

--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -5,6 +5,7 @@
 import type {PoolLimits} from './pool-limits.js';
 import type {QueueTerms} from './queue-terms.js';
 import {parseTaskName} from './task-name.js';
+import {UnreadableJobs} from './unreadable-jobs.js';
 import {UrgentHeadroom} from './urgent-headroom.js';
 import type {TrackedWorker} from './tracked-worker.js';
 
@@ -23,6 +24,7 @@
 	readonly workers = new Map<string, TrackedWorker>();
 	readonly commits = new CommitQueue();
 	readonly headroom = new UrgentHeadroom();
+	readonly unreadableJobs = new UnreadableJobs();
 	/** Open tasks under which a worker has crashed, or may have. */
 	readonly crashSuspects = new Set<Task>();
 	/** Leader's clock at its takeover. */
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -239,7 +239,7 @@
 
 		if (outcome === RUN_OUTCOMES.done && !step.spec.isLasting) {
 			this.#recordSuccess(run, worker);
-			this.#markDone(task);
+			this.#markDone(task, run.number);
 		} else if (outcome === RUN_OUTCOMES.failed && !step.spec.isLasting) {
 			this.#recordFailure(task, run.number, worker, run);
 		}
@@ -289,7 +289,7 @@
 
 		this.#context.log('late end', {task: listed.task, run: listed.run, worker: worker.incarnation, outcome: listed.outcome});
 		if (listed.outcome === RUN_OUTCOMES.done) {
-			this.#markDone(task);
+			this.#markDone(task, listed.run);
 			for (const member of unitOf(task)) {
 				if (member.run) {
 					this.stop(member.run, 'done by an earlier run');
@@ -342,9 +342,11 @@
 		}
 	}
 
-	#markDone(task: Task): void {
+	#markDone(task: Task, runNumber: number): void {
 		for (const member of unitOf(task)) {
 			member.isDone = true;
+			// The row of a task whose stored one cannot be read gets a number, so that it can be read again.
+			member.lastRunNumber = Math.max(member.lastRunNumber, runNumber);
 		}
 
 		this.#onTaskEnded(task.step.job);
@@ -387,7 +389,8 @@
 			return;
 		}
 
-		this.#context.commits.enqueue(unitOf(task).map(member => encodeRunRow(member)), () => {
+		// A task with a run and no number has a row that cannot be read, which is kept for a leader that can read it.
+		this.#context.commits.enqueue(unitOf(task).filter(member => member.lastRunNumber > 0).map(member => encodeRunRow(member)), () => {
 			this.#context.needsSchedulingRound = true;
 		});
 	}
--- a/packages/pool/src/state-recovery.ts
+++ b/packages/pool/src/state-recovery.ts
@@ -32,7 +32,6 @@
 export function recover(state: StoredState, parts: RecoveryParts): void {
 	const {context, jobs, runs, crashes, workers} = parts;
 	const cancelled: string[] = [];
-	const unreadableJobs = new Set<string>();
 	for (const row of state.jobs) {
 		const {jobId, isCancellation} = parseJobKey(row.key);
 		const job = isCancellation ? undefined : decodeJobRow(row.value);
@@ -41,7 +40,7 @@
 		} else if (job) {
 			jobs.addStored(jobId, job);
 		} else {
-			unreadableJobs.add(jobId);
+			context.unreadableJobs.add(jobId);
 			logUnreadable(row, context);
 		}
 	}
@@ -55,15 +54,17 @@
 		}
 
 		const task = context.findTask(row.key);
+		const run = decodeRunRow(row.value);
 		if (!task) {
-			if (!unreadableJobs.has(name?.jobId ?? '')) {
+			if (context.unreadableJobs.has(name?.jobId ?? '')) {
+				context.unreadableJobs.addTask(row.key, run);
+			} else {
 				orphanedRows.push(row);
 			}
 
 			continue;
 		}
 
-		const run = decodeRunRow(row.value);
 		if (run) {
 			restoreTask(task, run, context, incarnation => workers.trackUnreported(incarnation, agentsByIncarnation.get(incarnation) ?? ''));
 			crashes.restore(task);
@@ -116,7 +117,7 @@
 
 function restoreTask(task: Task, row: RunRow, context: PoolContext, findOrTrackWorker: (incarnation: string) => TrackedWorker): void {
 	task.lastRunNumber = row.run;
-	task.isDone = row.isDone ?? false;
+	task.isDone = (row.isDone ?? false) && !task.step.spec.isLasting;
 	task.failureCount = row.failures ?? 0;
 	task.checkpoint = row.checkpoint ?? '';
 	task.crashes = row.crashes ?? [];
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -61,6 +61,8 @@
 				this.#runs.end(run, listed.outcome, listed.checkpoint);
 			} else {
 				this.#runs.onLateEnd(worker, listed);
+				const write = this.#context.unreadableJobs.recordEnd(listed);
+				this.#context.commits.enqueue(write ? [write] : [], () => undefined);
 			}
 		}, () => {
 			worker.endAcknowledgements.settle(listed.sequence);
