Leave a repaired job to the leader that reads its runs

What callers see: a job whose row could not be read at a takeover and is repaired later is started from its first task again, although tasks of it run or are done.

Cause: the change of the row reached the leader through the store's feed, as that of a new job does, and a new job has no runs.

Evidence: the new test failed before: the task, done as run 1, was started as run 2.

Now such a job waits for the next leader, which reads its runs with it. The log names it.

--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -79,13 +79,18 @@
 	}
 
 	/**
-	 * Adds a job whose row is stored.
+	 * Adds a job whose row is stored. One whose row could not be read at the takeover may have runs, which only the next
+	 * leader restores.
 	 *
 	 * @param id - The job.
 	 * @param row - Its row.
 	 */
 	onJobStored(id: string, row: JobRow): void {
-		this.#jobs.addStored(id, row);
+		if (this.#context.unreadableJobs.has(id)) {
+			this.#context.log('repaired job left to the next leader', {job: id});
+		} else {
+			this.#jobs.addStored(id, row);
+		}
 	}
 
 	/** @param id - A job whose cancellation is stored. */
--- a/packages/pool/tests/ends-of-damaged-jobs.test.ts
+++ b/packages/pool/tests/ends-of-damaged-jobs.test.ts
@@ -2,7 +2,7 @@
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolHarness} from './support/pool-harness.js';
 import {
-	JOB_STATES, type RunOutcome, type StepSpec, type StoredRow, TABLES,
+	type JobRow, JOB_STATES, type RunOutcome, type StepSpec, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
 
 const TASK = 'bad.0.0.0';
@@ -92,6 +92,21 @@
 		expect(worker.runs.has(TASK)).to.equal(true);
 	});
 
+	it('is kept when the job row is repaired under the same leader', () => {
+		const {harness, worker, repair} = takeOverWithDamage({}, JOB_ROW);
+		endRun(worker, TASK, 'done');
+		harness.advance(1000);
+		repair();
+		harness.core.onJobStored('bad', harness.rows.get('jobs/bad')!.value as JobRow);
+		harness.advance(1000);
+		expect(worker.started).to.have.length(1);
+		harness.replaceLeader();
+		harness.recoverLeader();
+		harness.advance(1000);
+		expect(worker.started).to.have.length(1);
+		expect(harness.core.jobView('bad')?.state).to.equal(JOB_STATES.completed);
+	});
+
 	const unknownCases = [
 		{title: 'a job that never existed', task: 'never.0.0.0'},
 		{title: 'no task at all', task: 'no task'},
