Return an error for a request that cannot be sent

A value from another program that reached a header, the path or the body of a call made JsonClient.call reject. A heartbeat under an id with a line feed, a NUL or a letter beyond Latin-1 ended the agent's polls of its worker this way, again and again, until a sound heartbeat came. A timeout longer than a timer can hold ended the call at once.

The new tests failed before: ERR_INVALID_CHAR for such headers and hosts, ERR_INVALID_HTTP_TOKEN for a header name and a method, ERR_UNESCAPED_CHARACTERS for a path, RangeError for a body nested 100,000 deep, TypeError for a circular body and a bigint, and an error instead of the answer with a timeout of 9e15 ms (12 failures).

Now call catches what the request throws, which is before anything is sent, and returns it as not sent. Timers are bounded by their longest delay.

--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -33,6 +33,9 @@
 /** Idle time after which a kept connection is closed. */
 const IDLE_CONNECTION_TIMEOUT_MS = 20_000;
 
+/** Timers with a longer delay fire at once. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /** HTTP client for one address with keep-alive connections. Every request has its own timeout, which detects a connection that has stopped answering. */
 export class JsonClient {
 	readonly #host: string;
@@ -54,14 +57,29 @@
 	 * Sends a request and waits for the response.
 	 *
 	 * @param jsonRequest - The request.
-	 * @returns The response, whatever its status, or the reason why there is none.
+	 * @returns The response, whatever its status, or the reason why there is none. Never rejects: a request that cannot be
+	 * sent, because its path, a header or its body is invalid, is an error too.
 	 */
 	async call(jsonRequest: JsonRequest): Promise<Result<JsonResponse, RequestError>> {
-		const bodyText = jsonRequest.body === undefined ? undefined : JSON.stringify(jsonRequest.body);
 		if (!isAddress(this.address)) {
 			return err({kind: 'not_sent', message: 'invalid address', isRefused: false});
 		}
 
+		try {
+			return await this.#send(jsonRequest, jsonRequest.body === undefined ? undefined : JSON.stringify(jsonRequest.body));
+		} catch (error) {
+			// Values from other programs reach the headers, the path and the body.
+			return err({kind: 'not_sent', message: `invalid request: ${error instanceof Error ? error.message : String(error)}`, isRefused: false});
+		}
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		this.#agent.destroy();
+	}
+
+	/** @throws When the request is invalid; then nothing has been sent. */
+	async #send(jsonRequest: JsonRequest, bodyText: string | undefined): Promise<Result<JsonResponse, RequestError>> {
 		return new Promise(resolve => {
 			let isConnected = false;
 			let timeoutMessage = '';
@@ -89,7 +107,7 @@
 				outgoing.destroy();
 			};
 
-			const timer = setTimeout(abort, jsonRequest.timeoutMs, `no answer within ${jsonRequest.timeoutMs} ms`);
+			const timer = setTimeout(abort, Math.min(jsonRequest.timeoutMs, MAX_TIMER_MS), `no answer within ${jsonRequest.timeoutMs} ms`);
 			const connectTimer = setTimeout(() => {
 				if (!isConnected) {
 					abort(`no connection within ${CONNECT_TIMEOUT_MS} ms`);
@@ -125,11 +143,6 @@
 			outgoing.end(bodyText);
 		});
 	}
-
-	/** Closes all connections. */
-	close(): void {
-		this.#agent.destroy();
-	}
 }
 
 /**
