Accept only decimal ports and sound host names in addresses

An address such as "10.0.0.1:1e3", "10.0.0.1: 80", "10.0.0.1:0x50" or one with a line feed before the colon was taken from announcements, member rows and the leader row, and then called. Number() reads more than decimal ports, and the host was not checked.

The pattern now admits letters, digits, dots, colons, underscores and dashes in a host of at most 253 characters, and a decimal port from 1 to 65,535.

--- a/packages/core/src/fields.ts
+++ b/packages/core/src/fields.ts
@@ -31,13 +31,13 @@
 	return typeof value === 'number' && Number.isSafeInteger(value) && value >= min;
 }
 
-/** @returns Whether the value is `host:port` with a valid port. */
-export function isAddress(value: unknown): value is string {
-	if (typeof value !== 'string') {
-		return false;
-	}
+/** Longest name of a host. */
+const MAX_HOST_LENGTH = 253;
+
+const ADDRESS_PATTERN = /^([\w.:\-]+):([1-9]\d{0,4})$/v;
 
-	const colon = value.lastIndexOf(':');
-	const port = Number(value.slice(colon + 1));
-	return colon > 0 && Number.isSafeInteger(port) && port > 0 && port < 65_536;
+/** @returns Whether the value is `host:port`, with a name or an IP address and a decimal port from 1 to 65,535. */
+export function isAddress(value: unknown): value is string {
+	const match = typeof value === 'string' ? ADDRESS_PATTERN.exec(value) : null;
+	return match !== null && match[1]!.length <= MAX_HOST_LENGTH && Number(match[2]) < 65_536;
 }
