Follow a worker's own heartbeats after one with an odd number

A worker that drained went on being used: after one heartbeat of another writer with the number under the worker's id and start time, its own heartbeats counted as out of order for good, so neither its draining nor its capacity was seen.

A number now follows another one only within 1,000 and one for each millisecond between the two. Numbers that follow each other but not the known one are the worker's own: from the second on if they are far from the known one, otherwise from the third on, since one or two may be late. Three late heartbeats in a row with no newer one between them are taken, until the next heartbeat.

--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -6,6 +6,7 @@
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
+import {HeartbeatSequence} from './heartbeat-sequence.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
 const WORKER_POLL_WAIT_MS = 1000;
@@ -49,7 +50,7 @@
 
 type ReceivedLists = WorkerLists & {readonly receivedAtMs: number; readonly ordersBefore: number};
 
-type KnownWorker = {readonly facts: WorkerFacts; readonly sequence: number; readonly startedAtMs: number; readonly receivedAtMs: number};
+type KnownWorker = {readonly facts: WorkerFacts; readonly sequence: HeartbeatSequence; readonly startedAtMs: number; readonly receivedAtMs: number};
 
 /**
  * State of the agent: the worker's heartbeats and lists, and the epoch, lease and acknowledgements of the leader.
@@ -96,13 +97,16 @@
 	onHeartbeat(facts: WorkerFacts, sequence: number, startedAtMs: number): void {
 		const known = this.#knownWorker;
 		const isEarlierIncarnation = known !== undefined && startedAtMs < known.startedAtMs && this.#lists?.bornMs !== startedAtMs;
-		if (known && (isEarlierIncarnation || (startedAtMs === known.startedAtMs && sequence <= known.sequence))) {
-			this.#deps.logger.info('heartbeat out of order', {worker: facts.life, sequence, known: known.facts.life, knownSequence: known.sequence});
+		const receivedAtMs = this.#deps.clock.monotonicMs();
+		if (known && (isEarlierIncarnation || (startedAtMs === known.startedAtMs && !known.sequence.take(sequence, receivedAtMs)))) {
+			this.#deps.logger.info('heartbeat out of order', {worker: facts.life, sequence, known: known.facts.life, knownSequence: known.sequence.known});
 			return;
 		}
 
 		const isChanged = known?.facts.life !== facts.life || known.facts.state !== facts.state || !isSameShape(known.facts.capacity, facts.capacity);
-		this.#knownWorker = {facts, sequence, startedAtMs, receivedAtMs: this.#deps.clock.monotonicMs()};
+		this.#knownWorker = {
+			facts, sequence: known?.startedAtMs === startedAtMs ? known.sequence : new HeartbeatSequence(sequence, receivedAtMs), startedAtMs, receivedAtMs,
+		};
 		if (isChanged) {
 			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, capacity: facts.capacity, remainingMs: facts.remainingMs ?? -1});
 			this.#notifyWatchers();
