--- a/packages/pool-agent/tests/support/call-network.ts
+++ b/packages/pool-agent/tests/support/call-network.ts
@@ -34,6 +34,21 @@
 		this.chooseFate = () => PROMPT;
 	}
 
+	/**
+	 * Changes the fates of the calls for some time; a later change replaces an earlier one.
+	 *
+	 * @param chooseFate - Chooses the fate of each call.
+	 * @param forMs - Time until calls are prompt again.
+	 */
+	setFates(chooseFate: ChooseFate, forMs: number): void {
+		this.chooseFate = chooseFate;
+		this.#time.after(forMs, () => {
+			if (this.chooseFate === chooseFate) {
+				this.chooseFate = () => PROMPT;
+			}
+		});
+	}
+
 	/**
 	 * Makes a call.
 	 *
