Acknowledge no end that cannot be read

What callers see: work that was done may be started again.

Cause: an end that the agent cannot decode was left out of the lists. Ends are acknowledged up to a number, so the acknowledgement of the next end made the worker forget it as well, while the leader, which saw the run vanish, started its task again.

The task cannot wait for an end that will never be readable.

--- a/packages/pool/src/end-acknowledgements.ts
+++ b/packages/pool/src/end-acknowledgements.ts
@@ -26,7 +26,7 @@
 	 * Adds an end that has been processed.
 	 *
 	 * @param sequence - Its number; higher than those of all earlier ones.
-	 * @param task - Name of its task.
+	 * @param task - Name of its task; an empty string for an end that must never be acknowledged.
 	 */
 	add(sequence: number, task: string): void {
 		this.#pending.set(sequence, {task, isSettled: false});
--- a/packages/pool/src/model.ts
+++ b/packages/pool/src/model.ts
@@ -125,6 +125,8 @@
 	broken: 'broken',
 	/** The other members of the gang did not start in time. */
 	alone: 'alone',
+	/** The worker lists an end that cannot be read. */
+	unreadable: 'unreadable',
 } as const;
 
 /** One of {@link RUN_OUTCOMES}. */
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -54,6 +54,11 @@
 	onListedEnd(worker: TrackedWorker, listed: ListedEnd): void {
 		const run = worker.runs.get(listed.task);
 		worker.highestEndedRuns.set(listed.task, Math.max(listed.run, worker.highestEndedRuns.get(listed.task) ?? 0));
+		if (listed.outcome === RUN_OUTCOMES.unreadable) {
+			this.#onUnreadableEnd(worker, listed, run);
+			return;
+		}
+
 		worker.endAcknowledgements.add(listed.sequence, listed.task);
 		// An end may be acknowledged only after its outcome is stored.
 		this.#context.commits.enqueueAll(() => {
@@ -69,6 +74,17 @@
 		});
 	}
 
+	/** The run may have been done. An end that is never acknowledged does not count, so its task is started again. */
+	#onUnreadableEnd(worker: TrackedWorker, {sequence, task, run: runNumber}: ListedEnd, run: Run | undefined): void {
+		this.#context.log('end unreadable', {
+			worker: worker.incarnation, sequence, task, run: runNumber,
+		});
+		worker.endAcknowledgements.add(sequence, '');
+		if (run?.number === runNumber) {
+			this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
+		}
+	}
+
 	#stopUnexpected(worker: TrackedWorker, entries: readonly ListedRun[]): void {
 		const nowMs = this.#context.nowMs();
 		worker.hasUnknownRuns = false;
