Stop runs whose start may come late before their task is placed again

What callers see: a task runs twice at the same time, or starts again after it was done, when a worker starts again under its id and carries out a start that was sent to its earlier incarnation and never answered.

Cause: a new incarnation frees the runs of the earlier one at once. It knows none of their stops and ends, and accepts their starts, as the id in the expected instance is the same. So a run whose start was unanswered was freed while its start could still come, and its task was placed elsewhere.

Now such a run is kept at the new incarnation with the same id as one that is being stopped, and its task, with its gang, is placed again when the stop is acknowledged and the lists no longer have the run. If the start came first, the run is listed and ends as stopped. The task waits at most until the new incarnation is lost with its lease, or for 10 s if it answers lists and no orders. The row keeps the incarnation that the start was sent to, so a new leader does the same. A run that ended within the last 10 s on the earlier incarnation, by a stop or with its lease, while a start was unanswered is stopped at the new one as well; its task does not wait for that. Runs whose starts were all answered, and workers with another id, are freed at once as before.

The test of tasks on workers that crash for other causes had workers that answered no order at all after their crash, which now delays the task. In it starts alone remain unanswered now, with the same crashes and expectations.

--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -19,11 +19,16 @@
 /** One of {@link RUN_PHASES}. */
 export type RunPhase = (typeof RUN_PHASES)[keyof typeof RUN_PHASES];
 
+/** Incarnation that the start was sent to, and the leader's clock from which no start is awaited any more. */
+export type KeptRun = {readonly incarnation: string; readonly untilMs: number};
+
 /** One run of a task on a worker. */
 export type Run = {
 	readonly task: Task;
 	readonly number: number;
 	readonly incarnation: string;
+	/** It has ended with an earlier incarnation of its worker, and is kept until a late start of it is impossible. */
+	readonly keptFor?: KeptRun;
 	phase: RunPhase;
 	readonly placedAtMs: number;
 	/** Start orders that may have reached the worker without an answer. */
--- /dev/null
+++ b/packages/pool/src/late-starts.ts
@@ -0,0 +1,121 @@
+import {type Run, RUN_PHASES} from './job-model.js';
+import type {PoolContext} from './pool-context.js';
+import type {RunLifecycle} from './run-lifecycle.js';
+import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
+
+/** A start without an answer is carried out within seconds, or never. */
+const MAX_START_DELAY_MS = 10_000;
+
+/**
+ * Prevents starts that remained unanswered from being carried out by a later incarnation of their worker. An incarnation
+ * with the same id accepts them, as it knows neither the stops nor the ends of earlier ones, until that run is stopped there.
+ */
+export class LateStarts {
+	readonly #context: PoolContext;
+	readonly #runs: RunLifecycle;
+
+	/**
+	 * @param context - State of the pool.
+	 * @param runs - Stops the runs.
+	 */
+	constructor(context: PoolContext, runs: RunLifecycle) {
+		this.#context = context;
+		this.#runs = runs;
+	}
+
+	/**
+	 * Has a run whose start may be late stopped at the next incarnation. Its task, and the gang, are placed again once that
+	 * stop is acknowledged.
+	 *
+	 * @param run - A run on an incarnation that has ended.
+	 * @param next - The incarnation that has reported instead.
+	 * @returns Whether the run is kept; otherwise it has ended with its worker.
+	 */
+	keep(run: Run, next: TrackedWorker): boolean {
+		const {task} = run;
+		if (task.run !== run || !mayStartLate(run) || workerIdOf(run.incarnation) !== next.facts.id) {
+			return false;
+		}
+
+		const {knownSinceMs, firstListedAtWorkerClockMs, startAcknowledgedOrderCount, stopAcknowledgedOrderCount, startUnansweredSinceMs, ...state} = run;
+		const nowMs = this.#context.nowMs();
+		const kept: Run = {
+			...state, incarnation: next.incarnation, phase: RUN_PHASES.stopping, unansweredStarts: 0, isOrderInFlight: false, nextOrderAtMs: nowMs,
+			keptFor: {incarnation: run.keptFor?.incarnation ?? run.incarnation, untilMs: run.keptFor?.untilMs ?? nowMs + MAX_START_DELAY_MS},
+		};
+		this.#context.log('late start awaited', {job: task.step.job.id, task: task.name, run: run.number, worker: kept.keptFor!.incarnation, next: next.incarnation});
+		task.run = kept;
+		next.runs.set(task.name, kept);
+		this.#runs.sendDueOrder(kept);
+		this.#runs.stopUnit(kept, 'a member of the gang has lost its worker');
+		return true;
+	}
+
+	/**
+	 * Takes over the runs that have recently ended on an earlier incarnation while a start of theirs remained unanswered.
+	 *
+	 * @param worker - The earlier incarnation.
+	 * @param next - The incarnation that has reported instead.
+	 */
+	takeOver(worker: TrackedWorker, next: TrackedWorker): void {
+		if (worker.facts.id !== next.facts.id) {
+			return;
+		}
+
+		const sinceMs = this.#context.nowMs() - MAX_START_DELAY_MS;
+		for (const [task, ended] of worker.endedUnanswered) {
+			if (ended.endedAtMs >= sinceMs && !next.runs.has(task)) {
+				next.endedUnanswered.set(task, ended);
+				next.lateStops.set(task, {run: ended.run, dueMs: 0, untilMs: ended.endedAtMs + MAX_START_DELAY_MS});
+			}
+		}
+	}
+
+	/**
+	 * Sends the due stops of runs that must not start late.
+	 *
+	 * @param worker - The worker.
+	 */
+	sendDueStops(worker: TrackedWorker): void {
+		const nowMs = this.#context.nowMs();
+		for (const [task, stop] of worker.lateStops) {
+			if (stop.untilMs <= nowMs) {
+				worker.lateStops.delete(task);
+			} else if (stop.dueMs <= nowMs) {
+				stop.dueMs = nowMs + this.#context.limits.orderRetryDelayMs;
+				this.#context.queueOrder({agent: worker.agent, incarnation: worker.incarnation, order: {kind: 'stop', task, run: stop.run}});
+			}
+		}
+	}
+}
+
+/**
+ * Remembers a run that ends while a start of it remains unanswered.
+ *
+ * @param run - The run.
+ * @param worker - Its worker.
+ * @param nowMs - Leader's clock.
+ */
+export function recordEndedUnanswered(run: Run, worker: TrackedWorker, nowMs: number): void {
+	for (const [task, {endedAtMs}] of worker.endedUnanswered) {
+		if (endedAtMs >= nowMs - MAX_START_DELAY_MS) {
+			break;
+		}
+
+		worker.endedUnanswered.delete(task);
+	}
+
+	if (mayStartLate(run)) {
+		worker.endedUnanswered.delete(run.task.name);
+		worker.endedUnanswered.set(run.task.name, {run: run.number, endedAtMs: nowMs});
+	}
+}
+
+/** @returns Whether a late start of the run has been awaited for so long that its task is placed again. */
+export function isLateStartOverdue(run: Run, nowMs: number): boolean {
+	return run.keptFor !== undefined && nowMs >= run.keptFor.untilMs;
+}
+
+function mayStartLate(run: Run): boolean {
+	return run.unansweredStarts > 0 || run.keptFor !== undefined;
+}
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -4,6 +4,7 @@
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
 } from './model.js';
+import {recordEndedUnanswered} from './late-starts.js';
 import {lostCoreSeconds} from './lost-work.js';
 import type {PoolContext} from './pool-context.js';
 import type {RowWrite} from './ports.js';
@@ -12,9 +13,6 @@
 import {recordStartAnswer} from './worker-crash.js';
 import {recordRunFailure, recordRunSuccess} from './worker-quarantine.js';
 
-/** Weight of a new observation of a worker's slowness. */
-const SLOWNESS_SMOOTHING = 0.5;
-
 /** Starts, stops and ends the runs of tasks. */
 export class RunLifecycle {
 	readonly #context: PoolContext;
@@ -180,7 +178,8 @@
 	 * @param orderCount - The agent's count of orders, including this one.
 	 */
 	onOrderOutcome(incarnation: string, order: WorkerOrder, outcome: OrderOutcome, orderCount: number): void {
-		const run = this.#context.workers.get(incarnation)?.runs.get(order.task);
+		const worker = this.#context.workers.get(incarnation);
+		const run = worker?.runs.get(order.task);
 		this.#context.log('order answered', {
 			task: order.task, run: order.run, worker: incarnation, order: order.kind, outcome,
 		});
@@ -190,6 +189,10 @@
 		}
 
 		if (run?.number !== order.run) {
+			if (outcome.kind === 'done' && order.kind === 'stop') {
+				worker?.lateStops.delete(order.task);
+			}
+
 			return;
 		}
 
@@ -222,7 +225,11 @@
 		const {task} = run;
 		const {step} = task;
 		const worker = this.#context.workers.get(run.incarnation);
-		worker?.runs.delete(task.name);
+		if (worker) {
+			worker.runs.delete(task.name);
+			recordEndedUnanswered(run, worker, this.#context.nowMs());
+		}
+
 		if (task.run === run) {
 			task.run = undefined;
 			task.endedAtMs = this.#context.nowMs();
@@ -238,7 +245,10 @@
 		}
 
 		if (outcome === RUN_OUTCOMES.done && !step.spec.isLasting) {
-			this.#recordSuccess(run, worker);
+			if (worker) {
+				recordRunSuccess(worker, run, this.#context.nowMs());
+			}
+
 			this.#markDone(task, run.number);
 		} else if (outcome === RUN_OUTCOMES.failed && !step.spec.isLasting) {
 			this.#recordFailure(task, run.number, worker, run);
@@ -352,19 +362,6 @@
 		this.#onTaskEnded(task.step.job);
 	}
 
-	#recordSuccess(run: Run, worker: TrackedWorker | undefined): void {
-		if (!worker) {
-			return;
-		}
-
-		recordRunSuccess(worker, run);
-		const ranMs = this.#context.nowMs() - (run.startedAtMs ?? run.placedAtMs);
-		const {estimatedMs} = run.task.step.spec;
-		if (estimatedMs > 0) {
-			worker.slowness += SLOWNESS_SMOOTHING * (Math.min(ranMs / estimatedMs, 4) - worker.slowness);
-		}
-	}
-
 	#recordFailure(task: Task, runNumber: number, worker: TrackedWorker | undefined, run?: Run): void {
 		const members = unitOf(task);
 		if (members.some(member => member.lastFailedRunNumber >= runNumber)) {
--- a/packages/pool/src/run-row.ts
+++ b/packages/pool/src/run-row.ts
@@ -11,7 +11,7 @@
 export function encodeRunRow(task: Task): RowWrite {
 	const row: RunRow = {
 		run: task.lastRunNumber,
-		...(task.run && {life: task.run.incarnation}),
+		...(task.run && {life: task.run.keptFor?.incarnation ?? task.run.incarnation}),
 		...(task.isDone && {isDone: true}),
 		...(task.failureCount > 0 && {failures: task.failureCount}),
 		...(task.checkpoint !== '' && {checkpoint: task.checkpoint}),
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -32,6 +32,10 @@
 	readonly unexpectedStopDueMs: Map<string, number>;
 	/** Highest run number that has ended here, by task; lists that still contain the run are out of date. */
 	readonly highestEndedRuns: Map<string, number>;
+	/** Runs that have ended here while a start of theirs remained unanswered, in the order of their ends, by task. */
+	readonly endedUnanswered: Map<string, {readonly run: number; readonly endedAtMs: number}>;
+	/** Ended runs of earlier incarnations whose starts might still come, and the leader's clock when their next stop is due and when it is needed no more, by task. */
+	readonly lateStops: Map<string, {readonly run: number; dueMs: number; readonly untilMs: number}>;
 	suspicion?: Suspicion;
 	/** It has been declared lost and its runs ended; its lists must be read before it is used again. */
 	isLost: boolean;
@@ -78,6 +82,8 @@
 		unexpectedCapacity: EMPTY_SHAPE,
 		unexpectedStopDueMs: new Map(),
 		highestEndedRuns: new Map(),
+		endedUnanswered: new Map(),
+		lateStops: new Map(),
 		isLost: false,
 		failedJobIds: new Set(),
 		quarantinedUntilMs: 0,
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -1,5 +1,6 @@
 import {addShapes, EMPTY_SHAPE} from './capacity.js';
 import {type Run, RUN_PHASES} from './job-model.js';
+import {isLateStartOverdue} from './late-starts.js';
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import type {RunLifecycle} from './run-lifecycle.js';
@@ -36,6 +37,8 @@
 				this.#runs.onListed(run, entry, worker.listsAsOfMs);
 			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedOrderCount !== undefined && run.stopAcknowledgedOrderCount <= worker.orderCountBeforeLists) {
 				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
+			} else if (isLateStartOverdue(run, this.#context.nowMs())) {
+				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
 			} else if (run.phase === RUN_PHASES.running && isRunGone(run, worker)) {
 				this.#context.log('run vanished', {task: run.task.name, run: run.number, worker: worker.incarnation});
 				this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
--- a/packages/pool/src/worker-quarantine.ts
+++ b/packages/pool/src/worker-quarantine.ts
@@ -28,6 +28,9 @@
 /** A run is stalled if it shows no progress for the time that this many percent should take. */
 const MIN_STALLED_PERCENTS = 2;
 
+/** Weight of a new observation of a worker's slowness. */
+const SLOWNESS_SMOOTHING = 0.5;
+
 /**
  * Records a failed run, and quarantines the worker if it failed at once or failed several jobs in a row.
  *
@@ -54,13 +57,20 @@
 }
 
 /**
- * Records a successful run, and clears the worker's failures and quarantine. A run placed before the last failure or
- * stall proves nothing.
+ * Records a successful run and its speed, and clears the worker's failures and quarantine. A run placed before the last
+ * failure or stall proves nothing about these.
  *
  * @param worker - The worker.
  * @param run - The run.
+ * @param nowMs - Leader's clock.
  */
-export function recordRunSuccess(worker: TrackedWorker, run: Run): void {
+export function recordRunSuccess(worker: TrackedWorker, run: Run, nowMs: number): void {
+	const {estimatedMs} = run.task.step.spec;
+	if (estimatedMs > 0) {
+		const ranMs = nowMs - (run.startedAtMs ?? run.placedAtMs);
+		worker.slowness += SLOWNESS_SMOOTHING * (Math.min(ranMs / estimatedMs, 4) - worker.slowness);
+	}
+
 	if (worker.unreliableSinceMs !== undefined && run.placedAtMs < worker.unreliableSinceMs) {
 		return;
 	}
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -2,6 +2,7 @@
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES, type WorkerFacts, WORKER_STATES} from './model.js';
 import type {CrashLedger} from './crash-ledger.js';
 import type {PoolContext} from './pool-context.js';
+import {LateStarts} from './late-starts.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
 import {estimateRemainingMs, estimateTotalMs} from './run-estimate.js';
 import {type IncarnationRow, TABLES} from './rows.js';
@@ -41,6 +42,7 @@
 	readonly #runs: RunLifecycle;
 	readonly #crashes: CrashLedger;
 	readonly #reconciler: WorkerListReconciler;
+	readonly #lateStarts: LateStarts;
 
 	/**
 	 * @param context - State of the pool.
@@ -52,6 +54,7 @@
 		this.#runs = runs;
 		this.#crashes = crashes;
 		this.#reconciler = new WorkerListReconciler(context, runs);
+		this.#lateStarts = new LateStarts(context, runs);
 	}
 
 	/**
@@ -152,6 +155,7 @@
 	tick(): void {
 		const nowMs = this.#context.nowMs();
 		for (const worker of this.#context.workers.values()) {
+			this.#lateStarts.sendDueStops(worker);
 			if (worker.leavesAtMs !== undefined) {
 				this.#evacuate(worker, worker.leavesAtMs, nowMs);
 			}
@@ -199,19 +203,20 @@
 		for (const other of this.#context.workers.values()) {
 			const isSameWorker = other.facts.id === facts.id || other.agent === worker.agent;
 			if (other !== worker && isSameWorker && startTimeOf(other.incarnation) < startTimeOf(facts.life)) {
-				this.#declareCrashed(other, facts);
+				this.#declareCrashed(other, worker);
 			}
 		}
 	}
 
 	/** An incarnation that neither drained nor deregistered before the next one has crashed. */
-	#declareCrashed(worker: TrackedWorker, next: WorkerFacts): void {
+	#declareCrashed(worker: TrackedWorker, next: TrackedWorker): void {
 		const hasDrained = worker.drainingSinceMs !== undefined;
 		if (!hasDrained) {
-			this.#logCrash(worker, next);
+			this.#logCrash(worker, next.facts);
 		}
 
-		this.#declareLost(worker, 'a new life of the worker has reported');
+		this.#declareLost(worker, 'a new life of the worker has reported', next);
+		this.#lateStarts.takeOver(worker, next);
 		this.#removeWorker(worker);
 		if (!hasDrained) {
 			this.#crashes.confirm(worker.incarnation);
@@ -302,7 +307,7 @@
 		}
 	}
 
-	#declareLost(worker: TrackedWorker, reason: string): void {
+	#declareLost(worker: TrackedWorker, reason: string, next?: TrackedWorker): void {
 		this.#context.log('worker given up', {worker: worker.incarnation, reason, runs: worker.runs.size});
 		worker.isLost = true;
 		this.#context.needsSchedulingRound = true;
@@ -311,7 +316,9 @@
 		}
 
 		for (const run of worker.runs.values()) {
-			this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
+			if (!next || !this.#lateStarts.keep(run, next)) {
+				this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
+			}
 		}
 	}
 }
--- a/packages/pool/tests/crashing-tasks.test.ts
+++ b/packages/pool/tests/crashing-tasks.test.ts
@@ -207,7 +207,7 @@
 
 			for (let crash = 0; crash < unansweredCrashes; crash++) {
 				for (const worker of workers) {
-					worker.areOrdersLost = true;
+					worker.startOutcome = {kind: 'unknown', message: 'no answer'};
 				}
 
 				harness.advance(300);
@@ -216,7 +216,7 @@
 			}
 
 			for (const worker of workers) {
-				worker.areOrdersLost = false;
+				worker.startOutcome = undefined;
 			}
 
 			harness.advance(3000);
--- a/packages/pool/tests/support/pool-simulation.ts
+++ b/packages/pool/tests/support/pool-simulation.ts
@@ -291,18 +291,22 @@
 					...worker.facts, id, life: `${id}@${1000 + (++this.#incarnations)}`, state: WORKER_STATES.ready,
 				};
 				worker.restart(facts);
+				this.#epochs.delete(worker);
 				worker.isUnreachable = false;
 				this.#down.delete(worker);
 			},
 		});
 	}
 
-	/** Orders that were not answered may be carried out seconds later, unless the worker knows a later leader by then. */
+	/**
+	 * Orders that were not answered may be carried out seconds later, unless the worker knows a later leader by then. A
+	 * later incarnation with the same id carries them out as well.
+	 */
 	#deliverLateOrders(): void {
 		for (const late of this.#lateOrders.splice(0)) {
 			if (late.atMs > this.nowMs) {
 				this.#lateOrders.push(late);
-			} else if (!this.#down.has(late.worker) && late.worker.facts.life === late.life && (this.#epochs.get(late.worker) ?? 0) <= late.epoch // A worker that does not report has not read its clock either.
+			} else if (!this.#down.has(late.worker) && late.worker.facts.id === late.life.split('@')[0] && (this.#epochs.get(late.worker) ?? 0) <= late.epoch // A worker that does not report has not read its clock either.
 				&& (late.order.kind === 'stop' || late.order.leaseUntilMs >= this.harness.clock.monotonicMs())) {
 				late.worker.order(late.order);
 			}
