--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -1,5 +1,6 @@
 import {addShapes, EMPTY_SHAPE} from './capacity.js';
 import {type Run, RUN_PHASES} from './job-model.js';
+import {isLateStartOverdue} from './late-starts.js';
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import type {RunLifecycle} from './run-lifecycle.js';
@@ -36,6 +37,8 @@
 				this.#runs.onListed(run, entry, worker.listsAsOfMs);
 			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedOrderCount !== undefined && run.stopAcknowledgedOrderCount <= worker.orderCountBeforeLists) {
 				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
+			} else if (isLateStartOverdue(run, this.#context.nowMs())) {
+				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
 			} else if (run.phase === RUN_PHASES.running && isRunGone(run, worker)) {
 				this.#context.log('run vanished', {task: run.task.name, run: run.number, worker: worker.incarnation});
 				this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
@@ -54,6 +57,11 @@
 	onListedEnd(worker: TrackedWorker, listed: ListedEnd): void {
 		const run = worker.runs.get(listed.task);
 		worker.highestEndedRuns.set(listed.task, Math.max(listed.run, worker.highestEndedRuns.get(listed.task) ?? 0));
+		if (listed.outcome === RUN_OUTCOMES.unreadable) {
+			this.#onUnreadableEnd(worker, listed, run);
+			return;
+		}
+
 		worker.endAcknowledgements.add(listed.sequence, listed.task);
 		// An end may be acknowledged only after its outcome is stored.
 		this.#context.commits.enqueueAll(() => {
@@ -69,6 +77,17 @@
 		});
 	}
 
+	/** The run may have been done. An end that is never acknowledged does not count, so its task is started again. */
+	#onUnreadableEnd(worker: TrackedWorker, {sequence, task, run: runNumber}: ListedEnd, run: Run | undefined): void {
+		this.#context.log('end unreadable', {
+			worker: worker.incarnation, sequence, task, run: runNumber,
+		});
+		worker.endAcknowledgements.add(sequence, '');
+		if (run?.number === runNumber) {
+			this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
+		}
+	}
+
 	#stopUnexpected(worker: TrackedWorker, entries: readonly ListedRun[]): void {
 		const nowMs = this.#context.nowMs();
 		worker.hasUnknownRuns = false;
