Believe an incarnation only when the worker itself answers as that one

One heartbeat of another writer under a sound worker's id, with a start time far in the future, took the worker away: the agent counted its own heartbeats as those of an earlier incarnation, the leader took the report without lists for a restart, ended all runs as crashed and started them elsewhere while they still ran, and ignored the true incarnation from then on. A heartbeat under another id did the same until the next sound one, and so did a deregistration that the worker hadn't sent.

The start time in the worker's own lists, and its refusal of a call that names another id, decide now. Another incarnation is held until the worker has answered as that one; only an incarnation that has answered is reported. A heartbeat whose incarnation is held makes the agent ask at once, so a restart is reported one call later than before, and once the worker answers if it doesn't yet. A deregistration while the worker isn't draining counts once the port refuses connections or another worker is there, and is forgotten when the worker still answers 2 s later.

Two things can't be told from outside: a deregistration by another writer while the worker drains, and heartbeats of workers whose lists have no start time; both are believed as before.

The four cases of earlier and later heartbeats in the agent's tests now let the worker confirm its incarnation first, which the report depends on; their expectations are the same. Waiting for changes and the types of the agent's dependencies moved to files of their own.

--- /dev/null
+++ b/packages/pool-agent/src/announced-worker.ts
@@ -0,0 +1,168 @@
+import {WORKER_STATES, type WorkerFacts} from '@amaranthsail/pool';
+import {HeartbeatSequence} from './heartbeat-sequence.js';
+
+/** A worker that deregisters ends at once. One that answers for this time after its deregistration hasn't sent it. */
+const MAX_ANSWERS_AFTER_LEAVE_MS = 2000;
+
+/** What a heartbeat has changed. */
+export const HEARTBEAT_EFFECTS = {
+	taken: 'taken',
+	/** The incarnation becomes the known one once the worker itself has confirmed it. */
+	held: 'held',
+	outOfOrder: 'out of order',
+} as const;
+
+/** A value of {@link HEARTBEAT_EFFECTS}. */
+export type HeartbeatEffect = typeof HEARTBEAT_EFFECTS[keyof typeof HEARTBEAT_EFFECTS];
+
+/** An incarnation that a heartbeat has named. */
+export type KnownWorker = {
+	readonly facts: WorkerFacts;
+	readonly sequence: HeartbeatSequence;
+	readonly startedAtMs: number;
+	/** Agent's clock at its newest heartbeat. */
+	readonly receivedAtMs: number;
+	/** Whether the worker itself has answered as this incarnation. */
+	readonly isConfirmed: boolean;
+};
+
+type Leave = {readonly incarnation: string; readonly atMs: number};
+
+/**
+ * The incarnation of the worker that its heartbeats name.
+ *
+ * Anybody may send a heartbeat or a deregistration. What the worker answers on its own port decides which incarnation
+ * is there: another one is only held until the worker has answered as that one.
+ */
+export class AnnouncedWorker {
+	#known: KnownWorker | undefined;
+	#held: KnownWorker | undefined;
+	#leave: Leave | undefined;
+	/** Start time in the worker's newest lists; those of earlier releases have none. */
+	#listedStartMs: number | undefined;
+	#hasListsWithoutStart = false;
+
+	/** The incarnation that calls to the worker are meant for. */
+	get known(): KnownWorker | undefined {
+		return this.#known;
+	}
+
+	/** The known incarnation, once the worker has answered as that one. */
+	get confirmed(): KnownWorker | undefined {
+		return this.#known?.isConfirmed ? this.#known : undefined;
+	}
+
+	/**
+	 * Processes a heartbeat.
+	 *
+	 * @param facts - State and capacity in the heartbeat.
+	 * @param sequence - Its number within the incarnation.
+	 * @param startedAtMs - Start time of the incarnation.
+	 * @param receivedAtMs - Agent's clock.
+	 * @returns What it has changed.
+	 */
+	onHeartbeat(facts: WorkerFacts, sequence: number, startedAtMs: number, receivedAtMs: number): HeartbeatEffect {
+		const [known, held] = [this.#known, this.#held];
+		const previous = [known, held].find(worker => worker?.facts.life === facts.life);
+		if (previous && !previous.sequence.take(sequence, receivedAtMs)) {
+			return HEARTBEAT_EFFECTS.outOfOrder;
+		}
+
+		const isListed = this.#listedStartMs === startedAtMs && !(known?.isConfirmed && known.startedAtMs === startedAtMs);
+		const worker: KnownWorker = {
+			facts,
+			sequence: previous?.sequence ?? new HeartbeatSequence(sequence, receivedAtMs),
+			startedAtMs,
+			receivedAtMs,
+			isConfirmed: previous?.isConfirmed ?? (isListed && (known === undefined || known.facts.id === facts.id)),
+		};
+		if (!known || previous === known || isListed) {
+			this.#setKnown(worker);
+			return HEARTBEAT_EFFECTS.taken;
+		}
+
+		if (this.#hasListsWithoutStart) {
+			if (startedAtMs < known.startedAtMs) {
+				return HEARTBEAT_EFFECTS.outOfOrder;
+			}
+
+			this.#setKnown({...worker, isConfirmed: true});
+			return HEARTBEAT_EFFECTS.taken;
+		}
+
+		this.#held = worker;
+		return HEARTBEAT_EFFECTS.held;
+	}
+
+	/**
+	 * Processes an answer of the worker with its lists.
+	 *
+	 * @param startedAtMs - Start time in the lists.
+	 * @param expectedId - Id that the call was meant for.
+	 * @param nowMs - Agent's clock.
+	 */
+	onLists(startedAtMs: number | undefined, expectedId: string | undefined, nowMs: number): void {
+		this.#listedStartMs = startedAtMs;
+		this.#hasListsWithoutStart = startedAtMs === undefined;
+		const isAnswering = (worker: KnownWorker | undefined): worker is KnownWorker =>
+			worker !== undefined && worker.facts.id === expectedId && (startedAtMs === undefined || worker.startedAtMs === startedAtMs);
+		if (isAnswering(this.#known)) {
+			this.#known = this.#known.isConfirmed ? this.#known : {...this.#known, isConfirmed: true};
+			if (this.#leave && nowMs - this.#leave.atMs > MAX_ANSWERS_AFTER_LEAVE_MS) {
+				this.#leave = undefined;
+			}
+		} else if (isAnswering(this.#held)) {
+			this.#setKnown({...this.#held, isConfirmed: true});
+		}
+	}
+
+	/**
+	 * Processes a deregistration. One that a draining worker sends is expected.
+	 *
+	 * @param workerId - Id of the worker.
+	 * @param nowMs - Agent's clock.
+	 * @returns The incarnation that has left; undefined if it isn't known, or may still be there.
+	 */
+	onLeave(workerId: string, nowMs: number): string | undefined {
+		const known = this.#known;
+		if (known?.facts.id !== workerId) {
+			return undefined;
+		}
+
+		if (!known.isConfirmed || known.facts.state === WORKER_STATES.draining) {
+			return this.#removeKnown(known);
+		}
+
+		this.#leave = {incarnation: known.facts.life, atMs: nowMs};
+		return undefined;
+	}
+
+	/**
+	 * Processes the refusal of a connection to the worker's port, or the answer that another worker is there.
+	 *
+	 * @param absentId - Id of the worker that isn't there although another one is.
+	 * @returns The incarnation that has left, if it has deregistered before.
+	 */
+	onGone(absentId: string | undefined): string | undefined {
+		const known = this.#known;
+		const leftIncarnation = known && this.#leave?.incarnation === known.facts.life ? this.#removeKnown(known) : undefined;
+		if (absentId !== undefined && known?.facts.id === absentId && this.#held && this.#held.facts.id !== absentId) {
+			this.#setKnown(this.#held);
+		}
+
+		return leftIncarnation;
+	}
+
+	#setKnown(worker: KnownWorker): void {
+		this.#known = worker;
+		if (this.#held?.facts.life === worker.facts.life) {
+			this.#held = undefined;
+		}
+	}
+
+	#removeKnown(known: KnownWorker): string {
+		this.#known = undefined;
+		this.#leave = undefined;
+		return known.facts.life;
+	}
+}
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,12 +1,13 @@
-import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type PoolStore, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
+	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
+import {AnnouncedWorker, HEARTBEAT_EFFECTS, type KnownWorker} from './announced-worker.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
-import {HeartbeatSequence} from './heartbeat-sequence.js';
+import {ChangeSignal} from './change-signal.js';
+import type {PoolAgentCoreDependencies} from './pool-agent-dependencies.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
 const WORKER_POLL_WAIT_MS = 1000;
@@ -35,23 +36,8 @@
 /** Number of deregistered worker incarnations that are still reported. */
 const MAX_LEFT_INCARNATIONS = 8;
 
-/** Dependencies of {@link PoolAgentCore}. */
-export type PoolAgentCoreDependencies = {
-	readonly clock: Clock;
-	readonly logger: Logger;
-	readonly store: PoolStore;
-	readonly worker: WorkerPort;
-	/** Length of the lease that the agent grants without a leader, while the store does not list its worker as suspected. */
-	readonly leaseMs: number;
-	/** Identifies this incarnation of the agent. */
-	readonly incarnation: string;
-	readonly sleep: (ms: number) => Promise<void>;
-};
-
 type ReceivedLists = WorkerLists & {readonly receivedAtMs: number; readonly ordersBefore: number};
 
-type KnownWorker = {readonly facts: WorkerFacts; readonly sequence: HeartbeatSequence; readonly startedAtMs: number; readonly receivedAtMs: number};
-
 /**
  * State of the agent: the worker's heartbeats and lists, and the epoch, lease and acknowledgements of the leader.
  *
@@ -62,16 +48,15 @@
 	#epoch = 0;
 	#lastLeaderCallAtMs = Number.NEGATIVE_INFINITY;
 	readonly #answering = new AnsweringIncarnation();
-	#knownWorker: KnownWorker | undefined;
+	readonly #announced = new AnnouncedWorker();
 	#lists: ReceivedLists | undefined;
 	#listedIncarnation: string | undefined;
 	#leaseUntilMs = 0;
 	#ackSequence = 0;
 	/** Counts on from all earlier incarnations of the agent on this VM, which have sent less than an order each millisecond. */
 	#orderCount: number;
-	#reportVersion = 0;
+	readonly #changes = new ChangeSignal();
 	#leftIncarnations: readonly string[] = [];
-	#watchWaiters: Array<() => void> = [];
 	#isWorkerAnswering = false;
 	#isRepollPending = false;
 	#isStopped = false;
@@ -95,25 +80,12 @@
 	 * @param startedAtMs - Start time of that incarnation.
 	 */
 	onHeartbeat(facts: WorkerFacts, sequence: number, startedAtMs: number): void {
-		const known = this.#knownWorker;
-		const isEarlierIncarnation = known !== undefined && startedAtMs < known.startedAtMs && this.#lists?.bornMs !== startedAtMs;
-		const receivedAtMs = this.#deps.clock.monotonicMs();
-		if (known && (isEarlierIncarnation || (startedAtMs === known.startedAtMs && !known.sequence.take(sequence, receivedAtMs)))) {
-			this.#deps.logger.info('heartbeat out of order', {worker: facts.life, sequence, known: known.facts.life, knownSequence: known.sequence.known});
-			return;
-		}
-
-		const isChanged = known?.facts.life !== facts.life || known.facts.state !== facts.state || !isSameShape(known.facts.capacity, facts.capacity);
-		this.#knownWorker = {
-			facts, sequence: known?.startedAtMs === startedAtMs ? known.sequence : new HeartbeatSequence(sequence, receivedAtMs), startedAtMs, receivedAtMs,
-		};
-		if (isChanged) {
-			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, capacity: facts.capacity, remainingMs: facts.remainingMs ?? -1});
-			this.#notifyWatchers();
+		const effect = this.#announce(() => this.#announced.onHeartbeat(facts, sequence, startedAtMs, this.#deps.clock.monotonicMs()));
+		if (effect !== HEARTBEAT_EFFECTS.taken) {
+			this.#deps.logger.info(`heartbeat ${effect}`, {worker: facts.life, sequence, known: this.#announced.known?.facts.life, knownSequence: this.#announced.known?.sequence.known});
 		}
 
-		if (known?.facts.life !== facts.life) {
-			// The poll in progress may wait for its full time, or belong to the previous incarnation.
+		if (effect === HEARTBEAT_EFFECTS.held) {
 			void this.#pollWorker(0);
 		}
 	}
@@ -124,15 +96,11 @@
 	 * @param workerId - Id of the worker.
 	 */
 	onLeave(workerId: string): void {
-		if (this.#knownWorker?.facts.id !== workerId) {
-			return;
+		this.#onLeft(this.#announced.onLeave(workerId, this.#deps.clock.monotonicMs()));
+		if (this.#announced.known?.facts.id === workerId) {
+			this.#deps.logger.info('deregistration held', {worker: this.#announced.known.facts.life});
+			void this.#pollWorker(0);
 		}
-
-		this.#deps.logger.info('worker left', {worker: this.#knownWorker.facts.life});
-		this.#leftIncarnations = [...this.#leftIncarnations, this.#knownWorker.facts.life].slice(-MAX_LEFT_INCARNATIONS);
-		this.#knownWorker = undefined;
-		this.#lists = undefined;
-		this.#notifyWatchers();
 	}
 
 	/**
@@ -154,15 +122,15 @@
 			}
 		}
 
-		if (request.sinceVersion === this.#reportVersion) {
-			await this.#waitForChange(request.waitMs);
+		if (request.sinceVersion === this.#changes.version) {
+			await Promise.race([this.#changes.next(), this.#deps.sleep(request.waitMs)]);
 		}
 
 		return {
 			incarnation: this.#deps.incarnation,
-			version: this.#reportVersion,
+			version: this.#changes.version,
 			leftLives: this.#leftIncarnations,
-			...(this.#knownWorker && {report: this.#buildReport(this.#knownWorker)}),
+			...(this.#announced.confirmed && {report: this.#buildReport(this.#announced.confirmed)}),
 		};
 	}
 
@@ -177,7 +145,7 @@
 			return {epoch: this.#epoch};
 		}
 
-		const known = this.#knownWorker;
+		const {known} = this.#announced;
 		if (known?.facts.life !== request.life) {
 			return {outcome: {kind: 'refused', reason: REFUSALS.otherLife}, orderCount: this.#orderCount};
 		}
@@ -217,7 +185,7 @@
 	/** Stops {@link PoolAgentCore.run} after the poll in progress. */
 	stop(): void {
 		this.#isStopped = true;
-		this.#notifyWatchers();
+		this.#changes.notify();
 	}
 
 	#acceptEpoch(epoch: number): boolean {
@@ -249,7 +217,7 @@
 
 	/** Renews the lease, acknowledges ends of runs, and reads the worker's lists. */
 	async #pollWorker(waitMs: number, graceMs?: number): Promise<boolean> {
-		const known = this.#knownWorker;
+		const {known} = this.#announced;
 		const ordersBefore = this.#orderCount;
 		const answer = await this.#deps.worker.renewLease({
 			epoch: this.#epoch,
@@ -263,10 +231,18 @@
 			this.#answering.recordAnswer(answer.lists.bornMs, this.#deps.clock.monotonicMs());
 			this.#setWorkerAnswering(true, '');
 			this.#onLists(answer.lists, ordersBefore, known);
+			this.#announce(() => {
+				this.#announced.onLists(answer.lists.bornMs, known?.facts.id, this.#deps.clock.monotonicMs());
+			});
 			return true;
 		}
 
 		this.#answering.recordFailure();
+		const isOtherWorker = answer.kind === 'refused' && answer.reason === REFUSALS.otherLife;
+		if (answer.kind === 'gone' || isOtherWorker) {
+			this.#onLeft(this.#announce(() => this.#announced.onGone(isOtherWorker ? known?.facts.id : undefined)));
+		}
+
 		this.#setWorkerAnswering(false, answer.kind === 'refused' ? answer.reason : answer.kind);
 		if (answer.kind === 'refused' && answer.reason === REFUSALS.fenced) {
 			await this.#readLeaderEpoch();
@@ -281,13 +257,46 @@
 			await this.#pollWorker(0, INCARNATION_CHECK_TIMEOUT_MS);
 		}
 
-		if (this.#knownWorker?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
+		if (this.#announced.known?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
 			return REFUSALS.otherLife;
 		}
 
 		return this.#answering.isRecent(this.#deps.clock.monotonicMs()) ? undefined : REFUSALS.unhealthy;
 	}
 
+	/** Tells the watchers when a change of the announced worker concerns them. */
+	#announce<Effect>(change: () => Effect): Effect {
+		const previous = this.#announced.known;
+		const effect = change();
+		const {known} = this.#announced;
+		if (!known || known === previous) {
+			return effect;
+		}
+
+		const {facts, isConfirmed} = known;
+		const isNew = previous?.facts.life !== facts.life;
+		if (isNew || previous.isConfirmed !== isConfirmed || previous.facts.state !== facts.state || !isSameShape(previous.facts.capacity, facts.capacity)) {
+			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, capacity: facts.capacity, remainingMs: facts.remainingMs ?? -1, isConfirmed});
+			this.#changes.notify();
+		}
+
+		if (isNew) {
+			// The poll in progress may wait for its full time, or belong to the previous incarnation.
+			void this.#pollWorker(0);
+		}
+
+		return effect;
+	}
+
+	#onLeft(incarnation: string | undefined): void {
+		if (incarnation !== undefined) {
+			this.#deps.logger.info('worker left', {worker: incarnation});
+			this.#leftIncarnations = [...this.#leftIncarnations, incarnation].slice(-MAX_LEFT_INCARNATIONS);
+			this.#lists = undefined;
+			this.#changes.notify();
+		}
+	}
+
 	#hasUnacknowledgedEnds(): boolean {
 		return this.#lists?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
 	}
@@ -312,7 +321,7 @@
 		this.#lists = {...lists, receivedAtMs: this.#deps.clock.monotonicMs(), ordersBefore};
 		this.#listedIncarnation = incarnation;
 		if (!previous || fingerprint(previous) !== fingerprint(this.#lists)) {
-			this.#notifyWatchers();
+			this.#changes.notify();
 		}
 	}
 
@@ -370,27 +379,9 @@
 	#setWorkerAnswering(isAnswering: boolean, reason: string): void {
 		if (isAnswering !== this.#isWorkerAnswering) {
 			this.#isWorkerAnswering = isAnswering;
-			this.#deps.logger.info(isAnswering ? 'worker answers' : 'worker does not answer', {worker: this.#knownWorker?.facts.life ?? 'unknown', reason});
-		}
-	}
-
-	#notifyWatchers(): void {
-		this.#reportVersion++;
-		const waiters = this.#watchWaiters;
-		this.#watchWaiters = [];
-		for (const waiter of waiters) {
-			waiter();
+			this.#deps.logger.info(isAnswering ? 'worker answers' : 'worker does not answer', {worker: this.#announced.known?.facts.life ?? 'unknown', reason});
 		}
 	}
-
-	async #waitForChange(waitMs: number): Promise<void> {
-		await Promise.race([
-			new Promise<void>(resolve => {
-				this.#watchWaiters.push(resolve);
-			}),
-			this.#deps.sleep(waitMs),
-		]);
-	}
 }
 
 /** Changes when a run starts or ends; progress alone does not wake the waiting watches. */
--- a/packages/pool-agent/tests/pool-agent-core.test.ts
+++ b/packages/pool-agent/tests/pool-agent-core.test.ts
@@ -91,6 +91,13 @@
 	}
 }
 
+/** Lets the polls that a heartbeat causes be answered. */
+async function settle(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
 describe('PoolAgentCore', () => {
 	it('reports the worker with its lists', async () => {
 		const fixture = new AgentFixture();
@@ -121,7 +128,10 @@
 		it(`${isAccepted ? 'accepts' : 'ignores'} a heartbeat with ${title}`, async () => {
 			const fixture = new AgentFixture();
 			fixture.agent.onHeartbeat(FACTS, 2, 5);
-			fixture.agent.onHeartbeat({...FACTS, state: WORKER_STATES.draining}, sequence, startedAtMs);
+			await settle();
+			fixture.port.lists = {...fixture.port.lists, clockMs: 1001, bornMs: Math.max(5, startedAtMs)};
+			fixture.agent.onHeartbeat({...FACTS, life: `w1@${startedAtMs}`, state: WORKER_STATES.draining}, sequence, startedAtMs);
+			await settle();
 			const answer = await fixture.watch(1);
 			expect(answer.report?.facts.state).to.equal(isAccepted ? WORKER_STATES.draining : WORKER_STATES.ready);
 		});
