Bound the tasks that one job makes the leader create

A caller's job with "repetitions" and no interval, or a row of another writer with a step of a billion tasks or a run of a far later occurrence, made the leader create all these tasks at once. It would run out of memory, and so would each next leader that read the row.

Occurrences that are due wait while the job's tasks that aren't done would exceed 4,096, as many as a job without occurrences may have; each is created once earlier ones are done, and none is lost. A stored run restores occurrences only as far as the number of stored runs allows, since the earlier ones have runs too. Job rows with more tasks, or with a number that JSON reads as infinite, count as unreadable, which stops that job alone.

--- a/packages/pool/src/job-lifecycle.ts
+++ b/packages/pool/src/job-lifecycle.ts
@@ -2,7 +2,7 @@
 import {
 	createOccurrence, FINAL_STATES, isStepDone, type Job, type Task,
 } from './job-model.js';
-import {JOB_STATES, type JobState} from './model.js';
+import {JOB_STATES, type JobState, MAX_JOB_TASKS} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import {cancellationKey, type JobRow, TABLES} from './rows.js';
 import type {RunLifecycle} from './run-lifecycle.js';
@@ -124,10 +124,12 @@
 	 *
 	 * @param id - The job; one that is unknown or has ended is left as it is.
 	 * @param number - Number of the occurrence.
+	 * @param runCount - Number of stored runs. All tasks of earlier occurrences have one, but for as many as may be open.
 	 */
-	restoreOccurrences(id: string, number: number): void {
+	restoreOccurrences(id: string, number: number, runCount: number): void {
 		const job = this.#context.jobs.get(id);
-		if (!job?.spec || FINAL_STATES.has(job.state) || number >= (job.spec.recurrence?.count ?? 1)) {
+		const count = Math.min(job?.spec?.recurrence?.count ?? 1, runCount + MAX_JOB_TASKS);
+		if (!job?.spec || FINAL_STATES.has(job.state) || number >= count) {
 			return;
 		}
 
@@ -177,12 +179,15 @@
 		return Math.min(MAX_JOB_AGE_MS, Math.max(0, this.#context.clock.wallMs() - row.acceptedAtMs));
 	}
 
+	/** Adds the occurrences that are due; those that would make the job too large wait until earlier ones are done. */
 	#addDueOccurrences(job: Job): void {
 		if (!job.spec) {
 			return;
 		}
 
-		const {recurrence} = job.spec;
+		const {recurrence, steps} = job.spec;
+		const tasksPerOccurrence = steps.reduce((sum, step) => sum + step.taskCount, 0);
+		let openTasks: number | undefined;
 		const wallMs = this.#context.clock.wallMs();
 		const count = recurrence?.count ?? 1;
 		while (job.occurrences.length < count) {
@@ -191,6 +196,12 @@
 				return;
 			}
 
+			openTasks ??= countOpenTasks(job);
+			if (openTasks > 0 && openTasks + tasksPerOccurrence > MAX_JOB_TASKS) {
+				return;
+			}
+
+			openTasks += tasksPerOccurrence;
 			job.occurrences.push(createOccurrence(job, number));
 			this.#context.needsSchedulingRound = true;
 		}
@@ -230,3 +241,14 @@
 		});
 	}
 }
+
+function countOpenTasks(job: Job): number {
+	let count = 0;
+	for (const {steps} of job.occurrences) {
+		for (const {tasks} of steps) {
+			count += tasks.filter(task => !task.isDone).length;
+		}
+	}
+
+	return count;
+}
--- a/packages/pool/src/model.ts
+++ b/packages/pool/src/model.ts
@@ -36,6 +36,9 @@
 	readonly count: number;
 };
 
+/** Largest number of tasks of a job; also of those of a recurring job that are created and not done. */
+export const MAX_JOB_TASKS = 4096;
+
 /** A job as submitted by a caller. */
 export type JobSpec = {
 	/** Opaque text that is passed to every task of the job. */
--- a/packages/pool/src/row-decoding.ts
+++ b/packages/pool/src/row-decoding.ts
@@ -2,7 +2,7 @@
 	asFields, asList, type Fields, isAddress, isCount, isText, numberOr,
 } from '@amaranthsail/core';
 import {
-	JOB_STATES, type JobSpec, type JobState, type TaskShape,
+	JOB_STATES, type JobSpec, type JobState, MAX_JOB_TASKS, type TaskShape,
 } from './model.js';
 import type {QueueTerms} from './queue-terms.js';
 import type {
@@ -19,7 +19,7 @@
 export function decodeJobRow(value: unknown): JobRow | undefined {
 	const {queue, account, acceptedAtMs, terms, spec, finalState, endedAtMs} = asFields(value);
 	const hasValidState = finalState === undefined || Object.values(JOB_STATES).includes(finalState as JobState);
-	if (!isText(queue) || !isText(account) || typeof acceptedAtMs !== 'number' || !hasValidState) {
+	if (!isText(queue) || !isText(account) || !isNumber(acceptedAtMs) || !hasValidState) {
 		return undefined;
 	}
 
@@ -34,7 +34,7 @@
 		...(isQueueTerms(terms) && {terms}),
 		...(isJobSpec(spec) && {spec}),
 		...(finalState !== undefined && {finalState: finalState as JobState}),
-		...(typeof endedAtMs === 'number' && {endedAtMs}),
+		...(isNumber(endedAtMs) && {endedAtMs}),
 	};
 }
 
@@ -94,22 +94,28 @@
 
 function isQueueTerms(value: unknown): value is QueueTerms {
 	const {service, priority, maxAttempts, stretch, targetLatencyMs} = asFields(value);
-	return isText(service) && [priority, maxAttempts, stretch, targetLatencyMs].every(field => typeof field === 'number');
+	return isText(service) && [priority, maxAttempts, stretch, targetLatencyMs].every(field => isNumber(field));
 }
 
 function isJobSpec(value: unknown): value is JobSpec {
 	const {payload, steps, recurrence} = asFields(value);
 	return isText(payload) && Array.isArray(steps) && steps.length > 0
 		&& steps.every((step, number) => isStepSpec(asFields(step), number))
+		&& steps.reduce((sum: number, step) => sum + Number(asFields(step).taskCount), 0) <= MAX_JOB_TASKS
 		&& (recurrence === undefined || isRecurrence(asFields(recurrence)));
 }
 
+/** JSON numbers may be too large, and are infinite then. */
+function isNumber(value: unknown): value is number {
+	return typeof value === 'number' && Number.isFinite(value);
+}
+
 function isRecurrence({startAtMs, intervalMs, count}: Fields): boolean {
-	return isCount(count, 1) && typeof startAtMs === 'number' && typeof intervalMs === 'number';
+	return isCount(count, 1) && isNumber(startAtMs) && isNumber(intervalMs);
 }
 
 function isStepSpec({taskCount, shape, estimatedMs, after}: Fields, number: number): boolean {
-	return isCount(taskCount, 1) && isTaskShape(shape) && typeof estimatedMs === 'number'
+	return isCount(taskCount, 1) && isTaskShape(shape) && isNumber(estimatedMs)
 		&& Array.isArray(after) && asList(after).every(earlier => isCount(earlier) && earlier < number);
 }
 
--- a/packages/pool/src/state-recovery.ts
+++ b/packages/pool/src/state-recovery.ts
@@ -51,7 +51,7 @@
 	for (const row of state.runs) {
 		const name = parseTaskName(row.key);
 		if (name) {
-			jobs.restoreOccurrences(name.jobId, name.occurrence);
+			jobs.restoreOccurrences(name.jobId, name.occurrence, state.runs.length);
 		}
 
 		const task = context.findTask(row.key);
