Take over from a leader row that cannot be read

After another writer had put a leader row without content, with a port out of range or with an epoch near 2^53, no entry led again: each takeover was conditional on the version of the last row that could be read, and the store refused it for good.

6 of the new cases failed before: no takeover at all ("expected [] to have a length of 1"), and one that stored a row which can't be read ("Target cannot be null or undefined").

An unreadable row names no leader, and the next takeover replaces exactly that version. Epochs above 2^50 count as unreadable in rows and messages, so neither agents nor workers learn them. A takeover gets a higher epoch than any that this process has heard of, also from the agent or entry that deposed it, so a forged one costs one takeover and not one for each number. If the epoch of the row can't be read, the time in seconds stands for it: epochs count takeovers, which are far fewer.

An epoch of exactly 2^50 is still believed and can't be counted on.

--- a/packages/pool-agent/src/agent-message-decoding.ts
+++ b/packages/pool-agent/src/agent-message-decoding.ts
@@ -2,7 +2,7 @@
 	asFields, asList, type Fields, isAddress, isCount, isText, textOr,
 } from '@amaranthsail/core';
 import {
-	type AgentReport, isTaskShape, type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, type Refusal, RUN_OUTCOMES, type RunOutcome, WORKER_STATES, type WorkerState,
+	type AgentReport, isEpoch, isTaskShape, type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, type Refusal, RUN_OUTCOMES, type RunOutcome, WORKER_STATES, type WorkerState,
 } from '@amaranthsail/pool';
 import type {
 	AnnounceRequest, OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
@@ -11,7 +11,7 @@
 /** @returns The watch request, or undefined when it is malformed. */
 export function decodeWatchRequest(body: unknown): WatchRequest | undefined {
 	const {epoch, sinceVersion, waitMs, life, leaseUntilMs, ackSequence} = asFields(body);
-	if (!isCount(epoch) || !Number.isSafeInteger(sinceVersion) || !isCount(waitMs) || !isOptional(life, isText)
+	if (!isEpoch(epoch) || !Number.isSafeInteger(sinceVersion) || !isCount(waitMs) || !isOptional(life, isText)
 		|| !isOptional(leaseUntilMs, isCount) || !isOptional(ackSequence, isCount)) {
 		return undefined;
 	}
@@ -22,7 +22,7 @@
 /** @returns The order request, or undefined when it is malformed. */
 export function decodeOrderRequest(body: unknown): OrderRequest | undefined {
 	const {epoch, life, order} = asFields(body);
-	return isCount(epoch) && isText(life) && isWorkerOrder(asFields(order)) ? body as OrderRequest : undefined;
+	return isEpoch(epoch) && isText(life) && isWorkerOrder(asFields(order)) ? body as OrderRequest : undefined;
 }
 
 /** @returns The announcement, or undefined when it is malformed. */
@@ -39,7 +39,7 @@
  */
 export function decodeWatchAnswer(body: unknown): WatchAnswer | StaleEpochAnswer | undefined {
 	const {epoch, incarnation, version, report, leftLives} = asFields(body);
-	if (isCount(epoch)) {
+	if (isEpoch(epoch)) {
 		return {epoch};
 	}
 
@@ -53,7 +53,7 @@
 /** @returns The outcome of an order, or undefined when the answer is malformed. */
 export function decodeOrderAnswer(body: unknown): OrderAnswer | StaleEpochAnswer | undefined {
 	const {epoch, outcome, orderCount} = asFields(body);
-	if (isCount(epoch)) {
+	if (isEpoch(epoch)) {
 		return {epoch};
 	}
 
--- a/packages/pool-entry/src/agent-link.ts
+++ b/packages/pool-entry/src/agent-link.ts
@@ -37,7 +37,7 @@
 	/** Called after each update of the core, so that it can decide again. */
 	readonly onUpdate: () => void;
 	/** Called when the agent reports a higher epoch. */
-	readonly onLeadershipLost: (reason: string) => void;
+	readonly onLeadershipLost: (reason: string, knownEpoch: number) => void;
 };
 
 /** The leader's connection to one agent. */
@@ -103,7 +103,7 @@
 
 		const body = answer.ok && answer.value.status === 200 ? decodeOrderAnswer(answer.value.body) : undefined;
 		if (body && 'epoch' in body) {
-			this.#deps.onLeadershipLost(`agent ${this.#name} knows epoch ${body.epoch}`);
+			this.#deps.onLeadershipLost(`agent ${this.#name} knows epoch ${body.epoch}`, body.epoch);
 			return;
 		}
 
@@ -129,7 +129,7 @@
 
 	#onWatchAnswer(answer: WatchAnswer | StaleEpochAnswer): void {
 		if ('epoch' in answer) {
-			this.#deps.onLeadershipLost(`agent ${this.#name} knows epoch ${answer.epoch}`);
+			this.#deps.onLeadershipLost(`agent ${this.#name} knows epoch ${answer.epoch}`, answer.epoch);
 			return;
 		}
 
--- a/packages/pool-entry/src/leadership.ts
+++ b/packages/pool-entry/src/leadership.ts
@@ -1,6 +1,8 @@
-import {JsonClient, type Clock, type Logger} from '@amaranthsail/core';
 import {
-	decodeLeaderRow, type LeaderRow, LEADER_KEY, type PoolStore, type StoredRow, TABLES,
+	asFields, JsonClient, type Clock, type Logger,
+} from '@amaranthsail/core';
+import {
+	decodeLeaderRow, isEpoch, type LeaderRow, LEADER_KEY, type PoolStore, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
 import {sleep} from '@amaranthsail/pool-runtime';
 import type {Leadership} from './commit-loop.js';
@@ -52,6 +54,9 @@
 export class LeaderFollower {
 	readonly #deps: LeaderFollowerDependencies;
 	#knownRow: KnownLeaderRow | undefined;
+	/** Version of the leader row while it cannot be read. */
+	#unreadableVersion: number | undefined;
+	#highestEpoch = 0;
 	#client: JsonClient | undefined;
 	#lastLeaderAnswerAtMs: number;
 	readonly #takeoverDelay: TakeoverDelay;
@@ -67,9 +72,9 @@
 		this.#takeoverDelay = new TakeoverDelay(deps.cores);
 	}
 
-	/** Epoch of the known leader row; 0 before the first. */
+	/** Highest known epoch; 0 before the first. */
 	get epoch(): number {
-		return this.#knownRow?.row.epoch ?? 0;
+		return this.#highestEpoch;
 	}
 
 	/** Address in the known leader row; undefined when there is no leader. */
@@ -93,6 +98,11 @@
 		}
 	}
 
+	/** @param epoch - An epoch that another process knows; the next takeover of this one gets a higher one. */
+	recordEpoch(epoch: number): void {
+		this.#highestEpoch = Math.max(this.#highestEpoch, epoch);
+	}
+
 	/** Stops {@link LeaderFollower.run}. */
 	stop(): void {
 		this.#isStopped = true;
@@ -175,7 +185,12 @@
 
 	#recordRow(row: StoredRow | undefined): void {
 		const value = decodeLeaderRow(row?.value);
-		if (!row || !value) {
+		if (!row) {
+			return;
+		}
+
+		if (!value) {
+			this.#recordUnreadableRow(row);
 			return;
 		}
 
@@ -185,12 +200,29 @@
 		}
 
 		this.#knownRow = {row: value, version: row.version};
+		this.#unreadableVersion = undefined;
+		this.recordEpoch(value.epoch);
+	}
+
+	/**
+	 * A row that cannot be read names no leader; the next takeover replaces it. If its epoch cannot be read either, agents
+	 * and workers may know a higher one than this process, but epochs count takeovers, so the time in seconds is above it.
+	 */
+	#recordUnreadableRow({value, version, isRemoved}: StoredRow): void {
+		if (this.#unreadableVersion !== version && !isRemoved) {
+			this.#deps.logger.error('leader row unreadable', {rowVersion: version});
+			const {epoch} = asFields(value);
+			this.recordEpoch(isEpoch(epoch) ? epoch : Math.floor(this.#deps.clock.wallMs() / 1000));
+		}
+
+		this.#knownRow = undefined;
+		this.#unreadableVersion = version;
 	}
 
 	async #takeOver(reason: string): Promise<void> {
 		const row: LeaderRow = {holder: this.#deps.holder, address: this.#deps.address, epoch: this.epoch + 1, commit: 0};
 		const taken = await this.#deps.store.transact(
-			[{table: TABLES.leader, key: LEADER_KEY, version: this.#knownRow?.version ?? 0}],
+			[{table: TABLES.leader, key: LEADER_KEY, version: this.#knownRow?.version ?? this.#unreadableVersion ?? 0}],
 			[{table: TABLES.leader, key: LEADER_KEY, value: row}],
 			STORE_TIMEOUT_MS,
 		);
@@ -199,12 +231,15 @@
 		});
 		if (taken.ok) {
 			this.#knownRow = {row, version: taken.value.version};
+			this.#unreadableVersion = undefined;
+			this.recordEpoch(row.epoch);
 			this.#deps.onTakeover(this.#knownRow);
 		} else if (taken.error.kind === 'condition_failed') {
 			this.#recordRow(taken.error.rows.find(present => present.key === LEADER_KEY));
 		} else {
 			// The write may have taken effect; the next takeover then replaces the row with a higher epoch.
 			this.#knownRow = undefined;
+			this.#unreadableVersion = undefined;
 		}
 	}
 }
--- a/packages/pool-entry/src/peer-message-decoding.ts
+++ b/packages/pool-entry/src/peer-message-decoding.ts
@@ -2,7 +2,7 @@
 	asFields, asList, isAddress, isCount, isText, numberOr, textOr,
 } from '@amaranthsail/core';
 import {
-	decodeJobRow, JOB_STATES, type JobState, type StoredRow,
+	decodeJobRow, isEpoch, JOB_STATES, type JobState, type StoredRow,
 } from '@amaranthsail/pool';
 import type {JobRequestOutcome} from './job-service.js';
 import type {
@@ -15,7 +15,7 @@
 export function decodeHelloRequest(body: unknown): HelloRequest | undefined {
 	const {address, epoch, configRowVersion, failureDomain, cores} = asFields(body);
 	// An entry of an earlier release names neither its failure domain nor its capacity.
-	return isAddress(address) && isCount(epoch) && isCount(configRowVersion)
+	return isAddress(address) && isEpoch(epoch) && isCount(configRowVersion)
 		? {
 			address, epoch, configRowVersion, failureDomain: textOr(failureDomain, ''), cores: numberOr(cores, 0),
 		}
@@ -25,7 +25,7 @@
 /** @returns The answer of another entry, or undefined when it is malformed. */
 export function decodeHelloAnswer(body: unknown): HelloAnswer | undefined {
 	const {epoch, isLeading, configRowVersion, entries, pending, isDeputy, largestCores} = asFields(body);
-	if (!isCount(epoch) || typeof isLeading !== 'boolean' || !isCount(configRowVersion)) {
+	if (!isEpoch(epoch) || typeof isLeading !== 'boolean' || !isCount(configRowVersion)) {
 		return undefined;
 	}
 
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -184,7 +184,8 @@
 			metrics: this.#metrics,
 			limits: this.#limits,
 			guard: this.#guard,
-			onLeadershipLost: () => {
+			onLeadershipLost: (_reason, knownEpoch = 0) => {
+				this.#follower.recordEpoch(knownEpoch);
 				if (this.#leader === leader) {
 					this.#leader = undefined;
 				}
--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -31,8 +31,8 @@
 	readonly metrics: ProcessMetrics;
 	readonly limits: PoolLimits;
 	readonly guard: ErrorGuard;
-	/** Called once when another process leads or has to take over. */
-	readonly onLeadershipLost: (reason: string) => void;
+	/** Called once when another process leads or has to take over; with the epoch that another process knows, if one does. */
+	readonly onLeadershipLost: (reason: string, knownEpoch?: number) => void;
 };
 
 /** Leads the pool: connects the core to the store, the agents and the clock. */
@@ -75,8 +75,8 @@
 			onUpdate: () => {
 				this.#scheduleTick();
 			},
-			onLeadershipLost: reason => {
-				this.#stepDown(reason);
+			onLeadershipLost: (reason, knownEpoch) => {
+				this.#stepDown(reason, knownEpoch);
 			},
 		});
 		this.#commitLoop = new CommitLoop(leadership, {
@@ -130,7 +130,7 @@
 	 */
 	recordPeerCall(knownEpoch: number): void {
 		if (knownEpoch > this.epoch) {
-			this.#stepDown(`another entry knows epoch ${knownEpoch}`);
+			this.#stepDown(`another entry knows epoch ${knownEpoch}`, knownEpoch);
 			return;
 		}
 
@@ -213,11 +213,11 @@
 		}
 	}
 
-	#stepDown(reason: string): void {
+	#stepDown(reason: string, knownEpoch?: number): void {
 		if (!this.#isStopped) {
 			this.#deps.logger.warn('leadership lost', {epoch: this.epoch, reason});
 			this.#stop();
-			this.#deps.onLeadershipLost(reason);
+			this.#deps.onLeadershipLost(reason, knownEpoch);
 		}
 	}
 
--- a/packages/pool-entry/tests/leadership.test.ts
+++ b/packages/pool-entry/tests/leadership.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 import {silentLogger, SystemClock} from '@amaranthsail/core';
-import {LEADER_KEY, type LeaderRow, TABLES} from '@amaranthsail/pool';
+import {
+	decodeLeaderRow, LEADER_KEY, type LeaderRow, TABLES,
+} from '@amaranthsail/pool';
 import {sleep} from '@amaranthsail/pool-runtime';
 import {MemoryPoolStore, servePeer} from './support.js';
 import {LeaderFollower} from '@amaranthsail/pool-entry/leadership.js';
@@ -72,4 +74,38 @@
 			expect(takeovers).to.deep.equal(expected);
 		});
 	}
+
+	const oddRows: ReadonlyArray<{readonly title: string; readonly row: unknown; readonly minEpoch: number}> = [
+		{title: 'without content', row: undefined, minEpoch: 1},
+		{title: 'that is no object', row: 7, minEpoch: 1},
+		{title: 'with a port out of range', row: {holder: 'other/1', address: '127.0.0.1:65536', epoch: 40, commit: 0}, minEpoch: 41},
+		{title: 'with the highest number as its epoch', row: {holder: 'other/1', address: '127.0.0.1:1', epoch: Number.MAX_SAFE_INTEGER, commit: 0}, minEpoch: 1},
+		{title: 'with an infinite epoch', row: {holder: 'other/1', address: '127.0.0.1:1', epoch: Number.POSITIVE_INFINITY, commit: 0}, minEpoch: 1},
+	];
+	for (const {title, row, minEpoch} of oddRows) {
+		it(`takes over from a leader row ${title}, in an epoch that others can read`, async () => {
+			const store = new MemoryPoolStore();
+			store.put(TABLES.leader, LEADER_KEY, row);
+			const {follower, takeovers} = follow(store);
+			const run = follower.run();
+			await sleep(SETTLE_MS);
+			follower.stop();
+			await run;
+			expect(takeovers).to.have.length(1);
+			expect(takeovers[0]).to.be.at.least(minEpoch);
+			const stored = decodeLeaderRow(store.rows.get(`${TABLES.leader}/${LEADER_KEY}`)?.value);
+			expect(stored).to.deep.include({holder: 'self/1', epoch: takeovers[0]});
+		});
+	}
+
+	it('takes over in a higher epoch than any that it has heard of', async () => {
+		const store = new MemoryPoolStore();
+		const {follower, takeovers} = follow(store);
+		follower.recordEpoch(900);
+		const run = follower.run();
+		await sleep(SETTLE_MS);
+		follower.stop();
+		await run;
+		expect(takeovers).to.deep.equal([901]);
+	});
 });
--- a/packages/pool/src/row-decoding.ts
+++ b/packages/pool/src/row-decoding.ts
@@ -5,8 +5,8 @@
 	JOB_STATES, type JobSpec, type JobState, MAX_JOB_TASKS, type TaskShape,
 } from './model.js';
 import type {QueueTerms} from './queue-terms.js';
-import type {
-	IncarnationRow, JobRow, LeaderRow, MemberRow, RunRow,
+import {
+	type IncarnationRow, type JobRow, type LeaderRow, MAX_EPOCH, type MemberRow, type RunRow,
 } from './rows.js';
 import {CRASH_EVIDENCE, type CrashEvidence, type WorkerCrash} from './worker-crash.js';
 
@@ -80,10 +80,15 @@
 	return isAddress(address) ? {address} : undefined;
 }
 
+/** @returns Whether the value is an epoch that a leader may have. */
+export function isEpoch(value: unknown): value is number {
+	return isCount(value) && value <= MAX_EPOCH;
+}
+
 /** @returns The leader row, or undefined when it cannot be read. */
 export function decodeLeaderRow(value: unknown): LeaderRow | undefined {
 	const {holder, address, epoch, commit} = asFields(value);
-	if (!isText(holder) || !isCount(epoch) || !isAddress(address)) {
+	if (!isText(holder) || !isEpoch(epoch) || !isAddress(address)) {
 		return undefined;
 	}
 
--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -17,6 +17,9 @@
 /** Key of the only row of the leader table. */
 export const LEADER_KEY = 'region';
 
+/** Highest epoch that is believed; leaves room to count on from any that is. */
+export const MAX_EPOCH = 2 ** 50;
+
 /** The row of the leader table. */
 export type LeaderRow = {
 	/** Identifies the process that leads, not only its VM; empty after a resignation. */
