Send what is meant for one incarnation only on its own connections

Operators saw a task start again after its run had ended as done. A worker may start again under its id; the expected id does not tell the two incarnations apart. The agent's next renewal then carried the acknowledgement and the lease of the earlier incarnation to the new one, which drops ends that nobody has read; a start or a stop could arrive there as well.

The first call on each connection is now a neutral renewal (no lease, nothing acknowledged, no wait), whose answer names the incarnation. Starts, stops, acknowledgements and leases are written only to a connection on which the intended incarnation has identified itself, checked when the request gets its connection; a TCP connection ends with the process that accepted it. If another incarnation answers, an order is refused as otherLife and a renewal returns its lists; without an answer, an order is refused as unhealthy, since it was not sent.

Kept connections are not identified again, so a poll is one call as before; a new connection costs one further call. An order waits for the identification as long as the check of before (250 ms, shared with that check); a slower worker's connection is kept for the repeated order. A renewal waits for the identification as long as for its answer, so a worker that takes 600 ms an answer still gets its lease. A worker whose lists do not name an incarnation counts as the expected one. AnsweringIncarnation stays: the binding does not show that a worker has stopped answering.

`WorkerPort.order` now takes the receiving incarnation, and `renewLease` a grant that names its incarnation.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,4 +11,5 @@
 export * from './logger.js';
 export * from './task-key.js';
 export * from './json-http.js';
+export * from './identified-connections.js';
 export * from './fields.js';
--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, type IncomingHttpHeaders, request} from 'node:http';
+import type {Socket} from 'node:net';
 import {isAddress} from './fields.js';
 import {err, ok, type Result} from './result.js';
 
@@ -25,6 +26,8 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: unknown;
 	readonly timeoutMs: number;
+	/** Decides, before anything is written, whether the request may use a connection; if not, it fails as not sent. */
+	readonly acceptsConnection?: (socket: Socket) => boolean;
 };
 
 /** Longest wait for a connection within a region. A host that is down does not refuse connections, so only this limit detects it. */
@@ -96,6 +99,11 @@
 				}
 			}, Math.min(CONNECT_TIMEOUT_MS, jsonRequest.timeoutMs));
 			outgoing.on('socket', socket => {
+				if (jsonRequest.acceptsConnection?.(socket) === false) {
+					abort('another connection than the accepted one');
+					return;
+				}
+
 				if (socket.connecting) {
 					socket.setNoDelay(true);
 					socket.once('connect', () => {
@@ -104,6 +112,10 @@
 				} else {
 					isConnected = true;
 				}
+
+				if (jsonRequest.acceptsConnection) {
+					outgoing.end(bodyText);
+				}
 			});
 			outgoing.on('error', (error: NodeJS.ErrnoException) => {
 				fail(timeoutMessage === '' ? error.message : timeoutMessage, error.code);
@@ -122,7 +134,9 @@
 					resolve(ok({status: response.statusCode ?? 0, headers: response.headers, body: parseJson(Buffer.concat(chunks).toString())}));
 				});
 			});
-			outgoing.end(bodyText);
+			if (!jsonRequest.acceptsConnection) {
+				outgoing.end(bodyText);
+			}
 		});
 	}
 
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type PoolStore, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
+	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type LeaseGrant, type PoolStore, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
@@ -27,7 +27,7 @@
 /** The agent renews the lease itself when no leader has called for this time. */
 const LEADER_TIMEOUT_MS = 2000;
 
-/** Timeout of the check which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
+/** Time for checks which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
 const INCARNATION_CHECK_TIMEOUT_MS = 250;
 
 /** Timeout of a store read; the store answers within milliseconds unless it is slow. */
@@ -180,13 +180,18 @@
 			return {outcome: {kind: 'refused', reason: REFUSALS.otherLife}, orderCount: this.#orderCount};
 		}
 
+		const receivedAtMs = this.#deps.clock.monotonicMs();
 		const refusal = request.order.kind === 'start' ? await this.#findStartRefusal(known) : undefined;
 		if (refusal) {
 			this.#deps.logger.info('start not relayed', {task: request.order.task, run: request.order.run, worker: request.life, reason: refusal, answeringSinceMs: this.#answering.startedAtMs ?? 'unknown'});
 			return {outcome: {kind: 'refused', reason: refusal}, orderCount: this.#orderCount};
 		}
 
-		const {outcome} = await this.#deps.worker.order(request.order, request.epoch, known.facts.id);
+		const {outcome} = await this.#deps.worker.order(request.order, request.epoch, {
+			id: known.facts.id,
+			startedAtMs: known.startedAtMs,
+			identifyWithinMs: Math.max(0, INCARNATION_CHECK_TIMEOUT_MS - (this.#deps.clock.monotonicMs() - receivedAtMs)),
+		});
 		this.#orderCount++;
 		if (outcome.kind === 'unknown' || outcome.kind === 'gone') {
 			this.#answering.recordFailure();
@@ -249,14 +254,14 @@
 	async #pollWorker(waitMs: number, graceMs?: number): Promise<boolean> {
 		const known = this.#knownWorker;
 		const ordersBefore = this.#orderCount;
-		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
+		// A check which incarnation answers needs no grant.
+		const grant = graceMs === undefined ? this.#grantFor(known) : undefined;
 		const answer = await this.#deps.worker.renewLease({
 			epoch: this.#epoch,
-			ackSequence: this.#ackSequence,
 			waitMs,
 			...(graceMs !== undefined && {graceMs}),
-			...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs}),
 			...(known && {workerId: known.facts.id}),
+			...(grant && {grant}),
 		});
 		if (answer.kind === 'lists') {
 			this.#answering.recordAnswer(answer.lists.bornMs, this.#deps.clock.monotonicMs());
@@ -274,6 +279,18 @@
 		return false;
 	}
 
+	/** @returns Acknowledgement and lease for the incarnation whose lists were received last, unless another one is announced. */
+	#grantFor(known: KnownWorker | undefined): LeaseGrant | undefined {
+		const startedAtMs = this.#lists?.bornMs ?? known?.startedAtMs ?? 0;
+		const isOtherAnnounced = known !== undefined && known.startedAtMs !== startedAtMs;
+		if (isOtherAnnounced || (this.#ackSequence === 0 && this.#leaseUntilMs === 0)) {
+			return undefined;
+		}
+
+		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
+		return {startedAtMs, ackSequence: this.#ackSequence, ...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs})};
+	}
+
 	/** Makes sure that a start reaches the announced incarnation of the worker and not a later one. */
 	async #findStartRefusal({facts, startedAtMs}: KnownWorker): Promise<Refusal | undefined> {
 		if (!this.#answering.isRecent(this.#deps.clock.monotonicMs()) || !this.#answering.isSame(startedAtMs)) {
--- a/packages/pool/src/ports.ts
+++ b/packages/pool/src/ports.ts
@@ -52,17 +52,46 @@
 	follow(table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreError>>;
 }
 
+/** One incarnation of a worker as the receiver of orders. */
+export type OrderReceiver = {
+	readonly id: string;
+	readonly startedAtMs: number;
+	/** Longest wait for the check that this incarnation answers, if one is necessary. */
+	readonly identifyWithinMs?: number;
+};
+
+/** What is meant for one incarnation of a worker only. */
+export type LeaseGrant = {
+	readonly startedAtMs: number;
+	/** Ends of runs up to this number may be forgotten. */
+	readonly ackSequence: number;
+	/** End of the lease on the incarnation's clock. */
+	readonly leaseUntilMs?: number;
+};
+
+/** Request for a worker's lists, which also renews its lease. */
+export type LeaseRenewal = {
+	readonly epoch: number;
+	/** Longest time for which the worker waits for the end of a run. */
+	readonly waitMs: number;
+	/** Time allowed for the answer beyond the wait. */
+	readonly graceMs?: number;
+	/** A worker with another id refuses the request. */
+	readonly workerId?: string;
+	/** Reaches no other incarnation than the one that it names; if another one answers, only the lists are returned. */
+	readonly grant?: LeaseGrant;
+};
+
 /** The worker on an agent's VM. */
 export interface WorkerPort {
-	/** Sends an order to the worker; one with another id refuses it. */
-	order(order: WorkerOrder, epoch: number, workerId: string): Promise<{readonly outcome: OrderOutcome; readonly clockMs?: number}>;
+	/** Sends an order to one incarnation of the worker. If another one answers, or none, the order is not sent and refused. */
+	order(order: WorkerOrder, epoch: number, worker: OrderReceiver): Promise<{readonly outcome: OrderOutcome; readonly clockMs?: number}>;
 
-	/** Renews the worker's lease, acknowledges listed ends, and returns the running and ended runs within `waitMs` and `graceMs`. */
-	renewLease(request: {readonly epoch: number; readonly ackSequence: number; readonly leaseUntilMs?: number; readonly waitMs: number; readonly graceMs?: number; readonly workerId?: string}): Promise<
+	/** Renews the worker's lease, acknowledges listed ends, and returns the running and ended runs. */
+	renewLease(request: LeaseRenewal): Promise<
 		| {readonly kind: 'lists'; readonly lists: WorkerLists}
 		| {readonly kind: 'refused'; readonly reason: Refusal}
 		| {readonly kind: 'unknown'; readonly message: string}
 		| {readonly kind: 'gone'}
 	>;
 }
-
