--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,5 +1,5 @@
 import {
-	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists,
+	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type LeaseGrant, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
@@ -29,7 +29,7 @@
 /** The agent renews the lease itself when no leader has called for this time. */
 const LEADER_TIMEOUT_MS = 2000;
 
-/** Timeout of the check which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
+/** Time for checks which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
 const INCARNATION_CHECK_TIMEOUT_MS = 250;
 
 /** Timeout of a store read; the store answers within milliseconds unless it is slow. */
@@ -88,7 +88,7 @@
 		}
 
 		if (effect === HEARTBEAT_EFFECTS.held) {
-			void this.#pollWorker(0);
+			void this.#pollWorker(0, {isCheck: true});
 		}
 	}
 
@@ -101,7 +101,7 @@
 		this.#onLeft(this.#announced.onLeave(workerId, this.#deps.clock.monotonicMs()));
 		if (this.#announced.known?.facts.id === workerId) {
 			this.#deps.logger.info('deregistration held', {worker: this.#announced.known.facts.life});
-			void this.#pollWorker(0);
+			void this.#pollWorker(0, {isCheck: true});
 		}
 	}
 
@@ -152,13 +152,18 @@
 			return {outcome: {kind: 'refused', reason: REFUSALS.otherLife}, orderCount: this.#orderCount};
 		}
 
+		const receivedAtMs = this.#deps.clock.monotonicMs();
 		const refusal = request.order.kind === 'start' ? await this.#findStartRefusal(known) : undefined;
 		if (refusal) {
 			this.#deps.logger.info('start not relayed', {task: request.order.task, run: request.order.run, worker: request.life, reason: refusal, answeringSinceMs: this.#answering.startedAtMs ?? 'unknown'});
 			return {outcome: {kind: 'refused', reason: refusal}, orderCount: this.#orderCount};
 		}
 
-		const {outcome} = await this.#deps.worker.order(request.order, request.epoch, known.facts.id);
+		const {outcome} = await this.#deps.worker.order(request.order, request.epoch, {
+			id: known.facts.id,
+			startedAtMs: known.startedAtMs,
+			identifyWithinMs: Math.max(0, INCARNATION_CHECK_TIMEOUT_MS - (this.#deps.clock.monotonicMs() - receivedAtMs)),
+		});
 		this.#orderCount++;
 		if (outcome.kind === 'unknown' || outcome.kind === 'gone') {
 			this.#answering.recordFailure();
@@ -217,18 +222,17 @@
 		};
 	}
 
-	/** Renews the lease, acknowledges ends of runs, and reads the worker's lists. */
-	async #pollWorker(waitMs: number, graceMs?: number): Promise<boolean> {
+	/** Reads the worker's lists; unless this is only a check which incarnation answers, renews the lease and acknowledges ends. */
+	async #pollWorker(waitMs: number, {graceMs, isCheck = false}: {readonly graceMs?: number; readonly isCheck?: boolean} = {}): Promise<boolean> {
 		const {known} = this.#announced;
 		const ordersBefore = this.#orderCount;
-		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
+		const grant = isCheck ? undefined : this.#grantFor(known);
 		const answer = await this.#deps.worker.renewLease({
 			epoch: this.#epoch,
-			ackSequence: this.#ackSequence,
 			waitMs,
 			...(graceMs !== undefined && {graceMs}),
-			...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs}),
 			...(known && {workerId: known.facts.id}),
+			...(grant && {grant}),
 		});
 		if (answer.kind === 'lists') {
 			this.#answering.recordAnswer(answer.lists.bornMs, this.#deps.clock.monotonicMs());
@@ -254,10 +258,25 @@
 		return false;
 	}
 
+	/** @returns Acknowledgement and lease for the incarnation whose lists were received last, unless another one is announced. */
+	#grantFor(known: KnownWorker | undefined): LeaseGrant | undefined {
+		if (!this.#lists || (this.#ackSequence === 0 && this.#leaseUntilMs === 0)) {
+			return undefined;
+		}
+
+		const startedAtMs = this.#lists.bornMs ?? known?.startedAtMs ?? 0;
+		if (known && known.startedAtMs !== startedAtMs) {
+			return undefined;
+		}
+
+		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
+		return {startedAtMs, ackSequence: this.#ackSequence, ...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs})};
+	}
+
 	/** Makes sure that a start reaches the announced incarnation of the worker and not a later one. */
 	async #findStartRefusal({facts, startedAtMs}: KnownWorker): Promise<Refusal | undefined> {
 		if (!this.#answering.isRecent(this.#deps.clock.monotonicMs()) || !this.#answering.isSame(startedAtMs)) {
-			await this.#pollWorker(0, INCARNATION_CHECK_TIMEOUT_MS);
+			await this.#pollWorker(0, {graceMs: INCARNATION_CHECK_TIMEOUT_MS, isCheck: true});
 		}
 
 		if (this.#announced.known?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
--- a/packages/pool-agent/tests/support/emulated-worker-port.ts
+++ b/packages/pool-agent/tests/support/emulated-worker-port.ts
@@ -1,5 +1,5 @@
 import {
-	type OrderOutcome, REFUSALS, type Refusal, type WorkerOrder, type WorkerPort,
+	type LeaseRenewal, type OrderOutcome, type OrderReceiver, REFUSALS, type Refusal, type WorkerOrder, type WorkerPort,
 } from '@amaranthsail/pool';
 import {type CallNetwork, CALLS} from './call-network.js';
 import type {WorkerIncarnation} from './worker-incarnation.js';
@@ -10,12 +10,14 @@
 /** Time that the product's client allows for the answer to a renewal beyond the worker's own wait. */
 const RENEWAL_GRACE_MS = 700;
 
-type RenewalRequest = Parameters<WorkerPort['renewLease']>[0];
 type RenewalOutcome = Awaited<ReturnType<WorkerPort['renewLease']>>;
 
 type NotCarriedOut = {readonly kind: 'gone'} | {readonly kind: 'refused'; readonly reason: Refusal};
 
-/** Calls of an agent to an emulated worker. A call reaches the incarnation that is up when it is carried out. */
+/**
+ * Calls of an agent to an emulated worker. What is meant for one incarnation is sent only while that one is up; the call
+ * reaches the incarnation that is up when it is carried out.
+ */
 export class EmulatedWorkerPort implements WorkerPort {
 	readonly #network: CallNetwork;
 	readonly #present: () => WorkerIncarnation | undefined;
@@ -32,15 +34,23 @@
 		this.#areCallsBound = areCallsBound;
 	}
 
-	async order(order: WorkerOrder, epoch: number, workerId: string): Promise<{readonly outcome: OrderOutcome}> {
+	async order(order: WorkerOrder, epoch: number, receiver: OrderReceiver): Promise<{readonly outcome: OrderOutcome}> {
+		if (this.#isOtherPresent(receiver.startedAtMs)) {
+			return {outcome: {kind: 'refused', reason: REFUSALS.otherLife}};
+		}
+
 		const carryOut = async (worker: WorkerIncarnation): Promise<OrderOutcome> => worker.order(order, epoch);
-		const outcome = await this.#network.call(order.kind === 'start' ? CALLS.start : CALLS.stop, ORDER_TIMEOUT_MS, this.#toPresent(workerId, carryOut));
+		const outcome = await this.#network.call(order.kind === 'start' ? CALLS.start : CALLS.stop, ORDER_TIMEOUT_MS, this.#toPresent(receiver.id, carryOut));
 		return {outcome: outcome ?? {kind: 'unknown', message: 'no answer'}};
 	}
 
-	async renewLease(request: RenewalRequest): Promise<RenewalOutcome> {
+	async renewLease(request: LeaseRenewal): Promise<RenewalOutcome> {
+		const {epoch, waitMs} = request;
+		const grant = request.grant && !this.#isOtherPresent(request.grant.startedAtMs) ? request.grant : undefined;
 		const carryOut = async (worker: WorkerIncarnation): Promise<RenewalOutcome | undefined> => {
-			const answer = await worker.renew(request);
+			const answer = await worker.renew({
+				epoch, waitMs, ackSequence: grant?.ackSequence ?? 0, ...(grant?.leaseUntilMs !== undefined && {leaseUntilMs: grant.leaseUntilMs}),
+			});
 			if (!answer) {
 				return undefined;
 			}
@@ -52,6 +62,11 @@
 		return outcome ?? {kind: 'unknown', message: 'no answer'};
 	}
 
+	#isOtherPresent(startedAtMs: number): boolean {
+		const present = this.#present();
+		return present !== undefined && present.bornMs !== startedAtMs;
+	}
+
 	/** @returns Carries a call out by the incarnation that is up then, if it has the id and the call can reach it. */
 	#toPresent<Outcome>(workerId: string | undefined, carryOut: (worker: WorkerIncarnation) => Promise<Outcome | undefined>): () => Promise<Outcome | NotCarriedOut | undefined> {
 		const sentTo = this.#present();
