Fence a restarted worker for the longest lease that a late call may grant

What callers see: a task runs twice at the same time, when a worker starts again under its id and then falls silent.

Cause: deadlines of leases are readings of the worker's clock, which starts anew with each incarnation. A call to the earlier incarnation that the new one carries out seconds later names a deadline far ahead on its clock, which the worker shortens to the longest lease that it accepts, counted from then. The fence counted the leader's own lease from the suspicion alone.

Evidence: the new test failed before: a worker that had started again 0.2 s before it fell silent was given up 2.5 s and one lease after its restart; a call that is carried out 10 s after the restart grants a lease beyond that.

Now the fence of such a worker ends no earlier than 10 s after its first report and the longest lease that workers accept (plus 2%). Other workers, and those that fall silent later, are fenced as before. The cost: the tasks of a worker that falls silent within 10 s of its restart wait for up to 7.5 s longer. A leader that took over since the restart does not know of it and uses the shorter fence.

--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -77,6 +77,7 @@
 		this.#limits = {
 			...DEFAULT_LIMITS,
 			leaseMs: leaseMsWithin(settings.bounds.maxLeaseMs),
+			maxLeaseMs: settings.bounds.maxLeaseMs,
 			remoteFactor: settings.bounds.remoteFactor,
 			reclaimMs: settings.bounds.reclaimMs,
 			stopTimeoutMs: settings.bounds.stopTimeoutMs,
--- a/packages/pool/src/late-starts.ts
+++ b/packages/pool/src/late-starts.ts
@@ -3,8 +3,8 @@
 import type {RunLifecycle} from './run-lifecycle.js';
 import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
 
-/** A start without an answer is carried out within seconds, or never. */
-const MAX_START_DELAY_MS = 10_000;
+/** A call without an answer is carried out within seconds, or never. */
+const MAX_CALL_DELAY_MS = 10_000;
 
 /**
  * Prevents starts that remained unanswered from being carried out by a later incarnation of their worker. An incarnation
@@ -41,7 +41,7 @@
 		const nowMs = this.#context.nowMs();
 		const kept: Run = {
 			...state, incarnation: next.incarnation, phase: RUN_PHASES.stopping, unansweredStarts: 0, isOrderInFlight: false, nextOrderAtMs: nowMs,
-			keptFor: {incarnation: run.keptFor?.incarnation ?? run.incarnation, untilMs: run.keptFor?.untilMs ?? nowMs + MAX_START_DELAY_MS},
+			keptFor: {incarnation: run.keptFor?.incarnation ?? run.incarnation, untilMs: run.keptFor?.untilMs ?? nowMs + MAX_CALL_DELAY_MS},
 		};
 		this.#context.log('late start awaited', {job: task.step.job.id, task: task.name, run: run.number, worker: kept.keptFor!.incarnation, next: next.incarnation});
 		task.run = kept;
@@ -52,7 +52,8 @@
 	}
 
 	/**
-	 * Takes over the runs that have recently ended on an earlier incarnation while a start of theirs remained unanswered.
+	 * Takes over what may still reach the next incarnation: starts of runs that have recently ended while a start of theirs
+	 * remained unanswered, and deadlines of leases.
 	 *
 	 * @param worker - The earlier incarnation.
 	 * @param next - The incarnation that has reported instead.
@@ -62,11 +63,13 @@
 			return;
 		}
 
-		const sinceMs = this.#context.nowMs() - MAX_START_DELAY_MS;
+		// Calls to the earlier incarnation name deadlines on its clock, which lie far ahead on that of the next one.
+		next.lateCallsUntilMs = this.#context.nowMs() + MAX_CALL_DELAY_MS;
+		const sinceMs = this.#context.nowMs() - MAX_CALL_DELAY_MS;
 		for (const [task, ended] of worker.endedUnanswered) {
 			if (ended.endedAtMs >= sinceMs && !next.runs.has(task)) {
 				next.endedUnanswered.set(task, ended);
-				next.lateStops.set(task, {run: ended.run, dueMs: 0, untilMs: ended.endedAtMs + MAX_START_DELAY_MS});
+				next.lateStops.set(task, {run: ended.run, dueMs: 0, untilMs: ended.endedAtMs + MAX_CALL_DELAY_MS});
 			}
 		}
 	}
@@ -98,7 +101,7 @@
  */
 export function recordEndedUnanswered(run: Run, worker: TrackedWorker, nowMs: number): void {
 	for (const [task, {endedAtMs}] of worker.endedUnanswered) {
-		if (endedAtMs >= nowMs - MAX_START_DELAY_MS) {
+		if (endedAtMs >= nowMs - MAX_CALL_DELAY_MS) {
 			break;
 		}
 
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -2,6 +2,8 @@
 export type PoolLimits = {
 	/** Length of a worker's lease on its own clock, counted from the clock's newest known reading. */
 	readonly leaseMs: number;
+	/** Longest lease that the workers grant, whatever deadline a call names. */
+	readonly maxLeaseMs: number;
 	/** Time after which a silent worker is suspected. */
 	readonly suspectTimeoutMs: number;
 	/** Time for which a deposed leader may continue to renew leases. */
@@ -28,6 +30,7 @@
 export const DEFAULT_LIMITS: PoolLimits = {
 	// Longer than a usual loss of connection, so that it does not cost running work.
 	leaseMs: 6000,
+	maxLeaseMs: 6000,
 	// While its connections work, a worker's lists are at most 1.8 s old: one poll of 1000 ms and one watch of 800 ms.
 	suspectTimeoutMs: 2500,
 	// A leader that reaches neither the store nor another entry stops renewing leases after this time.
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -36,6 +36,8 @@
 	readonly endedUnanswered: Map<string, {readonly run: number; readonly endedAtMs: number}>;
 	/** Ended runs of earlier incarnations whose starts might still come, and the leader's clock when their next stop is due and when it is needed no more, by task. */
 	readonly lateStops: Map<string, {readonly run: number; dueMs: number; readonly untilMs: number}>;
+	/** Leader's clock until which a call to an earlier incarnation with the same id may grant a lease of any length. */
+	lateCallsUntilMs?: number;
 	suspicion?: Suspicion;
 	/** It has been declared lost and its runs ended; its lists must be read before it is used again. */
 	isLost: boolean;
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -177,11 +177,12 @@
 		const suspicion = {sinceMs: nowMs};
 		worker.suspicion = suspicion;
 		this.#context.log('worker suspected', {worker: worker.incarnation, silentMs: Math.round(nowMs - worker.listsAsOfMs), runs: worker.runs.size});
-		const {leaseMs, deposedLeaderGraceMs} = this.#context.limits;
+		const {leaseMs, maxLeaseMs, deposedLeaderGraceMs} = this.#context.limits;
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.incarnation, value: {}}], () => {
 			if (worker.suspicion === suspicion) {
 				const fromMs = Math.max(this.#context.nowMs(), worker.hasReportedLists ? 0 : this.#context.takenOverAtMs + deposedLeaderGraceMs);
-				worker.suspicion = {sinceMs: nowMs, leaseExpiresAtMs: fromMs + (leaseMs * SLOW_CLOCK_FACTOR) + FENCE_MARGIN_MS};
+				const lateLeaseEndMs = worker.lateCallsUntilMs === undefined ? 0 : worker.lateCallsUntilMs + (maxLeaseMs * SLOW_CLOCK_FACTOR);
+				worker.suspicion = {sinceMs: nowMs, leaseExpiresAtMs: Math.max(fromMs + (leaseMs * SLOW_CLOCK_FACTOR), lateLeaseEndMs) + FENCE_MARGIN_MS};
 			}
 		});
 	}
--- a/packages/pool/tests/late-starts.test.ts
+++ b/packages/pool/tests/late-starts.test.ts
@@ -105,7 +105,8 @@
 		first.crash();
 		harness.advance(200);
 		first.isUnreachable = true;
-		harness.advance(10_000);
+		// A late call may have granted a lease 10 s after the restart.
+		harness.advance(16_500);
 		expect(second.runs.has(TASK)).to.equal(true);
 	});
 
