Log the ends that a worker has forgotten before they were read

A run that vanishes from the lists of its worker without an end is started again. That is right if its lease lapsed and wrong if it was done, and the log could not tell why it had vanished.

Ends are numbered without gaps, so an acknowledgement that was not this leader's shows in the lists: a number that follows the highest processed one is skipped, or ends that this leader has not acknowledged are gone. `run vanished` names the highest processed end and the progress of the run.

The decision on the run stays: a restart of work that was done and a job that is shown as completed without having been done are equally wrong, and nothing in the lists tells the two cases apart.

--- a/packages/pool/src/end-acknowledgements.ts
+++ b/packages/pool/src/end-acknowledgements.ts
@@ -17,6 +17,11 @@
 		return this.#sequence;
 	}
 
+	/** Whether a processed end is not acknowledged yet. */
+	get hasPending(): boolean {
+		return this.#pending.size > 0;
+	}
+
 	/** Whether so many ends have to stay listed that the worker must not get new runs. */
 	get isFull(): boolean {
 		return this.#pending.size >= MAX_PENDING_ENDS;
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -23,6 +23,8 @@
 	readonly endAcknowledgements: EndAcknowledgements;
 	/** Sequence number of the highest end that has been processed. */
 	processedSequence: number;
+	/** The newest lists lacked ends that this leader has not acknowledged. */
+	hasMissingEnds: boolean;
 	readonly runs: Map<string, Run>;
 	/** It lists runs of tasks that this leader does not know; their shapes are unknown. */
 	hasUnknownRuns: boolean;
@@ -79,6 +81,7 @@
 		orderCountBeforeLists: 0,
 		endAcknowledgements: new EndAcknowledgements(),
 		processedSequence: 0,
+		hasMissingEnds: false,
 		runs: new Map(),
 		hasUnknownRuns: false,
 		unexpectedCapacity: EMPTY_SHAPE,
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -40,7 +40,9 @@
 			} else if (isLateStartOverdue(run, this.#context.nowMs())) {
 				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
 			} else if (run.phase === RUN_PHASES.running && isRunGone(run, worker)) {
-				this.#context.log('run vanished', {task: run.task.name, run: run.number, worker: worker.incarnation});
+				this.#context.log('run vanished', {
+					task: run.task.name, run: run.number, worker: worker.incarnation, percent: run.percent, highestEnd: worker.processedSequence,
+				});
 				this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
 			}
 		}
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -3,6 +3,7 @@
 import type {CrashLedger} from './crash-ledger.js';
 import type {PoolContext} from './pool-context.js';
 import {LateStarts} from './late-starts.js';
+import {findMissingEnds} from './missing-ends.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
 import {estimateRemainingMs, estimateTotalMs} from './run-estimate.js';
 import {type IncarnationRow, TABLES} from './rows.js';
@@ -107,7 +108,9 @@
 			this.#clearSuspicion(worker);
 		}
 
-		for (const end of lists.ended.toSorted((left, right) => left.sequence - right.sequence)) {
+		const ended = lists.ended.toSorted((left, right) => left.sequence - right.sequence);
+		this.#logMissingEnds(worker, ended);
+		for (const end of ended) {
 			if (end.sequence > worker.processedSequence) {
 				worker.processedSequence = end.sequence;
 				this.#reconciler.onListedEnd(worker, end);
@@ -173,6 +176,19 @@
 		}
 	}
 
+	/**
+	 * Someone else has acknowledged these ends: shortly after a takeover the earlier leader, otherwise nobody who may. A run
+	 * whose end nobody has read vanishes and is started again, even if it was done.
+	 */
+	#logMissingEnds(worker: TrackedWorker, ended: readonly ListedEnd[]): void {
+		const missing = findMissingEnds(worker, ended);
+		if (missing && !worker.hasMissingEnds) {
+			this.#context.log('ends missing', {worker: worker.incarnation, ...missing});
+		}
+
+		worker.hasMissingEnds = missing !== undefined;
+	}
+
 	#suspect(worker: TrackedWorker, nowMs: number): void {
 		const suspicion = {sinceMs: nowMs};
 		worker.suspicion = suspicion;
