Give each commit a number of its own, also after a rejected one

What callers see: writes of the leader can be lost: a task that was done may be started again under the next leader, or a start is sent whose placement is not stored.

Cause: a commit whose condition fails counts as stored if the leader row has its number, since its own earlier try has then taken effect. A commit that the store rejected left its number to the next one. If an earlier try of it, whose answer was lost, was carried out after that, the next commit was taken for stored and its callbacks were called.

Now a rejected commit uses up its number.

--- a/packages/pool-entry/src/commit-loop.ts
+++ b/packages/pool-entry/src/commit-loop.ts
@@ -176,6 +176,8 @@
 				}
 			} else if (stored.error.kind === 'rejected') {
 				logger.error('commit rejected', {error: stored.error.message, writes: writes.length});
+				// An earlier try may still take effect; the next commit has another number, so that it is not taken for this one.
+				this.#leadership = {...this.#leadership, row: nextRow};
 				return 'rejected';
 			} else {
 				this.#recordFailure(stored.error.kind);
--- a/packages/pool-entry/tests/commit-loop.test.ts
+++ b/packages/pool-entry/tests/commit-loop.test.ts
@@ -128,6 +128,42 @@
 			});
 		}
 
+		it('does not take a dropped commit that is carried out late for the next one', async () => {
+			const store = new MemoryPoolStore();
+			const transact = store.transact.bind(store);
+			let carryOutLate: (() => Promise<unknown>) | undefined;
+			let calls = 0;
+			store.transact = async (conditions, writes) => {
+				calls++;
+				if (calls === 1) {
+					carryOutLate = async () => transact(conditions, writes);
+					return err({kind: 'outcome_unknown', message: 'no answer'});
+				}
+
+				if (calls === 2) {
+					return err({kind: 'rejected', message: 'status 400'});
+				}
+
+				await carryOutLate?.();
+				carryOutLate = undefined;
+				return transact(conditions, writes);
+			};
+
+			const {version} = store.put(TABLES.leader, LEADER_KEY, LEADER_ROW);
+			const queue = new CommitQueue();
+			queue.enqueue([{table: TABLES.runs, key: 'a', value: {run: 1}}], () => undefined);
+			const loop = new CommitLoop({row: LEADER_ROW, version}, {
+				store, core: makeCore(() => queue.takeNext()), clock: new ManualClock(), logger: silentLogger, metrics: new ProcessMetrics(),
+				onLeadershipLost: () => undefined,
+				onCommit: () => undefined,
+				onConfirmed: () => undefined,
+			});
+			await loop.flush();
+			queue.enqueue([{table: TABLES.runs, key: 'b', value: {run: 1}}], () => undefined);
+			await loop.flush();
+			expect([...store.rows.values()].filter(row => row.table === TABLES.runs).map(row => row.key)).to.include('b');
+		});
+
 		it('starts no gang whose placement is stored in part', async () => {
 			const queue = new CommitQueue();
 			const stored: string[] = [];
--- a/packages/pool/tests/late-starts.test.ts
+++ b/packages/pool/tests/late-starts.test.ts
@@ -91,6 +91,29 @@
 		expect(countHolders([first, second])).to.equal(1);
 	});
 
+	const supersededCases = ['done', 'failed'] as const;
+	for (const outcome of supersededCases) {
+		it(`counts as ${outcome} when a new leader's start of the stored run is refused as superseded by it`, () => {
+			const {harness, first, lateStart} = loseStart({isLasting: false});
+			harness.replaceLeader();
+			harness.recoverLeader();
+			harness.report(first);
+			first.order(lateStart);
+			first.end(TASK, outcome);
+			first.areOrdersLost = false;
+			harness.core.tick();
+			for (const {incarnation, order} of harness.core.takeOrders()) {
+				const answer = first.order(order);
+				expect(answer.outcome).to.deep.equal({kind: 'refused', reason: 'superseded'});
+				harness.core.onOrderOutcome(incarnation, order, answer.outcome, answer.orderCount);
+			}
+
+			harness.advance(1000);
+			expect(harness.events('run ended').map(event => event.outcome)).to.deep.equal([outcome]);
+			expect(first.ackSequence).to.equal(1);
+		});
+	}
+
 	it('delays its task for at most 10 s when the new incarnation does not answer orders', () => {
 		const {harness, first, second} = loseStart();
 		first.crash();
