--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -23,6 +23,8 @@
 	readonly endAcknowledgements: EndAcknowledgements;
 	/** Sequence number of the highest end that has been processed. */
 	processedSequence: number;
+	/** The newest lists lacked ends that this leader has not acknowledged. */
+	hasMissingEnds: boolean;
 	readonly runs: Map<string, Run>;
 	/** It lists runs of tasks that this leader does not know; their shapes are unknown. */
 	hasUnknownRuns: boolean;
@@ -36,6 +38,8 @@
 	readonly endedUnanswered: Map<string, {readonly run: number; readonly endedAtMs: number}>;
 	/** Ended runs of earlier incarnations whose starts might still come, and the leader's clock when their next stop is due and when it is needed no more, by task. */
 	readonly lateStops: Map<string, {readonly run: number; dueMs: number; readonly untilMs: number}>;
+	/** Leader's clock until which a call to an earlier incarnation with the same id may grant a lease of any length. */
+	lateCallsUntilMs?: number;
 	suspicion?: Suspicion;
 	/** It has been declared lost and its runs ended; its lists must be read before it is used again. */
 	isLost: boolean;
@@ -77,6 +81,7 @@
 		orderCountBeforeLists: 0,
 		endAcknowledgements: new EndAcknowledgements(),
 		processedSequence: 0,
+		hasMissingEnds: false,
 		runs: new Map(),
 		hasUnknownRuns: false,
 		unexpectedCapacity: EMPTY_SHAPE,
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -3,6 +3,7 @@
 import type {CrashLedger} from './crash-ledger.js';
 import type {PoolContext} from './pool-context.js';
 import {LateStarts} from './late-starts.js';
+import {findMissingEnds} from './missing-ends.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
 import {estimateRemainingMs, estimateTotalMs} from './run-estimate.js';
 import {type IncarnationRow, TABLES} from './rows.js';
@@ -107,7 +108,9 @@
 			this.#clearSuspicion(worker);
 		}
 
-		for (const end of lists.ended.toSorted((left, right) => left.sequence - right.sequence)) {
+		const ended = lists.ended.toSorted((left, right) => left.sequence - right.sequence);
+		this.#logMissingEnds(worker, ended);
+		for (const end of ended) {
 			if (end.sequence > worker.processedSequence) {
 				worker.processedSequence = end.sequence;
 				this.#reconciler.onListedEnd(worker, end);
@@ -173,15 +176,29 @@
 		}
 	}
 
+	/**
+	 * Someone else has acknowledged these ends: shortly after a takeover the earlier leader, otherwise nobody who may. A run
+	 * whose end nobody has read vanishes and is started again, even if it was done.
+	 */
+	#logMissingEnds(worker: TrackedWorker, ended: readonly ListedEnd[]): void {
+		const missing = findMissingEnds(worker, ended);
+		if (missing && !worker.hasMissingEnds) {
+			this.#context.log('ends missing', {worker: worker.incarnation, ...missing});
+		}
+
+		worker.hasMissingEnds = missing !== undefined;
+	}
+
 	#suspect(worker: TrackedWorker, nowMs: number): void {
 		const suspicion = {sinceMs: nowMs};
 		worker.suspicion = suspicion;
 		this.#context.log('worker suspected', {worker: worker.incarnation, silentMs: Math.round(nowMs - worker.listsAsOfMs), runs: worker.runs.size});
-		const {leaseMs, deposedLeaderGraceMs} = this.#context.limits;
+		const {leaseMs, maxLeaseMs, deposedLeaderGraceMs} = this.#context.limits;
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.incarnation, value: {}}], () => {
 			if (worker.suspicion === suspicion) {
 				const fromMs = Math.max(this.#context.nowMs(), worker.hasReportedLists ? 0 : this.#context.takenOverAtMs + deposedLeaderGraceMs);
-				worker.suspicion = {sinceMs: nowMs, leaseExpiresAtMs: fromMs + (leaseMs * SLOW_CLOCK_FACTOR) + FENCE_MARGIN_MS};
+				const lateLeaseEndMs = worker.lateCallsUntilMs === undefined ? 0 : worker.lateCallsUntilMs + (maxLeaseMs * SLOW_CLOCK_FACTOR);
+				worker.suspicion = {sinceMs: nowMs, leaseExpiresAtMs: Math.max(fromMs + (leaseMs * SLOW_CLOCK_FACTOR), lateLeaseEndMs) + FENCE_MARGIN_MS};
 			}
 		});
 	}
