Don't let a stored incarnation keep out the worker that reports

A row of the runs table that named a far later incarnation of a worker, as its holder or in a crash, made each leader that read it ignore all reports of the true incarnation as those of an earlier life, and start nothing there. A row that named something else than an incarnation was tracked as a worker too; a name longer than a key can't be stored as suspected, so its run never ended.

Only an incarnation that an agent has reported to this leader shows that an earlier one has ended. A stored name that isn't an id of at most 128 visible characters and a start time can't be read: its run row stops that job, as any unreadable run row does, and its crash is left out.

Where a row names a plausible incarnation that doesn't hold the run, its end by lease is all that can be told.

--- a/packages/pool/src/row-decoding.ts
+++ b/packages/pool/src/row-decoding.ts
@@ -46,13 +46,13 @@
  */
 export function decodeRunRow(value: unknown): RunRow | undefined {
 	const {run, life, isDone, failures, checkpoint, crashes} = asFields(value);
-	if (!isCount(run, 1) || !(life === undefined || isText(life))) {
+	if (!isCount(run, 1) || !(life === undefined || isIncarnation(life))) {
 		return undefined;
 	}
 
 	return {
 		run,
-		...(isText(life) && {life}),
+		...(life !== undefined && {life}),
 		...(isDone === true && {isDone}),
 		...(isCount(failures, 1) && {failures}),
 		...(isText(checkpoint) && {checkpoint}),
@@ -61,17 +61,26 @@
 }
 
 function decodeCrash({life, evidence, isConfirmed, isExplained}: Fields): WorkerCrash | undefined {
-	return isText(life) && Object.values(CRASH_EVIDENCE).includes(evidence as CrashEvidence)
+	return isIncarnation(life) && Object.values(CRASH_EVIDENCE).includes(evidence as CrashEvidence)
 		? {
 			life, evidence: evidence as CrashEvidence, isConfirmed: isConfirmed === true, ...(isExplained === true && {isExplained}),
 		}
 		: undefined;
 }
 
+/** An id, and the start time in Unix milliseconds. */
+const INCARNATION_PATTERN = /^[!-?A-~]{1,128}@(\d{1,16})$/v;
+
+/** Incarnations are keys of the suspects table; the store refuses a key that is too long. */
+function isIncarnation(value: unknown): value is string {
+	const match = isText(value) ? INCARNATION_PATTERN.exec(value) : null;
+	return match !== null && Number.isSafeInteger(Number(match[1]));
+}
+
 /** @returns The row of the lives table, or undefined when it cannot be read. */
 export function decodeIncarnationRow(value: unknown): IncarnationRow | undefined {
 	const {life} = asFields(value);
-	return isText(life) ? {life} : undefined;
+	return isIncarnation(life) ? {life} : undefined;
 }
 
 /** @returns The row of the members table, or undefined when it cannot be read. */
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -10,6 +10,8 @@
 	facts: WorkerFacts;
 	/** Name of the agent through which it is reached. */
 	agent: string;
+	/** An agent has reported it to this leader; otherwise only stored rows name it. */
+	hasReported: boolean;
 	/** This leader has read its lists. */
 	hasReportedLists: boolean;
 	/** Leader's clock when the agent received the newest lists; the time of tracking before that. */
@@ -66,6 +68,7 @@
 		incarnation: facts.life,
 		facts,
 		agent,
+		hasReported: false,
 		hasReportedLists: false,
 		listsAsOfMs: nowMs,
 		workerClockMs: 0,
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -77,6 +77,7 @@
 		}
 
 		worker.agent = agent;
+		worker.hasReported = true;
 		this.#declareEarlierIncarnationsLost(worker, facts);
 		if (isNew) {
 			// Stored after the ends on earlier incarnations: a new leader finds those by the agent's row.
@@ -226,8 +227,9 @@
 		});
 	}
 
+	/** Rows that name a later incarnation don't show that there is one, since another program may have written them. */
 	#hasLaterIncarnation(agent: string, facts: WorkerFacts): boolean {
-		return [...this.#context.workers.values()].some(other => (other.agent === agent || other.facts.id === facts.id) && startTimeOf(other.incarnation) > startTimeOf(facts.life));
+		return [...this.#context.workers.values()].some(other => other.hasReported && (other.agent === agent || other.facts.id === facts.id) && startTimeOf(other.incarnation) > startTimeOf(facts.life));
 	}
 
 	#updateFacts(worker: TrackedWorker, facts: WorkerFacts, nowMs: number): void {
