Bound what one odd watch grants to a worker

A watch with ackSequence under the worker's incarnation made the agent acknowledge every end from then on before anybody had read it, so that a run that ended done would have been started again. With such a leaseUntilMs the agent renewed the lease for good, also of a worker that the leader had given up. With such a waitMs a timer ended at once, and the caller could spin; with a slightly lower one the watch was held for weeks.

A lease ends at most two lease lengths after the clock in the newest lists, where a leader grants one. An acknowledgement that goes more than 1,000 beyond the listed ends is left out; a sound one comes again with the next watch. A watch waits 10 s at most. A smaller odd acknowledgement is still believed, as it can't be told from that of a leader whose ends the worker has forgotten.

--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -7,6 +7,7 @@
 import {AnnouncedWorker, HEARTBEAT_EFFECTS, type KnownWorker} from './announced-worker.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
 import {ChangeSignal} from './change-signal.js';
+import {boundGrant} from './grant-bounds.js';
 import type {PoolAgentCoreDependencies} from './pool-agent-dependencies.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
@@ -33,6 +34,9 @@
 /** Timeout of a store read; the store answers within milliseconds unless it is slow. */
 const STORE_TIMEOUT_MS = 1500;
 
+/** Longest wait of a watch; leaders ask for less than 1 s. */
+const MAX_WATCH_WAIT_MS = 10_000;
+
 /** Number of deregistered worker incarnations that are still reported. */
 const MAX_LEFT_INCARNATIONS = 8;
 
@@ -114,16 +118,17 @@
 			return {epoch: this.#epoch};
 		}
 
-		if (request.life !== undefined && request.life === this.#listedIncarnation) {
-			this.#leaseUntilMs = Math.max(this.#leaseUntilMs, request.leaseUntilMs ?? 0);
-			if ((request.ackSequence ?? 0) > this.#ackSequence) {
-				this.#ackSequence = request.ackSequence!;
+		if (this.#lists && request.life !== undefined && request.life === this.#listedIncarnation) {
+			const {leaseUntilMs, ackSequence} = boundGrant(request, this.#lists, this.#deps.leaseMs);
+			this.#leaseUntilMs = Math.max(this.#leaseUntilMs, leaseUntilMs);
+			if (ackSequence > this.#ackSequence) {
+				this.#ackSequence = ackSequence;
 				void this.#pollWorker(0);
 			}
 		}
 
 		if (request.sinceVersion === this.#changes.version) {
-			await Promise.race([this.#changes.next(), this.#deps.sleep(request.waitMs)]);
+			await Promise.race([this.#changes.next(), this.#deps.sleep(Math.min(request.waitMs, MAX_WATCH_WAIT_MS))]);
 		}
 
 		return {
