Stop late starts also after a worker has deregistered

What callers see: a task runs twice at the same time, when a worker deregisters, starts again under its id, and carries out a start that the earlier incarnation never answered.

Cause: the leader forgets a worker that deregisters, and with it the starts that remained unanswered there.

Evidence: the new test failed before: the late start was carried out at the new incarnation while the task ran elsewhere.

A start that is carried out before that report runs beside the other run until it is stopped.

--- a/packages/pool/src/late-starts.ts
+++ b/packages/pool/src/late-starts.ts
@@ -13,6 +13,8 @@
 export class LateStarts {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	/** Workers that have deregistered and when, by their id. */
+	readonly #left = new Map<string, {readonly worker: TrackedWorker; readonly atMs: number}>();
 
 	/**
 	 * @param context - State of the pool.
@@ -74,6 +76,27 @@
 		}
 	}
 
+	/** @param worker - An incarnation that has deregistered; its runs have ended. */
+	onLeft(worker: TrackedWorker): void {
+		const nowMs = this.#context.nowMs();
+		for (const [id, {atMs}] of this.#left) {
+			if (atMs < nowMs - MAX_CALL_DELAY_MS) {
+				this.#left.delete(id);
+			}
+		}
+
+		this.#left.set(worker.facts.id, {worker, atMs: nowMs});
+	}
+
+	/** @param worker - An incarnation that has reported for the first time. */
+	onFirstReport(worker: TrackedWorker): void {
+		const left = this.#left.get(worker.facts.id);
+		if (left) {
+			this.#left.delete(worker.facts.id);
+			this.takeOver(left.worker, worker);
+		}
+	}
+
 	/**
 	 * Sends the due stops of runs that must not start late.
 	 *
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -83,6 +83,7 @@
 		worker.agent = agent;
 		this.#declareEarlierIncarnationsLost(worker, facts);
 		if (isNew) {
+			this.#lateStarts.onFirstReport(worker);
 			// Stored after the ends on earlier incarnations: a new leader finds those by the agent's row.
 			const row: IncarnationRow = {life: facts.life};
 			this.#context.commits.enqueue([{table: TABLES.lives, key: agent, value: row}], () => undefined);
@@ -130,6 +131,7 @@
 		if (worker) {
 			this.#declareLost(worker, 'left');
 			this.#removeWorker(worker);
+			this.#lateStarts.onLeft(worker);
 			this.#crashes.withdraw(incarnation);
 		}
 	}
--- a/packages/pool/tests/late-starts.test.ts
+++ b/packages/pool/tests/late-starts.test.ts
@@ -91,6 +91,20 @@
 		expect(countHolders([first, second])).to.equal(1);
 	});
 
+	it('is rejected when the earlier incarnation has deregistered', () => {
+		const {harness, first, second, lateStart} = loseStart();
+		first.isUnreachable = true;
+		harness.core.onWorkerLeft(first.facts.life);
+		harness.advance(300);
+		expect(second.runs.has(TASK)).to.equal(true);
+		first.isUnreachable = false;
+		first.areOrdersLost = false;
+		first.crash();
+		harness.advance(200);
+		expect(first.order(lateStart).outcome).to.deep.equal({kind: 'refused', reason: 'superseded'});
+		expect(countHolders([first, second])).to.equal(1);
+	});
+
 	const supersededCases = ['done', 'failed'] as const;
 	for (const outcome of supersededCases) {
 		it(`counts as ${outcome} when a new leader's start of the stored run is refused as superseded by it`, () => {
