--- a/packages/pool-entry/src/peer-message-decoding.ts
+++ b/packages/pool-entry/src/peer-message-decoding.ts
@@ -9,6 +9,9 @@
 	HelloAnswer, HelloRequest, JobStateAnswer, JobStateRequest, RelayRequest, StoredNotice,
 } from './peer-messages.js';
 
+/** Largest budget of a relayed request; entries give them less than 1 s. */
+const MAX_RELAY_BUDGET_MS = 60_000;
+
 const OUTCOME_KINDS: ReadonlySet<unknown> = new Set<JobRequestOutcome['kind']>(['accepted', 'configuration_changed', 'conflict', 'state', 'no_such_job', 'not_stored', 'unknown']);
 
 /** @returns The call of another entry, or undefined when it is malformed. */
@@ -70,7 +73,7 @@
 /** @returns The relayed request, or undefined when it is malformed. */
 export function decodeRelayRequest(body: unknown): RelayRequest | undefined {
 	const {kind, jobId, account, row, configRowVersion, budgetMs} = asFields(body);
-	if (!isText(jobId) || typeof budgetMs !== 'number') {
+	if (!isText(jobId) || typeof budgetMs !== 'number' || !(budgetMs >= 0 && budgetMs <= MAX_RELAY_BUDGET_MS)) {
 		return undefined;
 	}
 
