Keep the agent's lists and leases of two incarnations apart

What the leader saw around a restart of a worker under its id depended on the order in which heartbeats and answers arrived: - lists of the newest incarnation were discarded, because their clock was smaller than that of an incarnation that had never announced itself, or because wall clocks or answers on another connection came out of order; - a delayed heartbeat of the earlier incarnation replaced the newer one while the lists were still the earlier one's; - a lease that the agent counted on the earlier incarnation's clock while it read the store went to the next one, where a lease never shortens.

Cause: lists were compared by the worker's clock within the name of the announced incarnation, which is absent for every incarnation that has not announced itself; the start time decided alone which heartbeat was older; the lease was not checked again after the store had answered.

WorkerView now orders both kinds of messages. Lists are compared by the clock only within one incarnation. Another incarnation's lists are taken if their poll was sent after the present ones had arrived, as an ended incarnation cannot answer it; otherwise start times and the order seen so far decide, and in doubt the agent polls again. A heartbeat of an incarnation that was followed by another one counts only if it has answered a poll since. Reports have lists as soon as both kinds of messages name one incarnation.

--- /dev/null
+++ b/packages/pool-agent/src/lease-without-leader.ts
@@ -0,0 +1,28 @@
+import type {Logger} from '@amaranthsail/core';
+import {type PoolStore, TABLES} from '@amaranthsail/pool';
+import {STORE_TIMEOUT_MS} from './store-timeout.js';
+import type {WorkerView} from './worker-view.js';
+
+/**
+ * Checks whether the agent may extend a lease that no leader extends.
+ *
+ * @param store - Lists the suspected incarnations.
+ * @param view - The worker whose lists the agent has.
+ * @param logger - Receives the reason if it may not.
+ * @returns False if the store lists the worker as suspected or cannot be read.
+ */
+export async function mayExtendLease(store: PoolStore, view: WorkerView, logger: Logger): Promise<boolean> {
+	const {listedIncarnation, lists} = view;
+	const suspects = await store.read(TABLES.suspects, {}, STORE_TIMEOUT_MS);
+	if (!suspects.ok) {
+		logger.warn('store not reached', {error: suspects.error.kind, purpose: 'lease without leader'});
+		return false;
+	}
+
+	if (suspects.value.rows.some(row => row.key === listedIncarnation || row.key.endsWith(`@${lists?.bornMs}`))) {
+		logger.warn('lease not extended', {worker: listedIncarnation ?? 'unknown', reason: 'suspected', storeVersion: suspects.value.version});
+		return false;
+	}
+
+	return true;
+}
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -7,7 +7,10 @@
 } from './agent-messages.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
 import {IncarnationTrace} from './incarnation-trace.js';
-import {fingerprintOf, type ReceivedLists} from './received-lists.js';
+import {mayExtendLease} from './lease-without-leader.js';
+import {fingerprintOf} from './received-lists.js';
+import {STORE_TIMEOUT_MS} from './store-timeout.js';
+import {type KnownWorker, WorkerView} from './worker-view.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
 const WORKER_POLL_WAIT_MS = 1000;
@@ -30,9 +33,6 @@
 /** Time for checks which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
 const INCARNATION_CHECK_TIMEOUT_MS = 250;
 
-/** Timeout of a store read; the store answers within milliseconds unless it is slow. */
-const STORE_TIMEOUT_MS = 1500;
-
 /** Number of deregistered worker incarnations that are still reported. */
 const MAX_LEFT_INCARNATIONS = 8;
 
@@ -49,8 +49,6 @@
 	readonly sleep: (ms: number) => Promise<void>;
 };
 
-type KnownWorker = {readonly facts: WorkerFacts; readonly sequence: number; readonly startedAtMs: number; readonly receivedAtMs: number};
-
 /**
  * State of the agent: the worker's heartbeats and lists, and the epoch, lease and acknowledgements of the leader.
  *
@@ -62,9 +60,7 @@
 	#lastLeaderCallAtMs = Number.NEGATIVE_INFINITY;
 	readonly #answering = new AnsweringIncarnation();
 	readonly #trace: IncarnationTrace;
-	#knownWorker: KnownWorker | undefined;
-	#lists: ReceivedLists | undefined;
-	#listedIncarnation: string | undefined;
+	readonly #view = new WorkerView();
 	#leaseUntilMs = 0;
 	#ackSequence = 0;
 	/** Counts on from all earlier incarnations of the agent on this VM, which have sent less than an order each millisecond. */
@@ -96,15 +92,13 @@
 	 * @param startedAtMs - Start time of that incarnation.
 	 */
 	onHeartbeat(facts: WorkerFacts, sequence: number, startedAtMs: number): void {
-		const known = this.#knownWorker;
-		const isEarlierIncarnation = known !== undefined && startedAtMs < known.startedAtMs && this.#lists?.bornMs !== startedAtMs;
-		if (known && (isEarlierIncarnation || (startedAtMs === known.startedAtMs && sequence <= known.sequence))) {
-			this.#deps.logger.info('heartbeat out of order', {worker: facts.life, sequence, known: known.facts.life, knownSequence: known.sequence});
+		const {known} = this.#view;
+		if (!this.#view.takeHeartbeat(facts, sequence, startedAtMs, this.#deps.clock.monotonicMs())) {
+			this.#deps.logger.info('heartbeat out of order', {worker: facts.life, sequence, known: known?.facts.life ?? 'none', knownSequence: known?.sequence ?? 0});
 			return;
 		}
 
 		const isChanged = known?.facts.life !== facts.life || known.facts.state !== facts.state || !isSameShape(known.facts.capacity, facts.capacity);
-		this.#knownWorker = {facts, sequence, startedAtMs, receivedAtMs: this.#deps.clock.monotonicMs()};
 		if (isChanged) {
 			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, capacity: facts.capacity, remainingMs: facts.remainingMs ?? -1});
 			this.#notifyWatchers();
@@ -122,14 +116,13 @@
 	 * @param workerId - Id of the worker.
 	 */
 	onLeave(workerId: string): void {
-		if (this.#knownWorker?.facts.id !== workerId) {
+		if (this.#view.known?.facts.id !== workerId) {
 			return;
 		}
 
-		this.#deps.logger.info('worker left', {worker: this.#knownWorker.facts.life});
-		this.#leftIncarnations = [...this.#leftIncarnations, this.#knownWorker.facts.life].slice(-MAX_LEFT_INCARNATIONS);
-		this.#knownWorker = undefined;
-		this.#lists = undefined;
+		this.#deps.logger.info('worker left', {worker: this.#view.known.facts.life});
+		this.#leftIncarnations = [...this.#leftIncarnations, this.#view.known.facts.life].slice(-MAX_LEFT_INCARNATIONS);
+		this.#view.clear();
 		this.#notifyWatchers();
 	}
 
@@ -144,7 +137,7 @@
 			return {epoch: this.#epoch};
 		}
 
-		if (request.life !== undefined && request.life === this.#listedIncarnation) {
+		if (request.life !== undefined && request.life === this.#view.listedIncarnation) {
 			this.#leaseUntilMs = Math.max(this.#leaseUntilMs, request.leaseUntilMs ?? 0);
 			if ((request.ackSequence ?? 0) > this.#ackSequence) {
 				this.#ackSequence = request.ackSequence!;
@@ -160,7 +153,7 @@
 			incarnation: this.#deps.incarnation,
 			version: this.#reportVersion,
 			leftLives: this.#leftIncarnations,
-			...(this.#knownWorker && {report: this.#buildReport(this.#knownWorker)}),
+			...(this.#view.known && {report: this.#buildReport(this.#view.known)}),
 		};
 	}
 
@@ -175,7 +168,7 @@
 			return {epoch: this.#epoch};
 		}
 
-		const known = this.#knownWorker;
+		const {known} = this.#view;
 		if (known?.facts.life !== request.life) {
 			return {outcome: {kind: 'refused', reason: REFUSALS.otherLife}, orderCount: this.#orderCount};
 		}
@@ -239,7 +232,7 @@
 
 	#buildReport({facts, receivedAtMs}: KnownWorker): AgentReport {
 		const nowMs = this.#deps.clock.monotonicMs();
-		const lists = this.#listedIncarnation === facts.life ? this.#lists : undefined;
+		const lists = this.#view.listedIncarnation === facts.life ? this.#view.lists : undefined;
 		return {
 			facts: facts.remainingMs === undefined ? facts : {...facts, remainingMs: Math.max(0, Math.round(facts.remainingMs - (nowMs - receivedAtMs)))},
 			...(lists && {
@@ -252,8 +245,9 @@
 
 	/** Renews the lease, acknowledges ends of runs, and reads the worker's lists. */
 	async #pollWorker(waitMs: number, graceMs?: number): Promise<boolean> {
-		const known = this.#knownWorker;
+		const {known} = this.#view;
 		const ordersBefore = this.#orderCount;
+		const poll = this.#view.beginPoll();
 		// A check which incarnation answers needs no grant.
 		const grant = graceMs === undefined ? this.#grantFor(known) : undefined;
 		const answer = await this.#deps.worker.renewLease({
@@ -266,7 +260,8 @@
 		if (answer.kind === 'lists') {
 			this.#answering.recordAnswer(answer.lists.bornMs, this.#deps.clock.monotonicMs());
 			this.#setWorkerAnswering(true, '');
-			this.#onLists(answer.lists, ordersBefore, known);
+			const bornMs = answer.lists.bornMs ?? known?.startedAtMs;
+			this.#onLists({...answer.lists, ...(bornMs !== undefined && {bornMs})}, poll, ordersBefore);
 			return true;
 		}
 
@@ -281,13 +276,13 @@
 
 	/** @returns Acknowledgement and lease for the incarnation whose lists were received last, unless another one is announced. */
 	#grantFor(known: KnownWorker | undefined): LeaseGrant | undefined {
-		const startedAtMs = this.#lists?.bornMs ?? known?.startedAtMs ?? 0;
+		const startedAtMs = this.#view.lists?.bornMs ?? known?.startedAtMs ?? 0;
 		const isOtherAnnounced = known !== undefined && known.startedAtMs !== startedAtMs;
 		if (isOtherAnnounced || (this.#ackSequence === 0 && this.#leaseUntilMs === 0)) {
 			return undefined;
 		}
 
-		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
+		this.#trace.onAcknowledgement(this.#view.listedIncarnation, this.#ackSequence);
 		return {startedAtMs, ackSequence: this.#ackSequence, ...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs})};
 	}
 
@@ -297,7 +292,7 @@
 			await this.#pollWorker(0, INCARNATION_CHECK_TIMEOUT_MS);
 		}
 
-		if (this.#knownWorker?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
+		if (this.#view.known?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
 			return REFUSALS.otherLife;
 		}
 
@@ -305,30 +300,28 @@
 	}
 
 	#hasUnacknowledgedEnds(): boolean {
-		return this.#lists?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
+		return this.#view.lists?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
 	}
 
-	#onLists(lists: WorkerLists, ordersBefore: number, known: KnownWorker | undefined): void {
-		const incarnation = known && (lists.bornMs === undefined || lists.bornMs === known.startedAtMs) ? known.facts.life : undefined;
-		const previous = this.#listedIncarnation === incarnation ? this.#lists : undefined;
-		if (previous && lists.clockMs <= previous.clockMs) {
-			// Answers on different connections may arrive out of order, and those of the same millisecond cannot be ordered.
-			if (lists.clockMs === previous.clockMs) {
-				void this.#repollWorker();
-			}
+	#onLists(lists: WorkerLists, poll: number, ordersBefore: number): void {
+		const previous = this.#view.lists;
+		const order = this.#view.takeLists(lists, poll, ordersBefore, this.#deps.clock.monotonicMs());
+		if (order === 'older') {
+			return;
+		}
 
+		if (order === 'unordered') {
+			void this.#repollWorker();
 			return;
 		}
 
-		this.#trace.onLists(this.#knownWorker?.facts.life, lists);
-		if (this.#listedIncarnation !== incarnation || (previous && previous.bornMs !== lists.bornMs)) {
+		this.#trace.onLists(this.#view.known?.facts.life, lists);
+		if (order === 'otherIncarnation') {
 			this.#ackSequence = 0;
 			this.#leaseUntilMs = 0;
 		}
 
-		this.#lists = {...lists, receivedAtMs: this.#deps.clock.monotonicMs(), ordersBefore};
-		this.#listedIncarnation = incarnation;
-		if (!previous || fingerprintOf(previous) !== fingerprintOf(this.#lists)) {
+		if (!previous || fingerprintOf(previous) !== fingerprintOf(this.#view.lists)) {
 			this.#notifyWatchers();
 		}
 	}
@@ -347,7 +340,7 @@
 
 	/** While no leader calls, renews the lease unless the store lists the worker as suspected or cannot be read. */
 	async #renewLeaseWithoutLeader(): Promise<void> {
-		const lists = this.#lists;
+		const {lists} = this.#view;
 		if (this.leaderSilentMs < LEADER_TIMEOUT_MS) {
 			return;
 		}
@@ -360,15 +353,8 @@
 			return;
 		}
 
-		const suspects = await this.#deps.store.read(TABLES.suspects, {}, STORE_TIMEOUT_MS);
-		if (!suspects.ok) {
-			this.#deps.logger.warn('store not reached', {error: suspects.error.kind, purpose: 'lease without leader'});
-			return;
-		}
-
-		const isSuspected = suspects.value.rows.some(row => row.key === this.#listedIncarnation || row.key.endsWith(`@${lists.bornMs}`));
-		if (isSuspected) {
-			this.#deps.logger.warn('lease not extended', {worker: this.#listedIncarnation ?? 'unknown', reason: 'suspected', storeVersion: suspects.value.version});
+		const isAllowed = await mayExtendLease(this.#deps.store, this.#view, this.#deps.logger);
+		if (!isAllowed || this.#view.lists?.bornMs !== lists.bornMs) {
 			return;
 		}
 
@@ -387,7 +373,7 @@
 	#setWorkerAnswering(isAnswering: boolean, reason: string): void {
 		if (isAnswering !== this.#isWorkerAnswering) {
 			this.#isWorkerAnswering = isAnswering;
-			this.#deps.logger.info(isAnswering ? 'worker answers' : 'worker does not answer', {worker: this.#knownWorker?.facts.life ?? 'unknown', reason});
+			this.#deps.logger.info(isAnswering ? 'worker answers' : 'worker does not answer', {worker: this.#view.known?.facts.life ?? 'unknown', reason});
 		}
 	}
 
--- a/packages/pool-agent/src/received-lists.ts
+++ b/packages/pool-agent/src/received-lists.ts
@@ -1,7 +1,14 @@
 import type {WorkerLists} from '@amaranthsail/pool';
 
 /** A worker's lists as the agent received them. */
-export type ReceivedLists = WorkerLists & {readonly receivedAtMs: number; readonly ordersBefore: number};
+export type ReceivedLists = WorkerLists & {
+	readonly receivedAtMs: number;
+	readonly ordersBefore: number;
+	/** Number of the poll that they answer. */
+	readonly poll: number;
+	/** Number of polls that had been sent when they arrived. */
+	readonly pollsBefore: number;
+};
 
 /** @returns Text that changes when a run starts or ends; progress alone does not wake the waiting watches. */
 export function fingerprintOf(lists: ReceivedLists): string {
