Ignore deregistrations of a worker's earlier incarnation in the agent

A worker that had started again under its id was reported to the leader as left when the deregistration of its earlier incarnation arrived late. The leader then starts its tasks elsewhere while they run there, and takes no further report of that incarnation.

Cause: the call was matched by the id alone.

The agent now compares the start time if the call's body names it. Otherwise the call counts only if the announced incarnation drains, since a worker drains before it leaves. A worker whose draining heartbeats were all lost and that names no start time is then found silent and suspected like a crashed one, which takes a lease longer.

Evidence: with the check taken out, two of the four new cases fail: the report lacks w1@9.

--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -33,9 +33,6 @@
 /** Time for checks which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
 const INCARNATION_CHECK_TIMEOUT_MS = 250;
 
-/** Number of deregistered worker incarnations that are still reported. */
-const MAX_LEFT_INCARNATIONS = 8;
-
 /** Dependencies of {@link PoolAgentCore}. */
 export type PoolAgentCoreDependencies = {
 	readonly clock: Clock;
@@ -66,7 +63,6 @@
 	/** Counts on from all earlier incarnations of the agent on this VM, which have sent less than an order each millisecond. */
 	#orderCount: number;
 	#reportVersion = 0;
-	#leftIncarnations: readonly string[] = [];
 	#watchWaiters: Array<() => void> = [];
 	#isWorkerAnswering = false;
 	#isRepollPending = false;
@@ -114,15 +110,20 @@
 	 * Processes the deregistration of the worker.
 	 *
 	 * @param workerId - Id of the worker.
+	 * @param startedAtMs - Start time of the incarnation that has left, if the call names it.
 	 */
-	onLeave(workerId: string): void {
-		if (this.#view.known?.facts.id !== workerId) {
+	onLeave(workerId: string, startedAtMs?: number): void {
+		const {known} = this.#view;
+		if (known?.facts.id !== workerId) {
+			return;
+		}
+
+		if (!this.#view.leave(startedAtMs)) {
+			this.#deps.logger.info('deregistration ignored', {worker: known.facts.life, state: known.facts.state, startedAtMs: startedAtMs ?? 'unknown'});
 			return;
 		}
 
-		this.#deps.logger.info('worker left', {worker: this.#view.known.facts.life});
-		this.#leftIncarnations = [...this.#leftIncarnations, this.#view.known.facts.life].slice(-MAX_LEFT_INCARNATIONS);
-		this.#view.clear();
+		this.#deps.logger.info('worker left', {worker: known.facts.life});
 		this.#notifyWatchers();
 	}
 
@@ -152,7 +153,7 @@
 		return {
 			incarnation: this.#deps.incarnation,
 			version: this.#reportVersion,
-			leftLives: this.#leftIncarnations,
+			leftLives: this.#view.leftIncarnations,
 			...(this.#view.known && {report: this.#buildReport(this.#view.known)}),
 		};
 	}
--- a/packages/pool-agent/src/pool-agent-program.ts
+++ b/packages/pool-agent/src/pool-agent-program.ts
@@ -5,7 +5,7 @@
 	JsonClient, type Logger, parseJson, SystemClock,
 } from '@amaranthsail/core';
 import {
-	decodeHeartbeat, type NodeSettings, parseWorkerCall, RowStore, WorkerClient,
+	decodeHeartbeat, decodeLeave, type NodeSettings, parseWorkerCall, RowStore, WorkerClient,
 } from '@amaranthsail/platform-adapter';
 import {
 	decodeLeaderRow, leaseMsWithin, LEADER_KEY, type PoolStore, TABLES,
@@ -137,7 +137,7 @@
 		}
 
 		if (call.kind === 'leave') {
-			core.onLeave(call.workerId);
+			core.onLeave(call.workerId, decodeLeave(text === undefined ? undefined : parseJson(text)));
 			sendJson(response, {status: 200, body: {}});
 			return;
 		}
--- a/packages/pool-agent/src/worker-view.ts
+++ b/packages/pool-agent/src/worker-view.ts
@@ -1,7 +1,10 @@
-import type {WorkerFacts, WorkerLists} from '@amaranthsail/pool';
+import {type WorkerFacts, type WorkerLists, WORKER_STATES} from '@amaranthsail/pool';
 import type {ReceivedLists} from './received-lists.js';
 import {SupersededIncarnations} from './superseded-incarnations.js';
 
+/** Number of deregistered incarnations that are still reported. */
+const MAX_LEFT_INCARNATIONS = 8;
+
 /** An announced incarnation of the worker. */
 export type KnownWorker = {
 	readonly facts: WorkerFacts;
@@ -28,6 +31,7 @@
 	#known: KnownWorker | undefined;
 	#lists: ReceivedLists | undefined;
 	#pollCount = 0;
+	#leftIncarnations: readonly string[] = [];
 
 	/** The announced incarnation. */
 	get known(): KnownWorker | undefined {
@@ -44,6 +48,11 @@
 		return this.#known && this.#known.startedAtMs === this.#lists?.bornMs ? this.#known.facts.life : undefined;
 	}
 
+	/** Names of the last incarnations that deregistered before they ended. */
+	get leftIncarnations(): readonly string[] {
+		return this.#leftIncarnations;
+	}
+
 	/** @returns Number of a poll that is being sent. */
 	beginPoll(): number {
 		return ++this.#pollCount;
@@ -98,10 +107,24 @@
 		return order;
 	}
 
-	/** Forgets a worker that has left. */
-	clear(): void {
+	/**
+	 * Forgets the announced incarnation if it is the one that has left.
+	 *
+	 * @param startedAtMs - Start time of the incarnation that has left. A worker drains before it leaves, so if this is
+	 * unknown and the announced incarnation does not drain, an earlier one may have left.
+	 * @returns Whether the announced incarnation has left.
+	 */
+	leave(startedAtMs: number | undefined): boolean {
+		const known = this.#known;
+		const isLeaving = startedAtMs === undefined ? known?.facts.state === WORKER_STATES.draining : startedAtMs === known?.startedAtMs;
+		if (!known || !isLeaving) {
+			return false;
+		}
+
+		this.#leftIncarnations = [...this.#leftIncarnations, known.facts.life].slice(-MAX_LEFT_INCARNATIONS);
 		this.#known = undefined;
 		this.#lists = undefined;
+		return true;
 	}
 
 	/** A poll that was sent after the last heartbeat shows if another incarnation answers meanwhile. */
--- a/packages/pool-agent/tests/incarnation-order.test.ts
+++ b/packages/pool-agent/tests/incarnation-order.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock, ok, silentLogger} from '@amaranthsail/core';
 import {
-	type LeaseRenewal, type PoolStore, type WorkerFacts, type WorkerLists, type WorkerPort, WORKER_STATES,
+	type LeaseRenewal, type PoolStore, type WorkerFacts, type WorkerLists, type WorkerPort, WORKER_STATES, type WorkerState,
 } from '@amaranthsail/pool';
 import {PoolAgentCore, type WatchAnswer} from '@amaranthsail/pool-agent';
 
@@ -141,6 +141,24 @@
 		expect(report?.facts.life).to.equal('w1@3');
 	});
 
+	const leaveCases: ReadonlyArray<{readonly title: string; readonly state: WorkerState; readonly startedAtMs?: number; readonly hasLeft: boolean}> = [
+		{title: 'of the earlier incarnation', state: WORKER_STATES.draining, startedAtMs: 5, hasLeft: false},
+		{title: 'that names no incarnation while the newer one does not drain', state: WORKER_STATES.ready, hasLeft: false},
+		{title: 'that names no incarnation while the newer one drains', state: WORKER_STATES.draining, hasLeft: true},
+		{title: 'of the newer incarnation', state: WORKER_STATES.ready, startedAtMs: 9, hasLeft: true},
+	];
+	for (const {title, state, startedAtMs, hasLeft} of leaveCases) {
+		// Guards against starting the tasks of a worker again that is reported as left while it runs them.
+		it(`${hasLeft ? 'takes' : 'ignores'} a deregistration ${title}`, async () => {
+			const fixture = new Fixture();
+			fixture.announce(5);
+			fixture.agent.onHeartbeat({...factsOf(9), state}, 1, 9);
+			fixture.agent.onLeave('w1', startedAtMs);
+			const report = await fixture.report();
+			expect(report?.facts.life).to.equal(hasLeft ? undefined : 'w1@9');
+		});
+	}
+
 	it('does not give a lease that was counted on the clock of one incarnation to the next one', async () => {
 		const fixture = new Fixture();
 		fixture.announce(5);
