--- a/packages/pool-agent/src/announced-worker.ts
+++ b/packages/pool-agent/src/announced-worker.ts
@@ -120,12 +120,13 @@
 	 * Processes a deregistration. One that a draining worker sends is expected.
 	 *
 	 * @param workerId - Id of the worker.
+	 * @param startedAtMs - Start time of the incarnation that leaves, if the call names it.
 	 * @param nowMs - Agent's clock.
 	 * @returns The incarnation that has left; undefined if it isn't known, or may still be there.
 	 */
-	onLeave(workerId: string, nowMs: number): string | undefined {
+	onLeave(workerId: string, startedAtMs: number | undefined, nowMs: number): string | undefined {
 		const known = this.#known;
-		if (known?.facts.id !== workerId) {
+		if (known?.facts.id !== workerId || (startedAtMs ?? known.startedAtMs) !== known.startedAtMs) {
 			return undefined;
 		}
 
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -9,8 +9,11 @@
 import {ChangeSignal} from './change-signal.js';
 import {boundGrant} from './grant-bounds.js';
 import {IncarnationTrace} from './incarnation-trace.js';
+import {mayExtendLease} from './lease-without-leader.js';
+import {NewestLists} from './newest-lists.js';
 import type {PoolAgentCoreDependencies} from './pool-agent-dependencies.js';
-import {fingerprintOf, type ReceivedLists} from './received-lists.js';
+import {fingerprintOf} from './received-lists.js';
+import {STORE_TIMEOUT_MS} from './store-timeout.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
 const WORKER_POLL_WAIT_MS = 1000;
@@ -33,9 +36,6 @@
 /** Time for checks which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
 const INCARNATION_CHECK_TIMEOUT_MS = 250;
 
-/** Timeout of a store read; the store answers within milliseconds unless it is slow. */
-const STORE_TIMEOUT_MS = 1500;
-
 /** Longest wait of a watch; leaders ask for less than 1 s. */
 const MAX_WATCH_WAIT_MS = 10_000;
 
@@ -54,8 +54,7 @@
 	readonly #answering = new AnsweringIncarnation();
 	readonly #trace: IncarnationTrace;
 	readonly #announced = new AnnouncedWorker();
-	#lists: ReceivedLists | undefined;
-	#listedIncarnation: string | undefined;
+	readonly #lists = new NewestLists();
 	#leaseUntilMs = 0;
 	#ackSequence = 0;
 	/** Counts on from all earlier incarnations of the agent on this VM, which have sent less than an order each millisecond. */
@@ -73,6 +72,12 @@
 		this.#orderCount = Math.floor(deps.clock.monotonicMs());
 	}
 
+	/** Name of the announced incarnation if the newest lists are its own. */
+	get #listedIncarnation(): string | undefined {
+		const {known} = this.#announced;
+		return known && known.startedAtMs === this.#lists.current?.bornMs ? known.facts.life : undefined;
+	}
+
 	/** Milliseconds since the last call of a leader; infinite before the first call. */
 	get leaderSilentMs(): number {
 		return this.#deps.clock.monotonicMs() - this.#lastLeaderCallAtMs;
@@ -100,9 +105,10 @@
 	 * Processes the deregistration of the worker.
 	 *
 	 * @param workerId - Id of the worker.
+	 * @param startedAtMs - Start time of the incarnation that has left, if the call names it.
 	 */
-	onLeave(workerId: string): void {
-		this.#onLeft(this.#announced.onLeave(workerId, this.#deps.clock.monotonicMs()));
+	onLeave(workerId: string, startedAtMs?: number): void {
+		this.#onLeft(this.#announced.onLeave(workerId, startedAtMs, this.#deps.clock.monotonicMs()));
 		if (this.#announced.known?.facts.id === workerId) {
 			this.#deps.logger.info('deregistration held', {worker: this.#announced.known.facts.life});
 			void this.#pollWorker(0, {isCheck: true});
@@ -120,8 +126,9 @@
 			return {epoch: this.#epoch};
 		}
 
-		if (this.#lists && request.life !== undefined && request.life === this.#listedIncarnation) {
-			const {leaseUntilMs, ackSequence} = boundGrant(request, this.#lists, this.#deps.leaseMs);
+		const lists = this.#lists.current;
+		if (lists && request.life !== undefined && request.life === this.#listedIncarnation) {
+			const {leaseUntilMs, ackSequence} = boundGrant(request, lists, this.#deps.leaseMs);
 			this.#leaseUntilMs = Math.max(this.#leaseUntilMs, leaseUntilMs);
 			if (ackSequence > this.#ackSequence) {
 				this.#ackSequence = ackSequence;
@@ -216,7 +223,7 @@
 
 	#buildReport({facts, receivedAtMs}: KnownWorker): AgentReport {
 		const nowMs = this.#deps.clock.monotonicMs();
-		const lists = this.#listedIncarnation === facts.life ? this.#lists : undefined;
+		const lists = this.#listedIncarnation === facts.life ? this.#lists.current : undefined;
 		return {
 			facts: facts.remainingMs === undefined ? facts : {...facts, remainingMs: Math.max(0, Math.round(facts.remainingMs - (nowMs - receivedAtMs)))},
 			...(lists && {
@@ -231,6 +238,7 @@
 	async #pollWorker(waitMs: number, {graceMs, isCheck = false}: {readonly graceMs?: number; readonly isCheck?: boolean} = {}): Promise<boolean> {
 		const {known} = this.#announced;
 		const ordersBefore = this.#orderCount;
+		const poll = this.#lists.beginPoll();
 		const grant = isCheck ? undefined : this.#grantFor(known);
 		const answer = await this.#deps.worker.renewLease({
 			epoch: this.#epoch,
@@ -242,10 +250,13 @@
 		if (answer.kind === 'lists') {
 			this.#answering.recordAnswer(answer.lists.bornMs, this.#deps.clock.monotonicMs());
 			this.#setWorkerAnswering(true, '');
-			this.#onLists(answer.lists, ordersBefore, known);
-			this.#announce(() => {
-				this.#announced.onLists(answer.lists.bornMs, known?.facts.id, this.#deps.clock.monotonicMs());
-			});
+			const bornMs = answer.lists.bornMs ?? known?.startedAtMs;
+			if (this.#takeLists({...answer.lists, ...(bornMs !== undefined && {bornMs})}, poll, ordersBefore)) {
+				this.#announce(() => {
+					this.#announced.onLists(answer.lists.bornMs, known?.facts.id, this.#deps.clock.monotonicMs());
+				});
+			}
+
 			return true;
 		}
 
@@ -265,11 +276,12 @@
 
 	/** @returns Acknowledgement and lease for the incarnation whose lists were received last, unless another one is announced. */
 	#grantFor(known: KnownWorker | undefined): LeaseGrant | undefined {
-		if (!this.#lists || (this.#ackSequence === 0 && this.#leaseUntilMs === 0)) {
+		const lists = this.#lists.current;
+		if (!lists || (this.#ackSequence === 0 && this.#leaseUntilMs === 0)) {
 			return undefined;
 		}
 
-		const startedAtMs = this.#lists.bornMs ?? known?.startedAtMs ?? 0;
+		const startedAtMs = lists.bornMs ?? 0;
 		if (known && known.startedAtMs !== startedAtMs) {
 			return undefined;
 		}
@@ -319,38 +331,39 @@
 		if (incarnation !== undefined) {
 			this.#deps.logger.info('worker left', {worker: incarnation});
 			this.#leftIncarnations = [...this.#leftIncarnations, incarnation].slice(-MAX_LEFT_INCARNATIONS);
-			this.#lists = undefined;
+			this.#lists.clear();
 			this.#changes.notify();
 		}
 	}
 
 	#hasUnacknowledgedEnds(): boolean {
-		return this.#lists?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
+		return this.#lists.current?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
 	}
 
-	#onLists(lists: WorkerLists, ordersBefore: number, known: KnownWorker | undefined): void {
-		const incarnation = known && (lists.bornMs === undefined || lists.bornMs === known.startedAtMs) ? known.facts.life : undefined;
-		const previous = this.#listedIncarnation === incarnation ? this.#lists : undefined;
-		if (previous && lists.clockMs <= previous.clockMs) {
-			// Answers on different connections may arrive out of order, and those of the same millisecond cannot be ordered.
-			if (lists.clockMs === previous.clockMs) {
-				void this.#repollWorker();
-			}
+	/** @returns Whether the lists are newer than the present ones. */
+	#takeLists(lists: WorkerLists, poll: number, ordersBefore: number): boolean {
+		const previous = this.#lists.current;
+		const order = this.#lists.take(lists, poll, ordersBefore, this.#deps.clock.monotonicMs());
+		if (order === 'older') {
+			return false;
+		}
 
-			return;
+		if (order === 'unordered') {
+			void this.#repollWorker();
+			return false;
 		}
 
 		this.#trace.onLists(this.#announced.known?.facts.life, lists);
-		if (this.#listedIncarnation !== incarnation || (previous && previous.bornMs !== lists.bornMs)) {
+		if (order === 'otherIncarnation') {
 			this.#ackSequence = 0;
 			this.#leaseUntilMs = 0;
 		}
 
-		this.#lists = {...lists, receivedAtMs: this.#deps.clock.monotonicMs(), ordersBefore};
-		this.#listedIncarnation = incarnation;
-		if (!previous || fingerprintOf(previous) !== fingerprintOf(this.#lists)) {
+		if (!previous || fingerprintOf(previous) !== fingerprintOf(this.#lists.current)) {
 			this.#changes.notify();
 		}
+
+		return true;
 	}
 
 	/** Polls for lists with a later reading of the worker's clock. */
@@ -367,7 +380,7 @@
 
 	/** While no leader calls, renews the lease unless the store lists the worker as suspected or cannot be read. */
 	async #renewLeaseWithoutLeader(): Promise<void> {
-		const lists = this.#lists;
+		const lists = this.#lists.current;
 		if (this.leaderSilentMs < LEADER_TIMEOUT_MS) {
 			return;
 		}
@@ -380,15 +393,8 @@
 			return;
 		}
 
-		const suspects = await this.#deps.store.read(TABLES.suspects, {}, STORE_TIMEOUT_MS);
-		if (!suspects.ok) {
-			this.#deps.logger.warn('store not reached', {error: suspects.error.kind, purpose: 'lease without leader'});
-			return;
-		}
-
-		const isSuspected = suspects.value.rows.some(row => row.key === this.#listedIncarnation || row.key.endsWith(`@${lists.bornMs}`));
-		if (isSuspected) {
-			this.#deps.logger.warn('lease not extended', {worker: this.#listedIncarnation ?? 'unknown', reason: 'suspected', storeVersion: suspects.value.version});
+		const isAllowed = await mayExtendLease(this.#deps.store, {incarnation: this.#listedIncarnation, bornMs: lists.bornMs}, this.#deps.logger);
+		if (!isAllowed || this.#lists.current?.bornMs !== lists.bornMs) {
 			return;
 		}
 
