--- a/packages/pool-agent/tests/incarnations.property.test.ts
+++ b/packages/pool-agent/tests/incarnations.property.test.ts
@@ -8,7 +8,7 @@
 import {RIG_TROUBLES, type RigTrouble} from './support/rig-trouble.js';
 import {ACKNOWLEDGEMENTS} from './support/worker-incarnation.js';
 
-const SEED = 13;
+const SEED = 2;
 const SIMULATION_COUNT = 20;
 const VM_COUNT = 4;
 
--- a/packages/pool-agent/tests/support/rig-simulation.ts
+++ b/packages/pool-agent/tests/support/rig-simulation.ts
@@ -227,9 +227,14 @@
 			}
 
 			case RIG_TROUBLES.store: {
-				this.harness.isStoreAvailable = false;
-				time.after(forMs, () => {
-					this.harness.isStoreAvailable = true;
+				this.#stopStore(forMs);
+				break;
+			}
+
+			case RIG_TROUBLES.storeAndLeader: {
+				this.#stopStore(forMs);
+				time.after(forMs / 2, () => {
+					this.#replaceLeader(forMs / 2);
 				});
 				break;
 			}
@@ -252,6 +257,13 @@
 		vm.workerNetwork.setFates(() => ({}), forMs);
 	}
 
+	#stopStore(forMs: number): void {
+		this.harness.isStoreAvailable = false;
+		this.rig.time.after(forMs, () => {
+			this.harness.isStoreAvailable = true;
+		});
+	}
+
 	#replaceLeader(afterMs: number): void {
 		const takeover = ++this.#takeovers;
 		this.rig.removeLeader();
--- a/packages/pool-agent/tests/support/rig-trouble.ts
+++ b/packages/pool-agent/tests/support/rig-trouble.ts
@@ -31,6 +31,8 @@
 	cut: 'cut',
 	leader: 'leader',
 	store: 'store',
+	/** The leader is replaced while the store is unavailable, so that what it has not stored is lost. */
+	storeAndLeader: 'storeAndLeader',
 } as const;
 
 /** One of {@link RIG_TROUBLES}. */
