Cover a deposed leader's renewals for all workers after a takeover

What callers see: a task may run twice for a moment after a takeover, if its worker's agent starts again and the worker then falls silent.

Cause: a deposed leader may renew leases for 3 s. The fence covered that only for workers whose lists the new leader had not read, as an agent that has accepted the new leader refuses the old one. But an agent that starts again knows no epoch and accepts the old leader, and a suspicion follows the last lists after 2.5 s, so the last 0.35 s of the old leader's renewals were not covered.

Evidence: the new test failed before: a worker that falls silent 0.1 s after the takeover was given up before the end of the last lease that the deposed leader may have granted.

Now every fence begins at the earliest 3 s after the takeover. Only workers that fall silent in the first 0.5 s after it are concerned, by at most 0.5 s.

The test of a silent worker expected its tasks elsewhere a lease after the suspicion, 2.5 s after the start of the leader. It begins 3 s later now, with the same expectations.

--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -198,7 +198,8 @@
 		const {leaseMs, maxLeaseMs, deposedLeaderGraceMs} = this.#context.limits;
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.incarnation, value: {}}], () => {
 			if (worker.suspicion === suspicion) {
-				const fromMs = Math.max(this.#context.nowMs(), worker.hasReportedLists ? 0 : this.#context.takenOverAtMs + deposedLeaderGraceMs);
+				// Also for a worker whose agent has accepted this leader: an agent that starts again knows no epoch.
+				const fromMs = Math.max(this.#context.nowMs(), this.#context.takenOverAtMs + deposedLeaderGraceMs);
 				const lateLeaseEndMs = worker.lateCallsUntilMs === undefined ? 0 : worker.lateCallsUntilMs + (maxLeaseMs * SLOW_CLOCK_FACTOR);
 				worker.suspicion = {sinceMs: nowMs, leaseExpiresAtMs: Math.max(fromMs + (leaseMs * SLOW_CLOCK_FACTOR), lateLeaseEndMs) + FENCE_MARGIN_MS};
 			}
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -226,7 +226,8 @@
 		it('that is silent keeps its tasks until a whole lease has passed since its suspicion was stored', () => {
 			const workers = [new FakeWorker('w1'), new FakeWorker('w2')];
 			const harness = new PoolHarness(workers);
-			harness.runCycle();
+			// Right after a takeover the fence also covers the renewals of the deposed leader.
+			harness.advance(harness.limits.deposedLeaderGraceMs);
 			harness.submit('j1', 'normal', [makeStep()]);
 			harness.runCycle();
 			const [silent, other] = workers[0]!.runs.size > 0 ? [workers[0]!, workers[1]!] : [workers[1]!, workers[0]!];
--- a/packages/pool/tests/restarted-worker-fence.test.ts
+++ b/packages/pool/tests/restarted-worker-fence.test.ts
@@ -8,6 +8,32 @@
 
 const LIMITS = {...DEFAULT_LIMITS, maxLeaseMs: 9000};
 
+describe('the fence around a worker that falls silent right after a takeover', () => {
+	const cases = [
+		{title: 'whose lists the new leader has read', reachableMs: 100},
+		{title: 'that the new leader has never reached', reachableMs: 0},
+	];
+	for (const {title, reachableMs} of cases) {
+		it(`covers the renewals of the deposed leader: ${title}`, () => {
+			const worker = new FakeWorker('w1');
+			const harness = new PoolHarness([worker], LIMITS);
+			harness.submit('j1', 'normal', [makeStep({isLasting: true})]);
+			harness.advance(500);
+			harness.replaceLeader();
+			harness.recoverLeader();
+			const takenOverAtMs = harness.clock.monotonicMs();
+			harness.advance(reachableMs);
+			worker.isUnreachable = true;
+			// An agent that has started again accepts the deposed leader, as it knows no epoch.
+			const lastLeaseEndMs = takenOverAtMs + LIMITS.deposedLeaderGraceMs + (LIMITS.leaseMs * SLOW_CLOCK_FACTOR);
+			harness.advance(lastLeaseEndMs - harness.clock.monotonicMs() - 100);
+			expect(harness.events('worker given up')).to.deep.equal([]);
+			harness.advance(1000);
+			expect(harness.events('worker given up')).to.have.length(1);
+		});
+	}
+});
+
 describe('the fence around a silent worker', () => {
 	const cases: ReadonlyArray<{readonly title: string; readonly restart?: (worker: FakeWorker) => void; readonly reachableMs: number; readonly fromMs: number; readonly leaseMs: number}> = [
 		{title: 'that has never started again counts the lease from its suspicion', reachableMs: 200, fromMs: 2500, leaseMs: LIMITS.leaseMs},
