--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, type IncomingHttpHeaders, request} from 'node:http';
+import type {Socket} from 'node:net';
 import {isAddress} from './fields.js';
 import {err, ok, type Result} from './result.js';
 
@@ -25,6 +26,8 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: unknown;
 	readonly timeoutMs: number;
+	/** Decides, before anything is written, whether the request may use a connection; if not, it fails as not sent. */
+	readonly acceptsConnection?: (socket: Socket) => boolean;
 };
 
 /** Longest wait for a connection within a region. A host that is down does not refuse connections, so only this limit detects it. */
@@ -33,6 +36,9 @@
 /** Idle time after which a kept connection is closed. */
 const IDLE_CONNECTION_TIMEOUT_MS = 20_000;
 
+/** Timers with a longer delay fire at once. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /** HTTP client for one address with keep-alive connections. Every request has its own timeout, which detects a connection that has stopped answering. */
 export class JsonClient {
 	readonly #host: string;
@@ -54,14 +60,29 @@
 	 * Sends a request and waits for the response.
 	 *
 	 * @param jsonRequest - The request.
-	 * @returns The response, whatever its status, or the reason why there is none.
+	 * @returns The response, whatever its status, or the reason why there is none. Never rejects: a request that cannot be
+	 * sent, because its path, a header or its body is invalid, is an error too.
 	 */
 	async call(jsonRequest: JsonRequest): Promise<Result<JsonResponse, RequestError>> {
-		const bodyText = jsonRequest.body === undefined ? undefined : JSON.stringify(jsonRequest.body);
 		if (!isAddress(this.address)) {
 			return err({kind: 'not_sent', message: 'invalid address', isRefused: false});
 		}
 
+		try {
+			return await this.#send(jsonRequest, jsonRequest.body === undefined ? undefined : JSON.stringify(jsonRequest.body));
+		} catch (error) {
+			// Values from other programs reach the headers, the path and the body.
+			return err({kind: 'not_sent', message: `invalid request: ${error instanceof Error ? error.message : String(error)}`, isRefused: false});
+		}
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		this.#agent.destroy();
+	}
+
+	/** @throws When the request is invalid; then nothing has been sent. */
+	async #send(jsonRequest: JsonRequest, bodyText: string | undefined): Promise<Result<JsonResponse, RequestError>> {
 		return new Promise(resolve => {
 			let isConnected = false;
 			let timeoutMessage = '';
@@ -89,13 +110,18 @@
 				outgoing.destroy();
 			};
 
-			const timer = setTimeout(abort, jsonRequest.timeoutMs, `no answer within ${jsonRequest.timeoutMs} ms`);
+			const timer = setTimeout(abort, Math.min(jsonRequest.timeoutMs, MAX_TIMER_MS), `no answer within ${jsonRequest.timeoutMs} ms`);
 			const connectTimer = setTimeout(() => {
 				if (!isConnected) {
 					abort(`no connection within ${CONNECT_TIMEOUT_MS} ms`);
 				}
 			}, Math.min(CONNECT_TIMEOUT_MS, jsonRequest.timeoutMs));
 			outgoing.on('socket', socket => {
+				if (jsonRequest.acceptsConnection?.(socket) === false) {
+					abort('another connection than the accepted one');
+					return;
+				}
+
 				if (socket.connecting) {
 					socket.setNoDelay(true);
 					socket.once('connect', () => {
@@ -104,6 +130,10 @@
 				} else {
 					isConnected = true;
 				}
+
+				if (jsonRequest.acceptsConnection) {
+					outgoing.end(bodyText);
+				}
 			});
 			outgoing.on('error', (error: NodeJS.ErrnoException) => {
 				fail(timeoutMessage === '' ? error.message : timeoutMessage, error.code);
@@ -122,14 +152,11 @@
 					resolve(ok({status: response.statusCode ?? 0, headers: response.headers, body: parseJson(Buffer.concat(chunks).toString())}));
 				});
 			});
-			outgoing.end(bodyText);
+			if (!jsonRequest.acceptsConnection) {
+				outgoing.end(bodyText);
+			}
 		});
 	}
-
-	/** Closes all connections. */
-	close(): void {
-		this.#agent.destroy();
-	}
 }
 
 /**
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,11 +1,16 @@
-import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type PoolStore, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
+	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type LeaseGrant, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
+import {AnnouncedWorker, HEARTBEAT_EFFECTS, type KnownWorker} from './announced-worker.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
+import {ChangeSignal} from './change-signal.js';
+import {boundGrant} from './grant-bounds.js';
+import {IncarnationTrace} from './incarnation-trace.js';
+import type {PoolAgentCoreDependencies} from './pool-agent-dependencies.js';
+import {fingerprintOf, type ReceivedLists} from './received-lists.js';
 
 /** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
 const WORKER_POLL_WAIT_MS = 1000;
@@ -25,32 +30,18 @@
 /** The agent renews the lease itself when no leader has called for this time. */
 const LEADER_TIMEOUT_MS = 2000;
 
-/** Timeout of the check which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
+/** Time for checks which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
 const INCARNATION_CHECK_TIMEOUT_MS = 250;
 
 /** Timeout of a store read; the store answers within milliseconds unless it is slow. */
 const STORE_TIMEOUT_MS = 1500;
 
+/** Longest wait of a watch; leaders ask for less than 1 s. */
+const MAX_WATCH_WAIT_MS = 10_000;
+
 /** Number of deregistered worker incarnations that are still reported. */
 const MAX_LEFT_INCARNATIONS = 8;
 
-/** Dependencies of {@link PoolAgentCore}. */
-export type PoolAgentCoreDependencies = {
-	readonly clock: Clock;
-	readonly logger: Logger;
-	readonly store: PoolStore;
-	readonly worker: WorkerPort;
-	/** Length of the lease that the agent grants without a leader, while the store does not list its worker as suspected. */
-	readonly leaseMs: number;
-	/** Identifies this incarnation of the agent. */
-	readonly incarnation: string;
-	readonly sleep: (ms: number) => Promise<void>;
-};
-
-type ReceivedLists = WorkerLists & {readonly receivedAtMs: number; readonly ordersBefore: number};
-
-type KnownWorker = {readonly facts: WorkerFacts; readonly sequence: number; readonly startedAtMs: number; readonly receivedAtMs: number};
-
 /**
  * State of the agent: the worker's heartbeats and lists, and the epoch, lease and acknowledgements of the leader.
  *
@@ -61,16 +52,16 @@
 	#epoch = 0;
 	#lastLeaderCallAtMs = Number.NEGATIVE_INFINITY;
 	readonly #answering = new AnsweringIncarnation();
-	#knownWorker: KnownWorker | undefined;
+	readonly #trace: IncarnationTrace;
+	readonly #announced = new AnnouncedWorker();
 	#lists: ReceivedLists | undefined;
 	#listedIncarnation: string | undefined;
 	#leaseUntilMs = 0;
 	#ackSequence = 0;
 	/** Counts on from all earlier incarnations of the agent on this VM, which have sent less than an order each millisecond. */
 	#orderCount: number;
-	#reportVersion = 0;
+	readonly #changes = new ChangeSignal();
 	#leftIncarnations: readonly string[] = [];
-	#watchWaiters: Array<() => void> = [];
 	#isWorkerAnswering = false;
 	#isRepollPending = false;
 	#isStopped = false;
@@ -78,6 +69,7 @@
 	/** @param deps - Dependencies. */
 	constructor(deps: PoolAgentCoreDependencies) {
 		this.#deps = deps;
+		this.#trace = new IncarnationTrace(deps.logger);
 		this.#orderCount = Math.floor(deps.clock.monotonicMs());
 	}
 
@@ -94,23 +86,13 @@
 	 * @param startedAtMs - Start time of that incarnation.
 	 */
 	onHeartbeat(facts: WorkerFacts, sequence: number, startedAtMs: number): void {
-		const known = this.#knownWorker;
-		const isEarlierIncarnation = known !== undefined && startedAtMs < known.startedAtMs && this.#lists?.bornMs !== startedAtMs;
-		if (known && (isEarlierIncarnation || (startedAtMs === known.startedAtMs && sequence <= known.sequence))) {
-			this.#deps.logger.info('heartbeat out of order', {worker: facts.life, sequence, known: known.facts.life, knownSequence: known.sequence});
-			return;
+		const effect = this.#announce(() => this.#announced.onHeartbeat(facts, sequence, startedAtMs, this.#deps.clock.monotonicMs()));
+		if (effect !== HEARTBEAT_EFFECTS.taken) {
+			this.#deps.logger.info(`heartbeat ${effect}`, {worker: facts.life, sequence, known: this.#announced.known?.facts.life, knownSequence: this.#announced.known?.sequence.known});
 		}
 
-		const isChanged = known?.facts.life !== facts.life || known.facts.state !== facts.state || !isSameShape(known.facts.capacity, facts.capacity);
-		this.#knownWorker = {facts, sequence, startedAtMs, receivedAtMs: this.#deps.clock.monotonicMs()};
-		if (isChanged) {
-			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, capacity: facts.capacity, remainingMs: facts.remainingMs ?? -1});
-			this.#notifyWatchers();
-		}
-
-		if (known?.facts.life !== facts.life) {
-			// The poll in progress may wait for its full time, or belong to the previous incarnation.
-			void this.#pollWorker(0);
+		if (effect === HEARTBEAT_EFFECTS.held) {
+			void this.#pollWorker(0, {isCheck: true});
 		}
 	}
 
@@ -120,15 +102,11 @@
 	 * @param workerId - Id of the worker.
 	 */
 	onLeave(workerId: string): void {
-		if (this.#knownWorker?.facts.id !== workerId) {
-			return;
+		this.#onLeft(this.#announced.onLeave(workerId, this.#deps.clock.monotonicMs()));
+		if (this.#announced.known?.facts.id === workerId) {
+			this.#deps.logger.info('deregistration held', {worker: this.#announced.known.facts.life});
+			void this.#pollWorker(0, {isCheck: true});
 		}
-
-		this.#deps.logger.info('worker left', {worker: this.#knownWorker.facts.life});
-		this.#leftIncarnations = [...this.#leftIncarnations, this.#knownWorker.facts.life].slice(-MAX_LEFT_INCARNATIONS);
-		this.#knownWorker = undefined;
-		this.#lists = undefined;
-		this.#notifyWatchers();
 	}
 
 	/**
@@ -142,23 +120,24 @@
 			return {epoch: this.#epoch};
 		}
 
-		if (request.life !== undefined && request.life === this.#listedIncarnation) {
-			this.#leaseUntilMs = Math.max(this.#leaseUntilMs, request.leaseUntilMs ?? 0);
-			if ((request.ackSequence ?? 0) > this.#ackSequence) {
-				this.#ackSequence = request.ackSequence!;
+		if (this.#lists && request.life !== undefined && request.life === this.#listedIncarnation) {
+			const {leaseUntilMs, ackSequence} = boundGrant(request, this.#lists, this.#deps.leaseMs);
+			this.#leaseUntilMs = Math.max(this.#leaseUntilMs, leaseUntilMs);
+			if (ackSequence > this.#ackSequence) {
+				this.#ackSequence = ackSequence;
 				void this.#pollWorker(0);
 			}
 		}
 
-		if (request.sinceVersion === this.#reportVersion) {
-			await this.#waitForChange(request.waitMs);
+		if (request.sinceVersion === this.#changes.version) {
+			await Promise.race([this.#changes.next(), this.#deps.sleep(Math.min(request.waitMs, MAX_WATCH_WAIT_MS))]);
 		}
 
 		return {
 			incarnation: this.#deps.incarnation,
-			version: this.#reportVersion,
+			version: this.#changes.version,
 			leftLives: this.#leftIncarnations,
-			...(this.#knownWorker && {report: this.#buildReport(this.#knownWorker)}),
+			...(this.#announced.confirmed && {report: this.#buildReport(this.#announced.confirmed)}),
 		};
 	}
 
@@ -173,18 +152,23 @@
 			return {epoch: this.#epoch};
 		}
 
-		const known = this.#knownWorker;
+		const {known} = this.#announced;
 		if (known?.facts.life !== request.life) {
 			return {outcome: {kind: 'refused', reason: REFUSALS.otherLife}, orderCount: this.#orderCount};
 		}
 
+		const receivedAtMs = this.#deps.clock.monotonicMs();
 		const refusal = request.order.kind === 'start' ? await this.#findStartRefusal(known) : undefined;
 		if (refusal) {
 			this.#deps.logger.info('start not relayed', {task: request.order.task, run: request.order.run, worker: request.life, reason: refusal, answeringSinceMs: this.#answering.startedAtMs ?? 'unknown'});
 			return {outcome: {kind: 'refused', reason: refusal}, orderCount: this.#orderCount};
 		}
 
-		const {outcome} = await this.#deps.worker.order(request.order, request.epoch, known.facts.id);
+		const {outcome} = await this.#deps.worker.order(request.order, request.epoch, {
+			id: known.facts.id,
+			startedAtMs: known.startedAtMs,
+			identifyWithinMs: Math.max(0, INCARNATION_CHECK_TIMEOUT_MS - (this.#deps.clock.monotonicMs() - receivedAtMs)),
+		});
 		this.#orderCount++;
 		if (outcome.kind === 'unknown' || outcome.kind === 'gone') {
 			this.#answering.recordFailure();
@@ -213,7 +197,7 @@
 	/** Stops {@link PoolAgentCore.run} after the poll in progress. */
 	stop(): void {
 		this.#isStopped = true;
-		this.#notifyWatchers();
+		this.#changes.notify();
 	}
 
 	#acceptEpoch(epoch: number): boolean {
@@ -243,26 +227,34 @@
 		};
 	}
 
-	/** Renews the lease, acknowledges ends of runs, and reads the worker's lists. */
-	async #pollWorker(waitMs: number, graceMs?: number): Promise<boolean> {
-		const known = this.#knownWorker;
+	/** Reads the worker's lists; unless this is only a check which incarnation answers, renews the lease and acknowledges ends. */
+	async #pollWorker(waitMs: number, {graceMs, isCheck = false}: {readonly graceMs?: number; readonly isCheck?: boolean} = {}): Promise<boolean> {
+		const {known} = this.#announced;
 		const ordersBefore = this.#orderCount;
+		const grant = isCheck ? undefined : this.#grantFor(known);
 		const answer = await this.#deps.worker.renewLease({
 			epoch: this.#epoch,
-			ackSequence: this.#ackSequence,
 			waitMs,
 			...(graceMs !== undefined && {graceMs}),
-			...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs}),
 			...(known && {workerId: known.facts.id}),
+			...(grant && {grant}),
 		});
 		if (answer.kind === 'lists') {
 			this.#answering.recordAnswer(answer.lists.bornMs, this.#deps.clock.monotonicMs());
 			this.#setWorkerAnswering(true, '');
 			this.#onLists(answer.lists, ordersBefore, known);
+			this.#announce(() => {
+				this.#announced.onLists(answer.lists.bornMs, known?.facts.id, this.#deps.clock.monotonicMs());
+			});
 			return true;
 		}
 
 		this.#answering.recordFailure();
+		const isOtherWorker = answer.kind === 'refused' && answer.reason === REFUSALS.otherLife;
+		if (answer.kind === 'gone' || isOtherWorker) {
+			this.#onLeft(this.#announce(() => this.#announced.onGone(isOtherWorker ? known?.facts.id : undefined)));
+		}
+
 		this.#setWorkerAnswering(false, answer.kind === 'refused' ? answer.reason : answer.kind);
 		if (answer.kind === 'refused' && answer.reason === REFUSALS.fenced) {
 			await this.#readLeaderEpoch();
@@ -271,19 +263,67 @@
 		return false;
 	}
 
+	/** @returns Acknowledgement and lease for the incarnation whose lists were received last, unless another one is announced. */
+	#grantFor(known: KnownWorker | undefined): LeaseGrant | undefined {
+		if (!this.#lists || (this.#ackSequence === 0 && this.#leaseUntilMs === 0)) {
+			return undefined;
+		}
+
+		const startedAtMs = this.#lists.bornMs ?? known?.startedAtMs ?? 0;
+		if (known && known.startedAtMs !== startedAtMs) {
+			return undefined;
+		}
+
+		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
+		return {startedAtMs, ackSequence: this.#ackSequence, ...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs})};
+	}
+
 	/** Makes sure that a start reaches the announced incarnation of the worker and not a later one. */
 	async #findStartRefusal({facts, startedAtMs}: KnownWorker): Promise<Refusal | undefined> {
 		if (!this.#answering.isRecent(this.#deps.clock.monotonicMs()) || !this.#answering.isSame(startedAtMs)) {
-			await this.#pollWorker(0, INCARNATION_CHECK_TIMEOUT_MS);
+			await this.#pollWorker(0, {graceMs: INCARNATION_CHECK_TIMEOUT_MS, isCheck: true});
 		}
 
-		if (this.#knownWorker?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
+		if (this.#announced.known?.facts.life !== facts.life || !this.#answering.isSame(startedAtMs)) {
 			return REFUSALS.otherLife;
 		}
 
 		return this.#answering.isRecent(this.#deps.clock.monotonicMs()) ? undefined : REFUSALS.unhealthy;
 	}
 
+	/** Tells the watchers when a change of the announced worker concerns them. */
+	#announce<Effect>(change: () => Effect): Effect {
+		const previous = this.#announced.known;
+		const effect = change();
+		const {known} = this.#announced;
+		if (!known || known === previous) {
+			return effect;
+		}
+
+		const {facts, isConfirmed} = known;
+		const isNew = previous?.facts.life !== facts.life;
+		if (isNew || previous.isConfirmed !== isConfirmed || previous.facts.state !== facts.state || !isSameShape(previous.facts.capacity, facts.capacity)) {
+			this.#deps.logger.info('worker announced', {worker: facts.life, state: facts.state, service: facts.service, capacity: facts.capacity, remainingMs: facts.remainingMs ?? -1, isConfirmed});
+			this.#changes.notify();
+		}
+
+		if (isNew) {
+			// The poll in progress may wait for its full time, or belong to the previous incarnation.
+			void this.#pollWorker(0);
+		}
+
+		return effect;
+	}
+
+	#onLeft(incarnation: string | undefined): void {
+		if (incarnation !== undefined) {
+			this.#deps.logger.info('worker left', {worker: incarnation});
+			this.#leftIncarnations = [...this.#leftIncarnations, incarnation].slice(-MAX_LEFT_INCARNATIONS);
+			this.#lists = undefined;
+			this.#changes.notify();
+		}
+	}
+
 	#hasUnacknowledgedEnds(): boolean {
 		return this.#lists?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
 	}
@@ -300,6 +340,7 @@
 			return;
 		}
 
+		this.#trace.onLists(this.#announced.known?.facts.life, lists);
 		if (this.#listedIncarnation !== incarnation || (previous && previous.bornMs !== lists.bornMs)) {
 			this.#ackSequence = 0;
 			this.#leaseUntilMs = 0;
@@ -307,8 +348,8 @@
 
 		this.#lists = {...lists, receivedAtMs: this.#deps.clock.monotonicMs(), ordersBefore};
 		this.#listedIncarnation = incarnation;
-		if (!previous || fingerprint(previous) !== fingerprint(this.#lists)) {
-			this.#notifyWatchers();
+		if (!previous || fingerprintOf(previous) !== fingerprintOf(this.#lists)) {
+			this.#changes.notify();
 		}
 	}
 
@@ -366,30 +407,7 @@
 	#setWorkerAnswering(isAnswering: boolean, reason: string): void {
 		if (isAnswering !== this.#isWorkerAnswering) {
 			this.#isWorkerAnswering = isAnswering;
-			this.#deps.logger.info(isAnswering ? 'worker answers' : 'worker does not answer', {worker: this.#knownWorker?.facts.life ?? 'unknown', reason});
-		}
-	}
-
-	#notifyWatchers(): void {
-		this.#reportVersion++;
-		const waiters = this.#watchWaiters;
-		this.#watchWaiters = [];
-		for (const waiter of waiters) {
-			waiter();
+			this.#deps.logger.info(isAnswering ? 'worker answers' : 'worker does not answer', {worker: this.#announced.known?.facts.life ?? 'unknown', reason});
 		}
 	}
-
-	async #waitForChange(waitMs: number): Promise<void> {
-		await Promise.race([
-			new Promise<void>(resolve => {
-				this.#watchWaiters.push(resolve);
-			}),
-			this.#deps.sleep(waitMs),
-		]);
-	}
-}
-
-/** Changes when a run starts or ends; progress alone does not wake the waiting watches. */
-function fingerprint(lists: ReceivedLists): string {
-	return `${lists.bornMs}/${lists.ordersBefore}/${lists.running.map(run => `${run.task}#${run.run}`).join(',')}/${lists.ended.map(end => end.sequence).join(',')}`;
 }
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -77,6 +77,7 @@
 		this.#limits = {
 			...DEFAULT_LIMITS,
 			leaseMs: leaseMsWithin(settings.bounds.maxLeaseMs),
+			maxLeaseMs: settings.bounds.maxLeaseMs,
 			remoteFactor: settings.bounds.remoteFactor,
 			reclaimMs: settings.bounds.reclaimMs,
 			stopTimeoutMs: settings.bounds.stopTimeoutMs,
@@ -184,7 +185,8 @@
 			metrics: this.#metrics,
 			limits: this.#limits,
 			guard: this.#guard,
-			onLeadershipLost: () => {
+			onLeadershipLost: (_reason, knownEpoch = 0) => {
+				this.#follower.recordEpoch(knownEpoch);
 				if (this.#leader === leader) {
 					this.#leader = undefined;
 				}
--- a/packages/pool/src/model.ts
+++ b/packages/pool/src/model.ts
@@ -36,6 +36,9 @@
 	readonly count: number;
 };
 
+/** Largest number of tasks of a job; also of those of a recurring job that are created and not done. */
+export const MAX_JOB_TASKS = 4096;
+
 /** A job as submitted by a caller. */
 export type JobSpec = {
 	/** Opaque text that is passed to every task of the job. */
@@ -125,6 +128,8 @@
 	broken: 'broken',
 	/** The other members of the gang did not start in time. */
 	alone: 'alone',
+	/** The worker lists an end that cannot be read. */
+	unreadable: 'unreadable',
 } as const;
 
 /** One of {@link RUN_OUTCOMES}. */
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -1,10 +1,11 @@
 import type {Clock, LogFields} from '@amaranthsail/core';
 import {CommitQueue} from './commit-queue.js';
-import type {Job, Task} from './job-model.js';
+import {FINAL_STATES, type Job, type Task} from './job-model.js';
 import type {PoolConfig, Queue, WorkerOrder} from './model.js';
 import type {PoolLimits} from './pool-limits.js';
 import type {QueueTerms} from './queue-terms.js';
 import {parseTaskName} from './task-name.js';
+import {UnreadableJobs} from './unreadable-jobs.js';
 import {UrgentHeadroom} from './urgent-headroom.js';
 import type {TrackedWorker} from './tracked-worker.js';
 
@@ -23,6 +24,7 @@
 	readonly workers = new Map<string, TrackedWorker>();
 	readonly commits = new CommitQueue();
 	readonly headroom = new UrgentHeadroom();
+	readonly unreadableJobs = new UnreadableJobs();
 	/** Open tasks under which a worker has crashed, or may have. */
 	readonly crashSuspects = new Set<Task>();
 	/** Leader's clock at its takeover. */
@@ -71,6 +73,12 @@
 			?.steps[parsed.step]?.tasks[parsed.index];
 	}
 
+	/** @returns Whether the job of the task with this name is known, and its end stored. */
+	hasJobEnded(name: string): boolean {
+		const job = this.jobs.get(parseTaskName(name)?.jobId ?? '');
+		return job !== undefined && FINAL_STATES.has(job.state);
+	}
+
 	/** @param order - An order to send. */
 	queueOrder(order: OutgoingOrder): void {
 		this.#orders.push(order);
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -1,6 +1,7 @@
 import {
 	addShapes, EMPTY_SHAPE, fitsInto, subtractShapes,
 } from './capacity.js';
+import {EndAcknowledgements} from './end-acknowledgements.js';
 import type {Run} from './job-model.js';
 import type {TaskShape, WorkerFacts} from './model.js';
 
@@ -10,6 +11,8 @@
 	facts: WorkerFacts;
 	/** Name of the agent through which it is reached. */
 	agent: string;
+	/** An agent has reported it to this leader; otherwise only stored rows name it. */
+	hasReported: boolean;
 	/** This leader has read its lists. */
 	hasReportedLists: boolean;
 	/** Leader's clock when the agent received the newest lists; the time of tracking before that. */
@@ -18,10 +21,12 @@
 	workerClockMs: number;
 	/** The agent's count of orders when it requested the newest lists. */
 	orderCountBeforeLists: number;
-	/** Sequence number of the highest end to acknowledge; its outcome is stored. */
-	ackSequence: number;
+	/** Ends to acknowledge. */
+	readonly endAcknowledgements: EndAcknowledgements;
 	/** Sequence number of the highest end that has been processed. */
 	processedSequence: number;
+	/** The newest lists lacked ends that this leader has not acknowledged. */
+	hasMissingEnds: boolean;
 	readonly runs: Map<string, Run>;
 	/** It lists runs of tasks that this leader does not know; their shapes are unknown. */
 	hasUnknownRuns: boolean;
@@ -31,6 +36,12 @@
 	readonly unexpectedStopDueMs: Map<string, number>;
 	/** Highest run number that has ended here, by task; lists that still contain the run are out of date. */
 	readonly highestEndedRuns: Map<string, number>;
+	/** Runs that have ended here while a start of theirs remained unanswered, in the order of their ends, by task. */
+	readonly endedUnanswered: Map<string, {readonly run: number; readonly endedAtMs: number}>;
+	/** Ended runs of earlier incarnations whose starts might still come, and the leader's clock when their next stop is due and when it is needed no more, by task. */
+	readonly lateStops: Map<string, {readonly run: number; dueMs: number; readonly untilMs: number}>;
+	/** Leader's clock until which a call to an earlier incarnation with the same id may grant a lease of any length. */
+	lateCallsUntilMs?: number;
 	suspicion?: Suspicion;
 	/** It has been declared lost and its runs ended; its lists must be read before it is used again. */
 	isLost: boolean;
@@ -66,17 +77,21 @@
 		incarnation: facts.life,
 		facts,
 		agent,
+		hasReported: false,
 		hasReportedLists: false,
 		listsAsOfMs: nowMs,
 		workerClockMs: 0,
 		orderCountBeforeLists: 0,
-		ackSequence: 0,
+		endAcknowledgements: new EndAcknowledgements(),
 		processedSequence: 0,
+		hasMissingEnds: false,
 		runs: new Map(),
 		hasUnknownRuns: false,
 		unexpectedCapacity: EMPTY_SHAPE,
 		unexpectedStopDueMs: new Map(),
 		highestEndedRuns: new Map(),
+		endedUnanswered: new Map(),
+		lateStops: new Map(),
 		isLost: false,
 		failedJobIds: new Set(),
 		quarantinedUntilMs: 0,
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -1,5 +1,6 @@
 import {addShapes, EMPTY_SHAPE} from './capacity.js';
 import {type Run, RUN_PHASES} from './job-model.js';
+import {isLateStartOverdue} from './late-starts.js';
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES} from './model.js';
 import type {PoolContext} from './pool-context.js';
 import type {RunLifecycle} from './run-lifecycle.js';
@@ -26,6 +27,7 @@
 	 * @param running - The runs that it lists as running.
 	 */
 	reconcile(worker: TrackedWorker, running: readonly ListedRun[]): void {
+		worker.endAcknowledgements.settleEnded(name => this.#context.hasJobEnded(name));
 		const listed = new Map(running.map(entry => [entry.task, entry]));
 		for (const run of worker.runs.values()) {
 			const entry = listed.get(run.task.name);
@@ -35,8 +37,12 @@
 				this.#runs.onListed(run, entry, worker.listsAsOfMs);
 			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedOrderCount !== undefined && run.stopAcknowledgedOrderCount <= worker.orderCountBeforeLists) {
 				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
+			} else if (isLateStartOverdue(run, this.#context.nowMs())) {
+				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
 			} else if (run.phase === RUN_PHASES.running && isRunGone(run, worker)) {
-				this.#context.log('run vanished', {task: run.task.name, run: run.number, worker: worker.incarnation});
+				this.#context.log('run vanished', {
+					task: run.task.name, run: run.number, worker: worker.incarnation, percent: run.percent, highestEnd: worker.processedSequence,
+				});
 				this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
 			}
 		}
@@ -53,18 +59,37 @@
 	onListedEnd(worker: TrackedWorker, listed: ListedEnd): void {
 		const run = worker.runs.get(listed.task);
 		worker.highestEndedRuns.set(listed.task, Math.max(listed.run, worker.highestEndedRuns.get(listed.task) ?? 0));
-		if (run?.number === listed.run) {
-			this.#runs.end(run, listed.outcome, listed.checkpoint);
-		} else {
-			this.#runs.onLateEnd(worker, listed);
+		if (listed.outcome === RUN_OUTCOMES.unreadable) {
+			this.#onUnreadableEnd(worker, listed, run);
+			return;
 		}
 
+		worker.endAcknowledgements.add(listed.sequence, listed.task);
 		// An end may be acknowledged only after its outcome is stored.
-		this.#context.commits.enqueue([], () => {
-			worker.ackSequence = Math.max(worker.ackSequence, listed.sequence);
+		this.#context.commits.enqueueAll(() => {
+			if (run?.number === listed.run) {
+				this.#runs.end(run, listed.outcome, listed.checkpoint);
+			} else {
+				this.#runs.onLateEnd(worker, listed);
+				const write = this.#context.unreadableJobs.recordEnd(listed);
+				this.#context.commits.enqueue(write ? [write] : [], () => undefined);
+			}
+		}, () => {
+			worker.endAcknowledgements.settle(listed.sequence);
 		});
 	}
 
+	/** The run may have been done. An end that is never acknowledged does not count, so its task is started again. */
+	#onUnreadableEnd(worker: TrackedWorker, {sequence, task, run: runNumber}: ListedEnd, run: Run | undefined): void {
+		this.#context.log('end unreadable', {
+			worker: worker.incarnation, sequence, task, run: runNumber,
+		});
+		worker.endAcknowledgements.add(sequence, '');
+		if (run?.number === runNumber) {
+			this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
+		}
+	}
+
 	#stopUnexpected(worker: TrackedWorker, entries: readonly ListedRun[]): void {
 		const nowMs = this.#context.nowMs();
 		worker.hasUnknownRuns = false;
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -2,6 +2,8 @@
 import {type ListedEnd, type ListedRun, RUN_OUTCOMES, type WorkerFacts, WORKER_STATES} from './model.js';
 import type {CrashLedger} from './crash-ledger.js';
 import type {PoolContext} from './pool-context.js';
+import {LateStarts} from './late-starts.js';
+import {findMissingEnds} from './missing-ends.js';
 import {FENCE_MARGIN_MS, SLOW_CLOCK_FACTOR} from './pool-limits.js';
 import {estimateRemainingMs, estimateTotalMs} from './run-estimate.js';
 import {type IncarnationRow, TABLES} from './rows.js';
@@ -41,6 +43,7 @@
 	readonly #runs: RunLifecycle;
 	readonly #crashes: CrashLedger;
 	readonly #reconciler: WorkerListReconciler;
+	readonly #lateStarts: LateStarts;
 
 	/**
 	 * @param context - State of the pool.
@@ -52,6 +55,7 @@
 		this.#runs = runs;
 		this.#crashes = crashes;
 		this.#reconciler = new WorkerListReconciler(context, runs);
+		this.#lateStarts = new LateStarts(context, runs);
 	}
 
 	/**
@@ -77,6 +81,7 @@
 		}
 
 		worker.agent = agent;
+		worker.hasReported = true;
 		this.#declareEarlierIncarnationsLost(worker, facts);
 		if (isNew) {
 			// Stored after the ends on earlier incarnations: a new leader finds those by the agent's row.
@@ -104,7 +109,9 @@
 			this.#clearSuspicion(worker);
 		}
 
-		for (const end of lists.ended.toSorted((left, right) => left.sequence - right.sequence)) {
+		const ended = lists.ended.toSorted((left, right) => left.sequence - right.sequence);
+		this.#logMissingEnds(worker, ended);
+		for (const end of ended) {
 			if (end.sequence > worker.processedSequence) {
 				worker.processedSequence = end.sequence;
 				this.#reconciler.onListedEnd(worker, end);
@@ -152,6 +159,7 @@
 	tick(): void {
 		const nowMs = this.#context.nowMs();
 		for (const worker of this.#context.workers.values()) {
+			this.#lateStarts.sendDueStops(worker);
 			if (worker.leavesAtMs !== undefined) {
 				this.#evacuate(worker, worker.leavesAtMs, nowMs);
 			}
@@ -169,15 +177,29 @@
 		}
 	}
 
+	/**
+	 * Someone else has acknowledged these ends: shortly after a takeover the earlier leader, otherwise nobody who may. A run
+	 * whose end nobody has read vanishes and is started again, even if it was done.
+	 */
+	#logMissingEnds(worker: TrackedWorker, ended: readonly ListedEnd[]): void {
+		const missing = findMissingEnds(worker, ended);
+		if (missing && !worker.hasMissingEnds) {
+			this.#context.log('ends missing', {worker: worker.incarnation, ...missing});
+		}
+
+		worker.hasMissingEnds = missing !== undefined;
+	}
+
 	#suspect(worker: TrackedWorker, nowMs: number): void {
 		const suspicion = {sinceMs: nowMs};
 		worker.suspicion = suspicion;
 		this.#context.log('worker suspected', {worker: worker.incarnation, silentMs: Math.round(nowMs - worker.listsAsOfMs), runs: worker.runs.size});
-		const {leaseMs, deposedLeaderGraceMs} = this.#context.limits;
+		const {leaseMs, maxLeaseMs, deposedLeaderGraceMs} = this.#context.limits;
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.incarnation, value: {}}], () => {
 			if (worker.suspicion === suspicion) {
 				const fromMs = Math.max(this.#context.nowMs(), worker.hasReportedLists ? 0 : this.#context.takenOverAtMs + deposedLeaderGraceMs);
-				worker.suspicion = {sinceMs: nowMs, leaseExpiresAtMs: fromMs + (leaseMs * SLOW_CLOCK_FACTOR) + FENCE_MARGIN_MS};
+				const lateLeaseEndMs = worker.lateCallsUntilMs === undefined ? 0 : worker.lateCallsUntilMs + (maxLeaseMs * SLOW_CLOCK_FACTOR);
+				worker.suspicion = {sinceMs: nowMs, leaseExpiresAtMs: Math.max(fromMs + (leaseMs * SLOW_CLOCK_FACTOR), lateLeaseEndMs) + FENCE_MARGIN_MS};
 			}
 		});
 	}
@@ -199,19 +221,20 @@
 		for (const other of this.#context.workers.values()) {
 			const isSameWorker = other.facts.id === facts.id || other.agent === worker.agent;
 			if (other !== worker && isSameWorker && startTimeOf(other.incarnation) < startTimeOf(facts.life)) {
-				this.#declareCrashed(other, facts);
+				this.#declareCrashed(other, worker);
 			}
 		}
 	}
 
 	/** An incarnation that neither drained nor deregistered before the next one has crashed. */
-	#declareCrashed(worker: TrackedWorker, next: WorkerFacts): void {
+	#declareCrashed(worker: TrackedWorker, next: TrackedWorker): void {
 		const hasDrained = worker.drainingSinceMs !== undefined;
 		if (!hasDrained) {
-			this.#logCrash(worker, next);
+			this.#logCrash(worker, next.facts);
 		}
 
-		this.#declareLost(worker, 'a new life of the worker has reported');
+		this.#declareLost(worker, 'a new life of the worker has reported', next);
+		this.#lateStarts.takeOver(worker, next);
 		this.#removeWorker(worker);
 		if (!hasDrained) {
 			this.#crashes.confirm(worker.incarnation);
@@ -226,8 +249,9 @@
 		});
 	}
 
+	/** Rows that name a later incarnation don't show that there is one, since another program may have written them. */
 	#hasLaterIncarnation(agent: string, facts: WorkerFacts): boolean {
-		return [...this.#context.workers.values()].some(other => (other.agent === agent || other.facts.id === facts.id) && startTimeOf(other.incarnation) > startTimeOf(facts.life));
+		return [...this.#context.workers.values()].some(other => other.hasReported && (other.agent === agent || other.facts.id === facts.id) && startTimeOf(other.incarnation) > startTimeOf(facts.life));
 	}
 
 	#updateFacts(worker: TrackedWorker, facts: WorkerFacts, nowMs: number): void {
@@ -302,7 +326,7 @@
 		}
 	}
 
-	#declareLost(worker: TrackedWorker, reason: string): void {
+	#declareLost(worker: TrackedWorker, reason: string, next?: TrackedWorker): void {
 		this.#context.log('worker given up', {worker: worker.incarnation, reason, runs: worker.runs.size});
 		worker.isLost = true;
 		this.#context.needsSchedulingRound = true;
@@ -311,7 +335,9 @@
 		}
 
 		for (const run of worker.runs.values()) {
-			this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
+			if (!next || !this.#lateStarts.keep(run, next)) {
+				this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
+			}
 		}
 	}
 }
