Stop late starts also on a worker that deregistered before it started again

Callers would see: a task runs twice at the same time (TWICE) after a worker was emptied and started again under its id within seconds.

Trace: a start to a draining worker gets no answer. The worker deregisters, which ends the run and removes the worker, and with it what was known of its unanswered starts. The task is placed elsewhere. The next incarnation under the id gets no stop of that run and carries the late start out; it also lacks the longer fence for late leases. Only incarnations that crashed were followed up.

The test "is rejected when the worker has deregistered in between" failed before: the late start was answered as done.

--- a/packages/pool/src/late-starts.ts
+++ b/packages/pool/src/late-starts.ts
@@ -13,6 +13,8 @@
 export class LateStarts {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	/** Incarnations that have recently left, in the order in which they did, by id. */
+	readonly #left = new Map<string, {readonly worker: TrackedWorker; readonly atMs: number}>();
 
 	/**
 	 * @param context - State of the pool.
@@ -74,6 +76,38 @@
 		}
 	}
 
+	/**
+	 * Remembers a worker that has left in an orderly way, as it may start again under its id.
+	 *
+	 * @param worker - Its last incarnation; its runs have ended.
+	 */
+	recordLeft(worker: TrackedWorker): void {
+		const nowMs = this.#context.nowMs();
+		for (const [id, {atMs}] of this.#left) {
+			if (atMs >= nowMs - MAX_CALL_DELAY_MS) {
+				break;
+			}
+
+			this.#left.delete(id);
+		}
+
+		this.#left.delete(worker.facts.id);
+		this.#left.set(worker.facts.id, {worker, atMs: nowMs});
+	}
+
+	/**
+	 * Takes over what may still reach a new incarnation of a worker that has recently left.
+	 *
+	 * @param next - The new incarnation.
+	 */
+	takeOverFromLeft(next: TrackedWorker): void {
+		const left = this.#left.get(next.facts.id);
+		if (left && left.worker.incarnation !== next.incarnation && left.atMs >= this.#context.nowMs() - MAX_CALL_DELAY_MS) {
+			this.#left.delete(next.facts.id);
+			this.takeOver(left.worker, next);
+		}
+	}
+
 	/**
 	 * Sends the due stops of runs that must not start late.
 	 *
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -84,6 +84,7 @@
 		worker.hasReported = true;
 		this.#declareEarlierIncarnationsLost(worker, facts);
 		if (isNew) {
+			this.#lateStarts.takeOverFromLeft(worker);
 			// Stored after the ends on earlier incarnations: a new leader finds those by the agent's row.
 			const row: IncarnationRow = {life: facts.life};
 			this.#context.commits.enqueue([{table: TABLES.lives, key: agent, value: row}], () => undefined);
@@ -131,6 +132,7 @@
 		if (worker) {
 			this.#declareLost(worker, 'left');
 			this.#removeWorker(worker);
+			this.#lateStarts.recordLeft(worker);
 			this.#crashes.withdraw(incarnation);
 		}
 	}
--- a/packages/pool/tests/late-starts.test.ts
+++ b/packages/pool/tests/late-starts.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolHarness} from './support/pool-harness.js';
-import {type StepSpec, type WorkerOrder} from '@amaranthsail/pool';
+import {type StepSpec, type WorkerOrder, WORKER_STATES} from '@amaranthsail/pool';
 
 const TASK = 'j1.0.0.0';
 
@@ -155,4 +155,20 @@
 		harness.advance(300);
 		expect(second.runs.has(TASK)).to.equal(true);
 	});
+
+	it('is rejected when the worker has deregistered in between', () => {
+		const {harness, first, second, lateStart} = loseStart();
+		first.areOrdersLost = false;
+		first.facts = {...first.facts, state: WORKER_STATES.draining, remainingMs: 5000};
+		harness.advance(1000);
+		expect(second.runs.has(TASK)).to.equal(true);
+		first.isUnreachable = true;
+		harness.core.onWorkerLeft(first.facts.life);
+		harness.advance(1000);
+		first.crash();
+		first.facts = {...first.facts, state: WORKER_STATES.ready, remainingMs: undefined};
+		first.isUnreachable = false;
+		harness.advance(200);
+		expect(first.order(lateStart).outcome).to.deep.equal({kind: 'refused', reason: 'superseded'});
+	});
 });
