Await no late start that was sent long ago

Callers would see: after a worker crashes and starts again, its tasks stay down for up to 10 s beside free workers, or 16.5 s if the new incarnation falls silent, although nothing of them can come late (LOST, for lasting tasks from 6 s on). It affects each run that was ever started twice, and each run that a leader has restored, for the rest of its life.

Trace: the count of unanswered starts never returns to zero once one start of a run got no answer and the repeated one did, and it begins at one for restored runs. A run with such a count was kept for a late start whenever its worker started again, however long ago the start was sent. Starts now count for 20 s after the newest one: 10 s for an agent that stood still, 10 s for the call.

The two cases of "is not expected of a start that was sent long ago" failed before; the tests of the pool pass, also those of late starts.

--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -33,6 +33,8 @@
 	readonly placedAtMs: number;
 	/** Start orders that may have reached the worker without an answer. */
 	unansweredStarts: number;
+	/** Leader's clock when its newest start was sent, or when the run was restored, as an earlier leader may have sent one until then. */
+	startSentAtMs: number;
 	/** Leader's clock when the worker first acknowledged or listed the run. */
 	knownSinceMs?: number;
 	/** It was placed by an earlier leader, so it may have been at work for longer than this one knows. */
@@ -246,6 +248,7 @@
 		placedAtMs: nowMs,
 		// A run in a later phase was stored by an earlier leader, which may have sent its start.
 		unansweredStarts: phase === RUN_PHASES.recording ? 0 : 1,
+		startSentAtMs: nowMs,
 		isRestored: phase !== RUN_PHASES.recording,
 		nextOrderAtMs: nowMs,
 		isOrderInFlight: false,
--- a/packages/pool/src/late-starts.ts
+++ b/packages/pool/src/late-starts.ts
@@ -6,6 +6,9 @@
 /** A call without an answer is carried out within seconds, or never. */
 const MAX_CALL_DELAY_MS = 10_000;
 
+/** An agent that has stood still relays the orders that it then finds, at most this long after they were sent. */
+const MAX_RELAY_DELAY_MS = 10_000;
+
 /**
  * Prevents starts that remained unanswered from being carried out by a later incarnation of their worker. An incarnation
  * with the same id accepts them, as it knows neither the stops nor the ends of earlier ones, until that run is stopped there.
@@ -35,7 +38,7 @@
 	 */
 	keep(run: Run, next: TrackedWorker): boolean {
 		const {task} = run;
-		if (task.run !== run || !mayStartLate(run) || workerIdOf(run.incarnation) !== next.facts.id) {
+		if (task.run !== run || !mayStartLate(run, this.#context.nowMs()) || workerIdOf(run.incarnation) !== next.facts.id) {
 			return false;
 		}
 
@@ -142,7 +145,7 @@
 		worker.endedUnanswered.delete(task);
 	}
 
-	if (mayStartLate(run)) {
+	if (mayStartLate(run, nowMs)) {
 		worker.endedUnanswered.delete(run.task.name);
 		worker.endedUnanswered.set(run.task.name, {run: run.number, endedAtMs: nowMs});
 	}
@@ -153,6 +156,7 @@
 	return run.keptFor !== undefined && nowMs >= run.keptFor.untilMs;
 }
 
-function mayStartLate(run: Run): boolean {
-	return run.unansweredStarts > 0 || run.keptFor !== undefined;
+function mayStartLate(run: Run, nowMs: number): boolean {
+	const isStartDue = run.unansweredStarts > 0 && nowMs - run.startSentAtMs <= MAX_RELAY_DELAY_MS + MAX_CALL_DELAY_MS;
+	return isStartDue || run.keptFor !== undefined;
 }
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -151,6 +151,7 @@
 
 			run.isOrderInFlight = true;
 			run.unansweredStarts++;
+			run.startSentAtMs = nowMs;
 			this.#context.queueOrder({
 				agent: worker.agent,
 				incarnation: run.incarnation,
--- a/packages/pool/tests/late-starts.test.ts
+++ b/packages/pool/tests/late-starts.test.ts
@@ -171,4 +171,30 @@
 		harness.advance(200);
 		expect(first.order(lateStart).outcome).to.deep.equal({kind: 'refused', reason: 'superseded'});
 	});
+
+	const longAgoCases: ReadonlyArray<{readonly title: string; readonly newLeader: boolean}> = [
+		{title: 'before the one that was answered', newLeader: false},
+		{title: 'by an earlier leader', newLeader: true},
+	];
+	for (const {title, newLeader} of longAgoCases) {
+		it(`is not expected of a start that was sent long ago ${title}`, () => {
+			const {harness, first, second} = loseStart();
+			second.isUnreachable = true;
+			first.areOrdersLost = false;
+			harness.advance(1000);
+			if (newLeader) {
+				harness.replaceLeader();
+				harness.recoverLeader();
+			}
+
+			expect(first.runs.has(TASK)).to.equal(true);
+			harness.advance(20_000);
+			second.isUnreachable = false;
+			harness.advance(1000);
+			first.crash();
+			first.areOrdersLost = true;
+			harness.advance(300);
+			expect(second.runs.has(TASK)).to.equal(true);
+		});
+	}
 });
