Don't take a late deregistration for that of the next incarnation

Callers would see: a worker that is up and free gets no work until its agent or the worker starts again (LOST).

Trace: a worker deregisters and starts again under its id. A repeated or late deregistration arrives after the first heartbeat of the new incarnation and before the worker has answered as that one. It names only the id, so the agent reports the new incarnation as left, in every further watch, and leaders leave out all reports of an incarnation that has left. Such a deregistration is now held, like that of a worker that does not drain, until the port refuses connections or another worker answers there.

The test "of an earlier incarnation that comes late does not keep out the next one" failed before: the new incarnation was among those that have left.

--- a/packages/pool-agent/src/announced-worker.ts
+++ b/packages/pool-agent/src/announced-worker.ts
@@ -117,7 +117,8 @@
 	}
 
 	/**
-	 * Processes a deregistration. One that a draining worker sends is expected.
+	 * Processes a deregistration. One that a draining worker sends is expected; an incarnation that has not answered yet may
+	 * receive a late one of the incarnation before it.
 	 *
 	 * @param workerId - Id of the worker.
 	 * @param nowMs - Agent's clock.
@@ -129,7 +130,7 @@
 			return undefined;
 		}
 
-		if (!known.isConfirmed || known.facts.state === WORKER_STATES.draining) {
+		if (known.isConfirmed && known.facts.state === WORKER_STATES.draining) {
 			return this.#removeKnown(known);
 		}
 
--- a/packages/pool-agent/tests/odd-announcements.test.ts
+++ b/packages/pool-agent/tests/odd-announcements.test.ts
@@ -240,4 +240,21 @@
 		expect(await fixture.reported()).to.equal('none');
 		expect(await fixture.left()).to.deep.equal(['w1@5']);
 	});
+
+	it('of an earlier incarnation that comes late does not keep out the next one', async () => {
+		const fixture = new Fixture();
+		await fixture.heartbeat('w1', 5);
+		await fixture.heartbeat('w1', 5, WORKER_STATES.draining);
+		await fixture.leave('w1');
+		fixture.worker.present = {id: 'w1', bornMs: 9};
+		fixture.worker.isSilent = true;
+		await fixture.heartbeat('w1', 9);
+		await fixture.leave('w1');
+		fixture.worker.isSilent = false;
+		await fixture.heartbeat('w1', 9);
+		await fixture.poll(3000);
+		expect(await fixture.reported()).to.equal('w1@9 ready run-of-9');
+		// Leaders leave out reports of incarnations that have left.
+		expect(await fixture.left()).to.deep.equal(['w1@5']);
+	});
 });
