--- a/packages/pool/src/late-starts.ts
+++ b/packages/pool/src/late-starts.ts
@@ -6,6 +6,9 @@
 /** A call without an answer is carried out within seconds, or never. */
 const MAX_CALL_DELAY_MS = 10_000;
 
+/** An agent that has stood still relays the orders that it then finds, at most this long after they were sent. */
+const MAX_RELAY_DELAY_MS = 10_000;
+
 /**
  * Prevents starts that remained unanswered from being carried out by a later incarnation of their worker. An incarnation
  * with the same id accepts them, as it knows neither the stops nor the ends of earlier ones, until that run is stopped there.
@@ -13,7 +16,7 @@
 export class LateStarts {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
-	/** Workers that have deregistered and when, by their id. */
+	/** Incarnations that have recently left, in the order in which they did, by id. */
 	readonly #left = new Map<string, {readonly worker: TrackedWorker; readonly atMs: number}>();
 
 	/**
@@ -35,7 +38,7 @@
 	 */
 	keep(run: Run, next: TrackedWorker): boolean {
 		const {task} = run;
-		if (task.run !== run || !mayStartLate(run) || workerIdOf(run.incarnation) !== next.facts.id) {
+		if (task.run !== run || !mayStartLate(run, this.#context.nowMs()) || workerIdOf(run.incarnation) !== next.facts.id) {
 			return false;
 		}
 
@@ -76,24 +79,35 @@
 		}
 	}
 
-	/** @param worker - An incarnation that has deregistered; its runs have ended. */
-	onLeft(worker: TrackedWorker): void {
+	/**
+	 * Remembers a worker that has left in an orderly way, as it may start again under its id.
+	 *
+	 * @param worker - Its last incarnation; its runs have ended.
+	 */
+	recordLeft(worker: TrackedWorker): void {
 		const nowMs = this.#context.nowMs();
 		for (const [id, {atMs}] of this.#left) {
-			if (atMs < nowMs - MAX_CALL_DELAY_MS) {
-				this.#left.delete(id);
+			if (atMs >= nowMs - MAX_CALL_DELAY_MS) {
+				break;
 			}
+
+			this.#left.delete(id);
 		}
 
+		this.#left.delete(worker.facts.id);
 		this.#left.set(worker.facts.id, {worker, atMs: nowMs});
 	}
 
-	/** @param worker - An incarnation that has reported for the first time. */
-	onFirstReport(worker: TrackedWorker): void {
-		const left = this.#left.get(worker.facts.id);
-		if (left) {
-			this.#left.delete(worker.facts.id);
-			this.takeOver(left.worker, worker);
+	/**
+	 * Takes over what may still reach a new incarnation of a worker that has recently left.
+	 *
+	 * @param next - The new incarnation.
+	 */
+	takeOverFromLeft(next: TrackedWorker): void {
+		const left = this.#left.get(next.facts.id);
+		if (left && left.worker.incarnation !== next.incarnation && left.atMs >= this.#context.nowMs() - MAX_CALL_DELAY_MS) {
+			this.#left.delete(next.facts.id);
+			this.takeOver(left.worker, next);
 		}
 	}
 
@@ -131,7 +145,7 @@
 		worker.endedUnanswered.delete(task);
 	}
 
-	if (mayStartLate(run)) {
+	if (mayStartLate(run, nowMs)) {
 		worker.endedUnanswered.delete(run.task.name);
 		worker.endedUnanswered.set(run.task.name, {run: run.number, endedAtMs: nowMs});
 	}
@@ -142,6 +156,7 @@
 	return run.keptFor !== undefined && nowMs >= run.keptFor.untilMs;
 }
 
-function mayStartLate(run: Run): boolean {
-	return run.unansweredStarts > 0 || run.keptFor !== undefined;
+function mayStartLate(run: Run, nowMs: number): boolean {
+	const isStartDue = run.unansweredStarts > 0 && nowMs - run.startSentAtMs <= MAX_RELAY_DELAY_MS + MAX_CALL_DELAY_MS;
+	return isStartDue || run.keptFor !== undefined;
 }
