Accept no announcement whose name is no key of the store

The leader stores the address of each agent under its name. The store rejects a name of more than 200 bytes, and a leader whose commits are rejected five times in a row steps down, so five odd announcements could depose each leader in turn.

Such an announcement is now answered as malformed, and nothing is stored.

--- a/packages/pool-agent/src/agent-message-decoding.ts
+++ b/packages/pool-agent/src/agent-message-decoding.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {
 	asFields, asList, type Fields, isAddress, isCount, isText, textOr,
 } from '@amaranthsail/core';
@@ -8,6 +9,9 @@
 	AnnounceRequest, OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
 
+/** The name is a key of the members table; the store refuses longer keys. */
+const MAX_AGENT_NAME_BYTES = 200;
+
 /** @returns The watch request, or undefined when it is malformed. */
 export function decodeWatchRequest(body: unknown): WatchRequest | undefined {
 	const {epoch, sinceVersion, waitMs, life, leaseUntilMs, ackSequence} = asFields(body);
@@ -28,7 +32,7 @@
 /** @returns The announcement, or undefined when it is malformed. */
 export function decodeAnnounceRequest(body: unknown): AnnounceRequest | undefined {
 	const {agent, address} = asFields(body);
-	return isText(agent) && agent !== '' && isAddress(address) ? {agent, address} : undefined;
+	return isText(agent) && agent !== '' && Buffer.byteLength(agent) <= MAX_AGENT_NAME_BYTES && isAddress(address) ? {agent, address} : undefined;
 }
 
 /**
