Wait before a start is tried again that its agent has refused as another incarnation's

What callers see: after an agent has started again, their tasks are placed hundreds of times a second until the worker's next heartbeat; each placement is a write to the store. In the rig one task had 196 placements in 395 ms.

Cause: a refusal as "otherLife" gave the worker no pause, while one as "unhealthy" does. An agent that has started again knows no incarnation and refuses all starts that way.

Evidence: the new test failed before with 48 placements of one task in 1.2 s; one now. Tests of the pool: 254 passed.

--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -337,7 +337,7 @@
 		}
 
 		const worker = this.#context.workers.get(run.incarnation);
-		if (reason === REFUSALS.unhealthy && worker) {
+		if ((reason === REFUSALS.unhealthy || reason === REFUSALS.otherLife) && worker) {
 			worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + this.#context.limits.startTimeoutMs);
 		}
 
