Use a worker that starts again with an earlier start time

Callers would see: tasks wait beside free workers (LOST) after the time of day on a worker's VM was set back and the worker started again: the leader uses it no more, and its earlier tasks wait for its lease to expire.

Trace: the agent believes what the worker itself answers, and its tests cover a clock that was set back. The leader still ordered the incarnations of one VM by their start times and left out each report of the new one as "report of an earlier life", as long as it tracked the earlier one, which is until the next leader. A report with fresh lists, which the agent includes only once the worker has answered as that incarnation, now ends those that the same agent has reported before. A delayed report without lists is still ignored.

--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -69,7 +69,7 @@
 		const nowMs = this.#context.nowMs();
 		let worker = this.#context.workers.get(facts.life);
 		const isNew = worker === undefined;
-		if (!worker && this.#hasLaterIncarnation(agent, facts)) {
+		if (!worker && this.#hasLaterIncarnation(agent, report)) {
 			this.#context.log('report of an earlier life', {worker: facts.life, agent});
 			return;
 		}
@@ -218,11 +218,15 @@
 		this.#context.commits.enqueue([{table: TABLES.suspects, key: worker.incarnation, value: undefined}], () => undefined);
 	}
 
-	/** An agent's VM has one worker, so a later incarnation there, or with the same id, means that earlier ones have ended. */
+	/**
+	 * An agent's VM has one worker, so when another incarnation is taken there, those that the agent reported before have ended,
+	 * whatever their start times: the time of day may have been set back. So have earlier ones with the same id.
+	 */
 	#declareEarlierIncarnationsLost(worker: TrackedWorker, facts: WorkerFacts): void {
 		for (const other of this.#context.workers.values()) {
-			const isSameWorker = other.facts.id === facts.id || other.agent === worker.agent;
-			if (other !== worker && isSameWorker && startTimeOf(other.incarnation) < startTimeOf(facts.life)) {
+			const isOnSameVm = other.agent === worker.agent;
+			const isEarlier = startTimeOf(other.incarnation) < startTimeOf(facts.life);
+			if (other !== worker && ((isOnSameVm && other.hasReported) || (isEarlier && (isOnSameVm || other.facts.id === facts.id)))) {
 				this.#declareCrashed(other, worker);
 			}
 		}
@@ -251,9 +255,16 @@
 		});
 	}
 
-	/** Rows that name a later incarnation don't show that there is one, since another program may have written them. */
-	#hasLaterIncarnation(agent: string, facts: WorkerFacts): boolean {
-		return [...this.#context.workers.values()].some(other => other.hasReported && (other.agent === agent || other.facts.id === facts.id) && startTimeOf(other.incarnation) > startTimeOf(facts.life));
+	/**
+	 * Rows that name a later incarnation don't show that there is one, since another program may have written them. Nor does
+	 * an agent's earlier report once the worker itself has answered as another incarnation.
+	 */
+	#hasLaterIncarnation(agent: string, {facts, lists}: AgentReport): boolean {
+		const hasAnswered = lists !== undefined && lists.ageMs < this.#context.limits.suspectTimeoutMs;
+		return [...this.#context.workers.values()].some(other => {
+			const mayBeLater = other.agent === agent ? !hasAnswered : other.facts.id === facts.id;
+			return other.hasReported && mayBeLater && startTimeOf(other.incarnation) > startTimeOf(facts.life);
+		});
 	}
 
 	#updateFacts(worker: TrackedWorker, facts: WorkerFacts, nowMs: number): void {
