Reach workers that close each connection after their answer

Trace: a call meant for one incarnation is sent only on a connection on which that incarnation has answered a check. When the answer ends the connection, the call is refused as unhealthy each time, and the worker is quarantined. Such a worker now gets the call on another connection directly after the check, as before; all others only on the checked connection.

--- a/packages/core/src/identified-connections.ts
+++ b/packages/core/src/identified-connections.ts
@@ -38,7 +38,8 @@
  * Connections to one address, each of which knows which process has accepted it.
  *
  * A connection ends with the process that accepted it. So a call that is written only to a connection on which the
- * expected process has identified itself cannot reach a later process at the same address.
+ * expected process has identified itself cannot reach a later process at the same address. The exception is a process
+ * that announces the end of each connection with its answer.
  */
 export class IdentifiedConnections<Identity> {
 	readonly #address: string;
@@ -91,7 +92,8 @@
 			return {kind: 'otherAnswered', response};
 		}
 
-		const answer = await this.#sendBound(connection, request);
+		// A process that keeps no connection can be reached only on another one; the check was answered just before.
+		const answer = keepsConnection(response) ? await this.#sendBound(connection, request) : await this.call(request);
 		return answer
 			? {kind: 'sent', answer}
 			: {kind: 'unidentified', error: {kind: 'not_sent', message: 'the connection was closed after the identification', isRefused: false}};
@@ -200,3 +202,7 @@
 		return answer;
 	}
 }
+
+function keepsConnection({headers}: JsonResponse): boolean {
+	return headers.connection?.toLowerCase() !== 'close';
+}
