Identify several connections at once while a worker's answers get lost

With half of the orders and polls unanswered, the binding of calls to identified connections made leases lapse: a call without an answer ends its connection, so that the identification and the call after it both had to be answered.

For 5 s after a lost answer three connections are identified at once; the first answer is used and the others are kept for the next calls.

--- a/packages/core/src/identified-connections.ts
+++ b/packages/core/src/identified-connections.ts
@@ -1,8 +1,9 @@
 import type {Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {
 	JsonClient, type JsonRequest, type JsonResponse, type RequestError,
 } from './json-http.js';
-import type {Result} from './result.js';
+import {err, ok, type Result} from './result.js';
 
 /** The process that a call is meant for, and how a process is asked which one it is. */
 export type Binding<Identity> = {
@@ -29,11 +30,20 @@
 	identity: Identity | undefined;
 };
 
-type IdentifiedConnection<Identity> = {readonly connection: Connection<Identity>; readonly response: JsonResponse};
+type Identified<Identity> = {readonly connection: Connection<Identity>; readonly response: JsonResponse} | {readonly error: RequestError};
 
 /** Number of unused connections that are kept open. */
 const MAX_IDLE_CONNECTIONS = 16;
 
+/**
+ * Connections that are identified at once while answers get lost. An identification and the call after it would
+ * otherwise both have to be answered, and a call without an answer ends its connection.
+ */
+const PARALLEL_IDENTIFICATIONS = 3;
+
+/** Time after a lost answer for which further ones are expected. */
+const LOST_ANSWER_MEMORY_MS = 5000;
+
 /**
  * Connections to one address, each of which knows which process has accepted it.
  *
@@ -44,6 +54,7 @@
 	readonly #address: string;
 	readonly #identityIn: (response: JsonResponse, expected?: Identity) => Identity | undefined;
 	#idle: Array<Connection<Identity>> = [];
+	#lostAnswerAtMs = Number.NEGATIVE_INFINITY;
 
 	/**
 	 * @param address - `host:port`.
@@ -67,15 +78,42 @@
 	}
 
 	/**
-	 * Sends a request to one process only.
+	 * Sends a request to one process if an unused connection is known to be its own.
+	 *
+	 * @param request - The request.
+	 * @param expected - The process.
+	 * @returns The answer, or undefined if there is no such connection and nothing was sent.
+	 */
+	async callIdentified(request: JsonRequest, expected: Identity): Promise<Result<JsonResponse, RequestError> | undefined> {
+		const idle = this.#takeIdle(connection => connection.identity === expected);
+		return idle && this.#sendBound(idle, request);
+	}
+
+	/**
+	 * Identifies a new connection for later calls.
+	 *
+	 * @param binding - The process that is expected; another one may answer.
+	 * @returns The answer to the identification.
+	 */
+	async identify(binding: Binding<Identity>): Promise<Result<JsonResponse, RequestError>> {
+		const identified = await this.#identifyWithin(binding);
+		if ('error' in identified) {
+			return err(identified.error);
+		}
+
+		this.#release(identified.connection);
+		return ok(identified.response);
+	}
+
+	/**
+	 * Sends a request to one process only, on a new connection if necessary.
 	 *
 	 * @param request - The request.
 	 * @param binding - The process.
 	 * @returns The answer, or why the request was not sent.
 	 */
 	async callBound(request: JsonRequest, binding: Binding<Identity>): Promise<BoundOutcome> {
-		const idle = this.#takeIdle(connection => connection.identity === binding.expected);
-		const sent = idle && await this.#sendBound(idle, request);
+		const sent = await this.callIdentified(request, binding.expected);
 		if (sent) {
 			return {kind: 'sent', answer: sent};
 		}
@@ -131,31 +169,39 @@
 		}
 	}
 
-	/** Identifies a new connection. Without an answer in time, the caller goes on, and the connection becomes idle later. */
-	async #identifyWithin({expected, identification, identifyWithinMs}: Binding<Identity>): Promise<IdentifiedConnection<Identity> | {readonly error: RequestError}> {
-		let isAbandoned = false;
-		const connection = this.#open();
-		const identified = this.#exchange(connection, identification, expected).then(answer => {
-			if (!answer.ok) {
-				return {error: answer.error};
-			}
+	/** Identifies new connections and returns the first one; the others, and those that take too long, become idle later. */
+	async #identifyWithin({expected, identification, identifyWithinMs}: Binding<Identity>): Promise<Identified<Identity>> {
+		const hasLostAnswers = performance.now() - this.#lostAnswerAtMs < LOST_ANSWER_MEMORY_MS;
+		let pendingCount = hasLostAnswers ? PARALLEL_IDENTIFICATIONS : 1;
+		return new Promise((resolve, reject) => {
+			let isSettled = false;
+			const settle = (outcome: Identified<Identity>): void => {
+				clearTimeout(timer);
+				isSettled = true;
+				resolve(outcome);
+			};
+
+			const timer = setTimeout(settle, identifyWithinMs, {error: {kind: 'no_answer', message: `not identified within ${identifyWithinMs} ms`}});
+			const onAnswer = (connection: Connection<Identity>, answer: Result<JsonResponse, RequestError>): void => {
+				pendingCount--;
+				if (!answer.ok) {
+					if (pendingCount === 0) {
+						settle({error: answer.error});
+					}
+				} else if (isSettled) {
+					this.#release(connection);
+				} else {
+					settle({connection, response: answer.value});
+				}
+			};
 
-			if (isAbandoned) {
-				this.#release(connection);
+			for (let count = pendingCount; count > 0; count--) {
+				const connection = this.#open();
+				this.#exchange(connection, identification, expected).then(answer => {
+					onAnswer(connection, answer);
+				}, reject);
 			}
-
-			return {connection, response: answer.value};
-		});
-		let timer: NodeJS.Timeout | undefined;
-		const late = new Promise<{readonly error: RequestError}>(resolve => {
-			timer = setTimeout(() => {
-				isAbandoned = true;
-				resolve({error: {kind: 'no_answer', message: `not identified within ${identifyWithinMs} ms`}});
-			}, identifyWithinMs);
 		});
-		const outcome = await Promise.race([identified, late]);
-		clearTimeout(timer);
-		return outcome;
 	}
 
 	/** @returns The answer, or undefined if the identified connection has ended, so that nothing was sent. */
@@ -195,6 +241,9 @@
 			connection.identity = this.#identityIn(answer.value, expected) ?? connection.identity;
 		} else {
 			connection.client.close();
+			if (answer.error.kind === 'no_answer') {
+				this.#lostAnswerAtMs = performance.now();
+			}
 		}
 
 		return answer;
