Refuse calls for an earlier incarnation by its fencing token

A call without an answer may be carried out seconds later, possibly by the restarted worker, which has seen no fencing token: a start, a stop, an acknowledgement or a lease for the incarnation before took effect there.

An incarnation that answers without an announcement gets its token at once.

Limits: a late call that arrives before the new incarnation has received its first call is still carried out. A restarted agent waits for the heartbeat before the worker takes its calls.

Renewals: while no connection is identified, a renewal now returns the lists of the identification, and the next poll carries the lease.

--- a/packages/pool-agent/src/lease-without-leader.ts
+++ b/packages/pool-agent/src/lease-without-leader.ts
@@ -1,8 +1,12 @@
 import type {Logger} from '@amaranthsail/core';
-import {type PoolStore, TABLES} from '@amaranthsail/pool';
-import {STORE_TIMEOUT_MS} from './store-timeout.js';
+import {
+	decodeLeaderRow, LEADER_KEY, type PoolStore, TABLES,
+} from '@amaranthsail/pool';
 import type {WorkerView} from './worker-view.js';
 
+/** Timeout of a store read; the store answers within milliseconds unless it is slow. */
+const STORE_TIMEOUT_MS = 1500;
+
 /**
  * Checks whether the agent may extend a lease that no leader extends.
  *
@@ -26,3 +30,10 @@
 
 	return true;
 }
+
+/** @returns The epoch of the leader that the store names; 0 if it names none or cannot be read. */
+export async function readStoredEpoch(store: PoolStore): Promise<number> {
+	const page = await store.read(TABLES.leader, {from: LEADER_KEY}, STORE_TIMEOUT_MS);
+	const row = page.ok ? decodeLeaderRow(page.value.rows[0]?.value) : undefined;
+	return row?.epoch ?? 0;
+}
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -1,20 +1,17 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type AgentReport, decodeLeaderRow, isSameShape, LEADER_KEY, type LeaseGrant, type PoolStore, type Refusal, REFUSALS, TABLES, type WorkerFacts, type WorkerLists, type WorkerPort,
+	type AgentReport, isSameShape, type LeaseGrant, type PoolStore, type Refusal, REFUSALS, type WorkerFacts, type WorkerLists, type WorkerPort,
 } from '@amaranthsail/pool';
 import type {
 	OrderAnswer, OrderRequest, StaleEpochAnswer, WatchAnswer, WatchRequest,
 } from './agent-messages.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
 import {IncarnationTrace} from './incarnation-trace.js';
-import {mayExtendLease} from './lease-without-leader.js';
+import {mayExtendLease, readStoredEpoch} from './lease-without-leader.js';
+import {pollWaitMs} from './poll-wait.js';
 import {fingerprintOf} from './received-lists.js';
-import {STORE_TIMEOUT_MS} from './store-timeout.js';
 import {type KnownWorker, WorkerView} from './worker-view.js';
 
-/** Longest time for which a worker holds a poll unless a run ends earlier; also bounds the age of its lists. */
-const WORKER_POLL_WAIT_MS = 1000;
-
 /** After this time the worker's clock, which counts milliseconds, has a later reading. */
 const CLOCK_ADVANCE_DELAY_MS = 2;
 
@@ -66,6 +63,7 @@
 	#watchWaiters: Array<() => void> = [];
 	#isWorkerAnswering = false;
 	#isRepollPending = false;
+	#unansweredPollAtMs = Number.NEGATIVE_INFINITY;
 	#isStopped = false;
 
 	/** @param deps - Dependencies. */
@@ -202,7 +200,7 @@
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
 			await this.#renewLeaseWithoutLeader();
-			const isAnswered = await this.#pollWorker(WORKER_POLL_WAIT_MS);
+			const isAnswered = await this.#pollWorker(pollWaitMs(this.#deps.clock.monotonicMs() - this.#unansweredPollAtMs));
 			if (!isAnswered) {
 				await this.#deps.sleep(WORKER_RETRY_DELAY_MS);
 			} else if (this.#hasUnacknowledgedEnds()) {
@@ -255,7 +253,7 @@
 			epoch: this.#epoch,
 			waitMs,
 			...(graceMs !== undefined && {graceMs}),
-			...(known && {workerId: known.facts.id}),
+			...(known && {workerId: known.facts.id, startedAtMs: known.startedAtMs}),
 			...(grant && {grant}),
 		});
 		if (answer.kind === 'lists') {
@@ -267,6 +265,7 @@
 		}
 
 		this.#answering.recordFailure();
+		this.#unansweredPollAtMs = this.#deps.clock.monotonicMs();
 		this.#setWorkerAnswering(false, answer.kind === 'refused' ? answer.reason : answer.kind);
 		if (answer.kind === 'refused' && answer.reason === REFUSALS.fenced) {
 			await this.#readLeaderEpoch();
@@ -320,6 +319,10 @@
 		if (order === 'otherIncarnation') {
 			this.#ackSequence = 0;
 			this.#leaseUntilMs = 0;
+			if (previous) {
+				// Until it has received a call of its own, it does not refuse late ones for the incarnation before it.
+				void this.#pollWorker(0);
+			}
 		}
 
 		if (!previous || fingerprintOf(previous) !== fingerprintOf(this.#view.lists)) {
@@ -364,11 +367,8 @@
 	}
 
 	async #readLeaderEpoch(): Promise<void> {
-		const page = await this.#deps.store.read(TABLES.leader, {from: LEADER_KEY}, STORE_TIMEOUT_MS);
-		const row = page.ok ? decodeLeaderRow(page.value.rows[0]?.value) : undefined;
-		if (row && row.epoch > this.#epoch) {
-			this.#epoch = row.epoch;
-		}
+		const epoch = await readStoredEpoch(this.#deps.store);
+		this.#epoch = Math.max(this.#epoch, epoch);
 	}
 
 	#setWorkerAnswering(isAnswering: boolean, reason: string): void {
--- a/packages/pool-agent/tests/incarnation-order.test.ts
+++ b/packages/pool-agent/tests/incarnation-order.test.ts
@@ -92,6 +92,18 @@
 		expect(report?.lists?.clockMs).to.equal(10);
 	});
 
+	it('calls an incarnation that has answered without an announcement again at once, so that it refuses late calls', async () => {
+		const fixture = new Fixture();
+		fixture.announce(5);
+		await fixture.answer(0, listsOf(5, 1000));
+		await fixture.poll();
+		const pollCount = fixture.requests.length;
+		await fixture.answer(1, listsOf(9, 10));
+		expect(fixture.requests.length).to.equal(pollCount + 1);
+		await fixture.answer(pollCount, listsOf(9, 20));
+		expect(fixture.requests.length).to.equal(pollCount + 1);
+	});
+
 	it('keeps the lists of the newer incarnation when an answer of the earlier one arrives after them', async () => {
 		const fixture = new Fixture();
 		fixture.announce(5);
--- a/packages/pool-agent/tests/pool-agent-core.test.ts
+++ b/packages/pool-agent/tests/pool-agent-core.test.ts
@@ -228,6 +228,20 @@
 		expect(fixture.port.renewalRequests.at(-1)).to.deep.include({grant: {startedAtMs: 5, leaseUntilMs: 9000, ackSequence: 7}, epoch: 2});
 	});
 
+	for (const {title, isListening, waitMs} of [
+		{title: 'lets the worker hold a poll after an answer', isListening: true, waitMs: 1000},
+		{title: 'polls with a short wait after a poll without an answer, so that a lost renewal is repeated in time', isListening: false, waitMs: 200},
+	]) {
+		it(title, async () => {
+			const fixture = new AgentFixture();
+			fixture.port.isListening = isListening;
+			fixture.agent.onHeartbeat(FACTS, 1, 5);
+			await Promise.resolve();
+			await fixture.pollOnce();
+			expect(fixture.port.renewalRequests.map(request => request.waitMs).filter(ms => ms > 0)).to.deep.equal([waitMs]);
+		});
+	}
+
 	it('does not send the acknowledgement and the lease of an incarnation to the next one that announces itself', async () => {
 		const fixture = new AgentFixture();
 		fixture.agent.onHeartbeat(FACTS, 1, 5);
@@ -235,7 +249,7 @@
 		await fixture.watch(2, {life: 'w1@5', leaseUntilMs: 9000, ackSequence: 57});
 		const pollCount = fixture.port.renewalRequests.length;
 		fixture.agent.onHeartbeat({...FACTS, life: 'w1@9'}, 1, 9);
-		expect(fixture.port.renewalRequests.slice(pollCount)).to.deep.equal([{epoch: 2, waitMs: 0, workerId: 'w1'}]);
+		expect(fixture.port.renewalRequests.slice(pollCount)).to.deep.equal([{epoch: 2, waitMs: 0, workerId: 'w1', startedAtMs: 9}]);
 	});
 
 	it('names the incarnation that acknowledgement and lease are for while the next one has not announced itself', async () => {
@@ -261,7 +275,7 @@
 		const pollCount = fixture.port.renewalRequests.length;
 		fixture.agent.onHeartbeat(FACTS, 1, 5);
 		expect(fixture.port.renewalRequests.slice(pollCount)).to.deep.equal([{
-			epoch: 0, waitMs: 0, workerId: 'w1',
+			epoch: 0, waitMs: 0, workerId: 'w1', startedAtMs: 5,
 		}]);
 		await Promise.resolve();
 		const answer = await fixture.watch(3);
--- a/packages/pool/src/ports.ts
+++ b/packages/pool/src/ports.ts
@@ -78,7 +78,9 @@
 	readonly graceMs?: number;
 	/** A worker with another id refuses the request. */
 	readonly workerId?: string;
-	/** Reaches no other incarnation than the one that it names; if another one answers, only the lists are returned. */
+	/** Start time of the incarnation that is announced; calls for earlier ones are refused once it has received this one. */
+	readonly startedAtMs?: number;
+	/** Reaches no other incarnation than the one that it names. While it is not known which one answers, only lists are returned. */
 	readonly grant?: LeaseGrant;
 };
 
