--- a/packages/core/src/identified-connections.ts
+++ b/packages/core/src/identified-connections.ts
@@ -94,16 +94,22 @@
 	 * Identifies a new connection for later calls.
 	 *
 	 * @param binding - The process that is expected; another one may answer.
-	 * @returns The answer to the identification.
+	 * @param request - Sent directly afterwards if the expected process keeps no connections for later calls.
+	 * @returns The answer to the identification, or to the request if it was sent.
 	 */
-	async identify(binding: Binding<Identity>): Promise<Result<JsonResponse, RequestError>> {
+	async identify(binding: Binding<Identity>, request: JsonRequest): Promise<Result<JsonResponse, RequestError>> {
 		const identified = await this.#identifyWithin(binding);
 		if ('error' in identified) {
 			return err(identified.error);
 		}
 
-		this.#release(identified.connection);
-		return ok(identified.response);
+		const {connection, response} = identified;
+		if (connection.identity === binding.expected && !keepsConnection(response)) {
+			return this.call(request);
+		}
+
+		this.#release(connection);
+		return ok(response);
 	}
 
 	/**
