Stop late starts also when another worker was in between

Callers would see: a task runs twice at the same time (TWICE) when another worker takes the place of one behind its agent and the first comes back under its id within 10 s.

Trace: the other worker's id refuses the late start, so the task is placed again at once, which is right. But with the replaced incarnation the leader forgot its unanswered starts, so the next incarnation under that id got no stop of them.

The test "is rejected when another worker has taken its place in between" failed before. Late calls to other addresses than the worker's are not considered: a worker that moves to another VM is not reached by them.

--- a/packages/pool/src/late-starts.ts
+++ b/packages/pool/src/late-starts.ts
@@ -16,7 +16,7 @@
 export class LateStarts {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
-	/** Incarnations that have recently left, in the order in which they did, by id. */
+	/** Last incarnations of workers that have recently left or been replaced, in the order in which they were, by id. */
 	readonly #left = new Map<string, {readonly worker: TrackedWorker; readonly atMs: number}>();
 
 	/**
@@ -80,7 +80,7 @@
 	}
 
 	/**
-	 * Remembers a worker that has left in an orderly way, as it may start again under its id.
+	 * Remembers a worker that has left, or that another one has replaced, as it may start again under its id.
 	 *
 	 * @param worker - Its last incarnation; its runs have ended.
 	 */
@@ -99,7 +99,7 @@
 	}
 
 	/**
-	 * Takes over what may still reach a new incarnation of a worker that has recently left.
+	 * Takes over what may still reach a new incarnation of a worker that has recently left or been replaced.
 	 *
 	 * @param next - The new incarnation.
 	 */
--- a/packages/pool/src/worker-registry.ts
+++ b/packages/pool/src/worker-registry.ts
@@ -242,6 +242,10 @@
 		this.#declareLost(worker, 'a new life of the worker has reported', next);
 		this.#lateStarts.takeOver(worker, next);
 		this.#removeWorker(worker);
+		if (worker.facts.id !== next.facts.id) {
+			this.#lateStarts.recordLeft(worker);
+		}
+
 		if (!hasDrained) {
 			this.#crashes.confirm(worker.incarnation);
 		}
--- a/packages/pool/tests/late-starts.test.ts
+++ b/packages/pool/tests/late-starts.test.ts
@@ -172,6 +172,18 @@
 		expect(first.order(lateStart).outcome).to.deep.equal({kind: 'refused', reason: 'superseded'});
 	});
 
+	it('is rejected when another worker has taken its place in between', () => {
+		const {harness, first, second, lateStart} = loseStart();
+		const {facts} = first;
+		first.restart({...facts, id: 'w1b', life: 'w1b@2000', service: 'other'});
+		first.areOrdersLost = false;
+		harness.advance(1000);
+		expect(second.runs.has(TASK)).to.equal(true);
+		first.restart({...facts, life: 'w1@3000'});
+		harness.advance(200);
+		expect(first.order(lateStart).outcome).to.deep.equal({kind: 'refused', reason: 'superseded'});
+	});
+
 	const longAgoCases: ReadonlyArray<{readonly title: string; readonly newLeader: boolean}> = [
 		{title: 'before the one that was answered', newLeader: false},
 		{title: 'by an earlier leader', newLeader: true},
