Bound epochs so that every fencing token is a safe integer

What callers would see: after an unreadable leader row, no worker carries out anything. The leader's epoch then continues from the time in seconds, about 2 ** 31, and a token of epoch * 2 ** 33 + part is beyond 2 ** 53, where numbers lose digits.

--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -17,8 +17,8 @@
 /** Key of the only row of the leader table. */
 export const LEADER_KEY = 'region';
 
-/** Highest epoch that is believed; leaves room to count on from any that is. */
-export const MAX_EPOCH = 2 ** 50;
+/** Highest epoch that is believed: above the time in seconds, from which epochs count on after an unreadable row. */
+export const MAX_EPOCH = (2 ** 32) - 1;
 
 /** The row of the leader table. */
 export type LeaderRow = {
