--- a/packages/pool-agent/src/announced-worker.ts
+++ b/packages/pool-agent/src/announced-worker.ts
@@ -4,6 +4,9 @@
 /** A worker that deregisters ends at once. One that answers for this time after its deregistration hasn't sent it. */
 const MAX_ANSWERS_AFTER_LEAVE_MS = 2000;
 
+/** Number of incarnations that have left and are still reported. */
+const MAX_LEFT_INCARNATIONS = 8;
+
 /** What a heartbeat has changed. */
 export const HEARTBEAT_EFFECTS = {
 	taken: 'taken',
@@ -41,12 +44,18 @@
 	/** Start time in the worker's newest lists; those of earlier releases have none. */
 	#listedStartMs: number | undefined;
 	#hasListsWithoutStart = false;
+	#leftIncarnations: readonly string[] = [];
 
 	/** The incarnation that calls to the worker are meant for. */
 	get known(): KnownWorker | undefined {
 		return this.#known;
 	}
 
+	/** Names of the last incarnations that have left. */
+	get leftIncarnations(): readonly string[] {
+		return this.#leftIncarnations;
+	}
+
 	/** The known incarnation, once the worker has answered as that one. */
 	get confirmed(): KnownWorker | undefined {
 		return this.#known?.isConfirmed ? this.#known : undefined;
@@ -165,6 +174,7 @@
 	#removeKnown(known: KnownWorker): string {
 		this.#known = undefined;
 		this.#leave = undefined;
+		this.#leftIncarnations = [...this.#leftIncarnations, known.facts.life].slice(-MAX_LEFT_INCARNATIONS);
 		return known.facts.life;
 	}
 }
--- a/packages/pool-agent/src/grant-bounds.ts
+++ b/packages/pool-agent/src/grant-bounds.ts
@@ -7,6 +7,9 @@
 /** An acknowledgement goes beyond the newest lists by less than this; the worker lists at most 500 ends at a time. */
 const MAX_UNLISTED_ENDS = 1000;
 
+/** Longest wait of a watch; leaders ask for less than 1 s. */
+const MAX_WATCH_WAIT_MS = 10_000;
+
 /**
  * Bounds what a watch grants to the worker, whatever another program asks for: the lease must still expire, and a number
  * that is far above those of the listed ends must not acknowledge later ones.
@@ -24,3 +27,8 @@
 		ackSequence: ackSequence <= highestListed + MAX_UNLISTED_ENDS ? ackSequence : 0,
 	};
 }
+
+/** @returns Time for which the agent waits for a change before it answers a watch. */
+export function boundWaitMs({waitMs}: WatchRequest): number {
+	return Math.min(waitMs, MAX_WATCH_WAIT_MS);
+}
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -7,13 +7,14 @@
 import {AnnouncedWorker, HEARTBEAT_EFFECTS, type KnownWorker} from './announced-worker.js';
 import {AnsweringIncarnation} from './answering-incarnation.js';
 import {ChangeSignal} from './change-signal.js';
-import {boundGrant} from './grant-bounds.js';
+import {boundGrant, boundWaitMs} from './grant-bounds.js';
 import {IncarnationTrace} from './incarnation-trace.js';
 import {mayExtendLease, readStoredEpoch} from './lease-without-leader.js';
 import {NewestLists} from './newest-lists.js';
+import {PendingGrant} from './pending-grant.js';
 import {pollWaitMs} from './poll-wait.js';
 import type {PoolAgentCoreDependencies} from './pool-agent-dependencies.js';
-import {fingerprintOf} from './received-lists.js';
+import {fingerprintOf, toReportedLists} from './received-lists.js';
 
 /** After this time the worker's clock, which counts milliseconds, has a later reading. */
 const CLOCK_ADVANCE_DELAY_MS = 2;
@@ -33,12 +34,6 @@
 /** Time for checks which incarnation answers; leaves time for the start itself within the leader's timeout of an order. */
 const INCARNATION_CHECK_TIMEOUT_MS = 250;
 
-/** Longest wait of a watch; leaders ask for less than 1 s. */
-const MAX_WATCH_WAIT_MS = 10_000;
-
-/** Number of deregistered worker incarnations that are still reported. */
-const MAX_LEFT_INCARNATIONS = 8;
-
 /**
  * State of the agent: the worker's heartbeats and lists, and the epoch, lease and acknowledgements of the leader.
  *
@@ -52,12 +47,10 @@
 	readonly #trace: IncarnationTrace;
 	readonly #announced = new AnnouncedWorker();
 	readonly #lists = new NewestLists();
-	#leaseUntilMs = 0;
-	#ackSequence = 0;
+	readonly #grant = new PendingGrant();
 	/** Counts on from all earlier incarnations of the agent on this VM, which have sent less than an order each millisecond. */
 	#orderCount: number;
 	readonly #changes = new ChangeSignal();
-	#leftIncarnations: readonly string[] = [];
 	#isWorkerAnswering = false;
 	#isRepollPending = false;
 	#unansweredPollAtMs = Number.NEGATIVE_INFINITY;
@@ -127,21 +120,20 @@
 		const lists = this.#lists.current;
 		if (lists && request.life !== undefined && request.life === this.#listedIncarnation) {
 			const {leaseUntilMs, ackSequence} = boundGrant(request, lists, this.#deps.leaseMs);
-			this.#leaseUntilMs = Math.max(this.#leaseUntilMs, leaseUntilMs);
-			if (ackSequence > this.#ackSequence) {
-				this.#ackSequence = ackSequence;
+			this.#grant.extendLease(leaseUntilMs);
+			if (this.#grant.acknowledge(ackSequence)) {
 				void this.#pollWorker(0);
 			}
 		}
 
 		if (request.sinceVersion === this.#changes.version) {
-			await Promise.race([this.#changes.next(), this.#deps.sleep(Math.min(request.waitMs, MAX_WATCH_WAIT_MS))]);
+			await Promise.race([this.#changes.next(), this.#deps.sleep(boundWaitMs(request))]);
 		}
 
 		return {
 			incarnation: this.#deps.incarnation,
 			version: this.#changes.version,
-			leftLives: this.#leftIncarnations,
+			leftLives: this.#announced.leftIncarnations,
 			...(this.#announced.confirmed && {report: this.#buildReport(this.#announced.confirmed)}),
 		};
 	}
@@ -224,11 +216,7 @@
 		const lists = this.#listedIncarnation === facts.life ? this.#lists.current : undefined;
 		return {
 			facts: facts.remainingMs === undefined ? facts : {...facts, remainingMs: Math.max(0, Math.round(facts.remainingMs - (nowMs - receivedAtMs)))},
-			...(lists && {
-				lists: {
-					clockMs: lists.clockMs, ageMs: Math.round(nowMs - lists.receivedAtMs), ordersBefore: lists.ordersBefore, running: lists.running, ended: lists.ended,
-				},
-			}),
+			...(lists && {lists: toReportedLists(lists, nowMs)}),
 		};
 	}
 
@@ -275,18 +263,13 @@
 
 	/** @returns Acknowledgement and lease for the incarnation whose lists were received last, unless another one is announced. */
 	#grantFor(known: KnownWorker | undefined): LeaseGrant | undefined {
-		const lists = this.#lists.current;
-		if (!lists || (this.#ackSequence === 0 && this.#leaseUntilMs === 0)) {
-			return undefined;
-		}
-
-		const startedAtMs = lists.bornMs ?? 0;
-		if (known && known.startedAtMs !== startedAtMs) {
+		const startedAtMs = this.#lists.current?.bornMs;
+		if (startedAtMs === undefined || (known && known.startedAtMs !== startedAtMs)) {
 			return undefined;
 		}
 
-		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#ackSequence);
-		return {startedAtMs, ackSequence: this.#ackSequence, ...(this.#leaseUntilMs > 0 && {leaseUntilMs: this.#leaseUntilMs})};
+		this.#trace.onAcknowledgement(this.#listedIncarnation, this.#grant.ackSequence);
+		return this.#grant.for(startedAtMs);
 	}
 
 	/** Makes sure that a start reaches the announced incarnation of the worker and not a later one. */
@@ -329,14 +312,13 @@
 	#onLeft(incarnation: string | undefined): void {
 		if (incarnation !== undefined) {
 			this.#deps.logger.info('worker left', {worker: incarnation});
-			this.#leftIncarnations = [...this.#leftIncarnations, incarnation].slice(-MAX_LEFT_INCARNATIONS);
 			this.#lists.clear();
 			this.#changes.notify();
 		}
 	}
 
 	#hasUnacknowledgedEnds(): boolean {
-		return this.#lists.current?.ended.some(end => end.sequence > this.#ackSequence) ?? false;
+		return this.#lists.current?.ended.some(end => end.sequence > this.#grant.ackSequence) ?? false;
 	}
 
 	/** @returns Whether the lists are newer than the present ones. */
@@ -354,8 +336,7 @@
 
 		this.#trace.onLists(this.#announced.known?.facts.life, lists);
 		if (order === 'otherIncarnation') {
-			this.#ackSequence = 0;
-			this.#leaseUntilMs = 0;
+			this.#grant.reset();
 			if (previous) {
 				// Until it has received a call of its own, it does not refuse late ones for the incarnation before it.
 				void this.#pollWorker(0);
@@ -402,7 +383,7 @@
 		}
 
 		// Counted from a clock reading before the store read, so that a suspicion stored after it still bounds the lease.
-		this.#leaseUntilMs = Math.max(this.#leaseUntilMs, Math.floor(lists.clockMs + this.#deps.leaseMs));
+		this.#grant.extendLease(Math.floor(lists.clockMs + this.#deps.leaseMs));
 	}
 
 	async #readLeaderEpoch(): Promise<void> {
