Keep further work from a worker that has forgotten the end of a run unread

What callers see: after one acknowledgement that was meant for an earlier incarnation, all that a worker does is done twice, until the numbers of its ends exceed that acknowledgement.

Cause: a run that vanishes was started again at once, often on the same worker. Such a worker now counts as quarantined for 30 s; other workers take its work, and a unit that has waited for long may still use it.

--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -6,6 +6,9 @@
 import type {RunLifecycle} from './run-lifecycle.js';
 import type {TrackedWorker} from './tracked-worker.js';
 
+/** A worker that has forgotten an end unread may forget the next ones too, until their numbers exceed a foreign acknowledgement. */
+const FORGOTTEN_END_QUARANTINE_MS = 30_000;
+
 /** Reconciles the runs that workers list with those that the leader expects there. */
 export class WorkerListReconciler {
 	readonly #context: PoolContext;
@@ -43,6 +46,7 @@
 				this.#context.log('run vanished', {
 					task: run.task.name, run: run.number, worker: worker.incarnation, percent: run.percent, highestEnd: worker.processedSequence,
 				});
+				worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, this.#context.nowMs() + FORGOTTEN_END_QUARANTINE_MS);
 				this.#runs.end(run, RUN_OUTCOMES.lapsed, '');
 			}
 		}
