--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/5/case.mjs
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -78,26 +78,32 @@
 		check(await this.system.untilReady(), 'the entries are ready');
 	}
 
-	/** Has the operator store a configuration. */
-	putConfiguration() {
+	/**
+	 * Has the operator store a configuration.
+	 *
+	 * @param {string[]} apiKeys - Keys of the tenant.
+	 */
+	putConfiguration(apiKeys = ['key']) {
 		this.store.put('op', 'config', {
 			version: this.#version,
 			routes: [QUEUE],
 			services: [{name: SERVICE}],
 			limits: {},
-			tenants: [{name: 'tenant', apiKeys: ['key'], guaranteed: {gpu: 4}}],
+			tenants: [{name: 'tenant', apiKeys, guaranteed: {gpu: 4}}],
 		});
-		this.record.note('operator stores a configuration', {version: this.#version});
+		this.record.note('operator stores a configuration', {version: this.#version, apiKeys});
 		this.#version += 2;
 	}
 
 	/** Sends a client's request to an entry and records the answer. */
-	async call(front, {method, id, body, deadlineMs = DEADLINE_MS}) {
-		this.record.note('client sends', {to: front, method, id});
+	async call(front, {method, id, body, key = 'key', deadlineMs = DEADLINE_MS}) {
+		this.record.note('client sends', {
+			to: front, method, id, key,
+		});
 		const answer = await callJson(this.system.machines.get(front).front, {
 			method,
 			path: `/queue/${id}`,
-			headers: {host: 'queue.example', 'x-key': 'key', 'x-deadline-ms': String(deadlineMs)},
+			headers: {host: 'queue.example', 'x-key': key, 'x-deadline-ms': String(deadlineMs)},
 			body,
 			timeoutMs: deadlineMs,
 		});
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -31,6 +31,8 @@
 	#version = 1;
 	#waiters = new Set();
 	#servers = [];
+	#sockets = new Set();
+	#silentSockets = new WeakSet();
 
 	/**
 	 * Opens an address for one machine.
@@ -42,6 +44,12 @@
 		const server = createServer((message, response) => {
 			this.#serve(machine, message, response);
 		});
+		server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
 		this.#servers.push(server);
 		return listen(server);
 	}
@@ -62,6 +70,19 @@
 		return row && JSON.parse(Buffer.from(row.value, 'base64').toString());
 	}
 
+	/**
+	 * Makes all open connections silent for good; new ones work.
+	 *
+	 * @returns {number} Number of the connections.
+	 */
+	silenceConnections() {
+		for (const socket of this.#sockets) {
+			this.#silentSockets.add(socket);
+		}
+
+		return this.#sockets.size;
+	}
+
 	close() {
 		for (const server of this.#servers) {
 			server.close();
@@ -76,7 +97,7 @@
 			machine, method: message.method, path: url.pathname, query: url.searchParams, body,
 		};
 		await sleep(CALL_MS);
-		const fate = this.chooseFate(call);
+		const fate = this.#silentSockets.has(message.socket) ? FATES.silent : this.chooseFate(call);
 		if (fate === FATES.silent) {
 			return;
 		}
@@ -92,7 +113,7 @@
 		}
 
 		const answer = await this.#answer(call);
-		if (fate === FATES.served) {
+		if (fate === FATES.served && !this.#silentSockets.has(message.socket)) {
 			sendJson(response, answer.status, answer.body);
 		}
 	}
