--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -22,6 +22,8 @@
 /** Stand-in of a worker. It follows the page on running tasks, and records what it starts and how it ends. */
 export class Worker {
 	address;
+	/** Whether a call is left unanswered and carried out by the next life, just after its start. Set by a case. */
+	isLate = () => false;
 	#record;
 	#taskOf;
 	#control;
@@ -31,6 +33,7 @@
 	#rack;
 	#bounds;
 	#lives = 0;
+	#lateCalls = [];
 	#life;
 	#server;
 	#port = 0;
@@ -83,8 +86,12 @@
 		return this.address;
 	}
 
-	/** Begins a life. */
-	async start() {
+	/**
+	 * Begins a life.
+	 *
+	 * @param {{id?: string}} options - Its id; a new one by default.
+	 */
+	async start({id} = {}) {
 		if (!this.#server) {
 			await this.#listen();
 		}
@@ -92,7 +99,7 @@
 		this.#lives++;
 		const born = Date.now();
 		const life = {
-			id: `i-${this.#name}-${this.#lives}`,
+			id: id ?? `i-${this.#name}-${this.#lives}`,
 			born,
 			startedAt: performance.now(),
 			runs: new Map(),
@@ -105,7 +112,14 @@
 			state: 'ready',
 		};
 		this.#life = life;
-		this.#record.note('worker starts', {worker: life.id});
+		this.#record.note('worker starts', {worker: life.id, born});
+		for (const {path, body} of this.#lateCalls.splice(0)) {
+			const {status, reason} = await this.#carryOut(life, path, body);
+			this.#record.note('late call carried out', {
+				path, task: body.task, run: body.run, worker: life.id, status, reason,
+			});
+		}
+
 		this.#sendHeartbeats(life);
 		this.#tick(life);
 	}
@@ -264,6 +278,12 @@
 			return;
 		}
 
+		if (this.isLate(message.url, body)) {
+			this.#record.note('call left unanswered', {path: message.url, task: body.task, run: body.run});
+			this.#lateCalls.push({path: message.url, body});
+			return;
+		}
+
 		const {status, reason, lists} = await this.#carryOut(life, message.url, body);
 		if (this.#life === life) {
 			sendJson(response, status, {
