Keep an unknown outcome on its way to the caller

Cause: that a write may have taken effect was a local variable of one retry loop. A relay's answer, a further check of the configuration, a second request and a cancellation dropped it. `configuration_changed` of a peer without a configuration was taken for the store's. The leader did not use what it knows of stored jobs.

Relayed jobs are always checked by the store, so that `configuration_changed` settles earlier writes, and 503 is given again where it is true. A process that knows a job to be stored accepts it without the store.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -10,7 +10,8 @@
 	type ProcessMetrics, readBody, type RouteAnswer, sendJson,
 } from '@amaranthsail/pool-runtime';
 import type {ConfigFollower, KnownConfig} from './config-follower.js';
-import type {JobRequestOutcome, JobService} from './job-service.js';
+import type {JobRequestOutcome} from './job-request-outcome.js';
+import type {JobService} from './job-service.js';
 
 /** Deadline of callers that send none. */
 const DEFAULT_DEADLINE_MS = 3000;
@@ -36,13 +37,16 @@
 /** How often one request is checked against a configuration before it fails because the configuration keeps changing. */
 const MAX_CONFIG_CHECKS = 3;
 
+/** Number of digits of a job id, which ends the path of a request. */
+const JOB_ID_LENGTH = 16;
+
 /** Dependencies of {@link CallerApi}. */
 export type CallerApiDependencies = {
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: ProcessMetrics;
 	readonly config: ConfigFollower;
-	readonly jobs: JobService;
+	readonly jobs: Pick<JobService, 'submit' | 'cancel' | 'state' | 'stop' | 'maySubmitTakeEffect' | 'mayCancelTakeEffect'>;
 	/** Whether the known configuration is recent enough to serve requests. */
 	readonly isConfigUsable: () => boolean;
 	/** Number of jobs of a queue that have not started; undefined when no leader has reported recently. */
@@ -119,7 +123,8 @@
 		for (let check = 0; check < MAX_CONFIG_CHECKS; check++) {
 			const selected = await this.#selectQueue(request);
 			if ('status' in selected) {
-				return selected;
+				// A key or a queue that was never valid for this request says nothing about an earlier one with the same id.
+				return check > 0 || selected.status === 503 ? this.#unlessUnknown(request, selected) : selected;
 			}
 
 			const outcome = await this.#handle(request, selected, endMs - this.#deps.clock.monotonicMs());
@@ -134,7 +139,15 @@
 			await this.#deps.config.refresh();
 		}
 
-		return {status: 503, body: {problem: 'the configuration keeps changing'}};
+		return this.#unlessUnknown(request, {status: 503, body: {problem: 'the configuration keeps changing'}});
+	}
+
+	/** Replaces a refusal while a write for the same job, by this request or an earlier one, may still take effect. */
+	#unlessUnknown({method, path}: CallerRequest, refusal: RouteAnswer): RouteAnswer {
+		const {jobs} = this.#deps;
+		const jobId = path.slice(-JOB_ID_LENGTH);
+		const mayTakeEffect = (method === 'POST' && jobs.maySubmitTakeEffect(jobId)) || (method === 'DELETE' && jobs.mayCancelTakeEffect(jobId));
+		return mayTakeEffect ? toAnswer({kind: 'unknown'}) : refusal;
 	}
 
 	async #handle(request: CallerRequest, selected: SelectedQueue, remainingMs: number): Promise<JobRequestOutcome | RouteAnswer> {
--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -53,6 +53,12 @@
 		return this.#known;
 	}
 
+	/** Table and key of the configuration row. */
+	get location(): {readonly table: string; readonly key: string} {
+		const {table, key} = this.#source;
+		return {table, key};
+	}
+
 	/** Milliseconds since the store or a peer confirmed that the known configuration is the newest. */
 	get ageMs(): number {
 		return this.#clock.monotonicMs() - this.#confirmedAtMs;
--- a/packages/pool-entry/src/job-service.ts
+++ b/packages/pool-entry/src/job-service.ts
@@ -1,63 +1,15 @@
+import type {Clock, Logger} from '@amaranthsail/core';
 import {
-	type Clock, JsonClient, type Logger,
-} from '@amaranthsail/core';
-import {
-	cancellationKey, type JobRow, type JobState, JOB_STATES, type PoolStore, prefixRange, type StoredRow, TABLES,
+	cancellationKey, type JobRow, type JobState, type PoolStore, type StoredJob, type StoredRow, TABLES,
 } from '@amaranthsail/pool';
-import {type RouteAnswer, sleep} from '@amaranthsail/pool-runtime';
-import {AdaptiveTimeout} from './adaptive-timeout.js';
+import type {RouteAnswer} from '@amaranthsail/pool-runtime';
 import type {ConfigFollower} from './config-follower.js';
-import {decodeJobStateAnswer, decodeRelayOutcome} from './peer-message-decoding.js';
-import {PEER_PATHS, type RelayRequest, type StoredNotice} from './peer-messages.js';
+import {EntryCalls} from './entry-calls.js';
+import type {JobRequestOutcome} from './job-request-outcome.js';
+import type {RelayRequest, StoredNotice} from './peer-messages.js';
 import type {PoolLeader} from './pool-leader.js';
-import {RecentIds} from './recent-ids.js';
-
-/** Outcome of a request about a job. */
-export type JobRequestOutcome
-	= | {readonly kind: 'accepted'}
-		/** The configuration has changed; the request has to be checked against the new one. */
-		| {readonly kind: 'configuration_changed'}
-		/** The id belongs to a job of another account. */
-		| {readonly kind: 'conflict'}
-		| {readonly kind: 'state'; readonly state: JobState}
-		| {readonly kind: 'no_such_job'}
-		/** Nothing was stored and nothing will be. */
-		| {readonly kind: 'not_stored'}
-		/** A write may have taken effect or may still do so. */
-		| {readonly kind: 'unknown'};
-
-/**
- * Timeout of a store call for a caller while the store is fast: it answers within milliseconds then. Leaves time for
- * a second call on another connection when the first one gets no answer.
- */
-const MIN_STORE_TIMEOUT_MS = 800;
-
-/** Largest such timeout, while the store is slow; callers usually wait 3 s. */
-const MAX_STORE_TIMEOUT_MS = 2400;
-
-/**
- * An entry that has had no answer of the store for this long relays requests to another entry first. The change feed
- * answers at least every 700 ms.
- */
-const STORE_SUSPECT_TIMEOUT_MS = 900;
-
-/** After this time both a feed call and a new read have failed: the store is unreachable from this entry, not slow. */
-const STORE_UNREACHABLE_TIMEOUT_MS = 1500;
-
-/**
- * How long an unknown outcome is remembered. An unanswered call may be executed several seconds later, and callers
- * retry within their deadline of 3 s.
- */
-const UNKNOWN_OUTCOME_RETENTION_MS = 30_000;
-
-/** Timeout of a relayed request; a call to an entry that is down must leave time for the next entry. */
-const RELAY_TIMEOUT_MS = 450;
-
-/** Delay before the next try after the store failed. */
-const RETRY_DELAY_MS = 50;
-
-/** Timeout of calls to the leader; it answers from memory. */
-const LEADER_TIMEOUT_MS = 350;
+import {RequestExecutor, type StoreCallFailure} from './request-executor.js';
+import {jobRowRange, readStoredJobState} from './stored-job-state.js';
 
 /** A job to be stored. */
 export type SubmitRequest = {
@@ -80,6 +32,8 @@
 	readonly config: ConfigFollower;
 	/** The leader in this process, while it knows the stored state. */
 	readonly leader: () => PoolLeader | undefined;
+	/** A job that this process knows to be stored, whether or not it still leads. */
+	readonly storedJob: (jobId: string) => StoredJob | undefined;
 	readonly leaderAddress: () => string | undefined;
 	/** Addresses of other entries: the leader first, then those heard from most recently, then the seeds. */
 	readonly entries: () => readonly string[];
@@ -88,13 +42,31 @@
 /** Accepts and cancels jobs in the store, and looks up their state. */
 export class JobService {
 	readonly #deps: JobServiceDependencies;
-	readonly #clients = new Map<string, JsonClient>();
-	readonly #unknownOutcomeJobs = new RecentIds(UNKNOWN_OUTCOME_RETENTION_MS);
-	readonly #storeTimeout = new AdaptiveTimeout(MIN_STORE_TIMEOUT_MS, MAX_STORE_TIMEOUT_MS);
+	readonly #calls: EntryCalls;
+	readonly #executor: RequestExecutor;
 
 	/** @param deps - Dependencies. */
 	constructor(deps: JobServiceDependencies) {
 		this.#deps = deps;
+		this.#calls = new EntryCalls(deps.clock, deps.logger);
+		this.#executor = new RequestExecutor({
+			store: deps.store, clock: deps.clock, config: deps.config, calls: this.#calls, entries: deps.entries,
+		});
+	}
+
+	/** From now on nothing is written; writes in progress still get their answers. */
+	stop(): void {
+		this.#executor.stop();
+	}
+
+	/** @returns Whether the job may have been stored, or may still be, by a request with an unknown outcome. */
+	maySubmitTakeEffect(jobId: string): boolean {
+		return this.#executor.mayTakeEffect(jobId);
+	}
+
+	/** @returns Whether the cancellation may have been stored, or may still be, by a request with an unknown outcome. */
+	mayCancelTakeEffect(jobId: string): boolean {
+		return this.#executor.mayTakeEffect(cancellationKey(jobId));
 	}
 
 	/**
@@ -105,14 +77,18 @@
 	 * @returns The outcome.
 	 */
 	async submit(request: SubmitRequest, mayRelay = true): Promise<JobRequestOutcome> {
-		const outcome = await this.#storeJob(request, mayRelay);
-		if (outcome.kind === 'unknown') {
-			this.#unknownOutcomeJobs.add(request.jobId, this.#deps.clock.monotonicMs());
-		} else if (outcome.kind === 'not_stored' && this.#unknownOutcomeJobs.has(request.jobId, this.#deps.clock.monotonicMs())) {
-			return {kind: 'unknown'};
-		}
-
-		return outcome;
+		const {jobId, row, configRow, budgetMs, deadlineMs} = request;
+		return this.#executor.executeWrite({
+			budgetMs,
+			deadlineMs,
+			write: {rowKey: jobId, configRowVersion: configRow.version},
+			knownOutcome: () => {
+				const job = this.#deps.storedJob(jobId);
+				return job && submitOutcome(job.account === row.account);
+			},
+			makeRelayRequest: mayRelay ? remainingMs => ({kind: 'submit', jobId, row, configRowVersion: configRow.version, budgetMs: remainingMs}) : undefined,
+			callStore: async timeoutMs => this.#storeJob(request, timeoutMs),
+		});
 	}
 
 	/**
@@ -125,29 +101,19 @@
 	 * @returns The outcome.
 	 */
 	async cancel(jobId: string, account: string, budgetMs: number, mayRelay = true): Promise<JobRequestOutcome> {
-		return this.#withRetries({budgetMs, deadlineMs: budgetMs}, mayRelay && (remainingMs => ({kind: 'cancel', jobId, account, budgetMs: remainingMs})), async timeoutMs => {
-			const page = await this.#deps.store.read(TABLES.jobs, jobRowRange(jobId), timeoutMs);
-			if (!page.ok) {
-				return 'unavailable';
-			}
-
-			const job = page.value.rows.find(row => row.key === jobId)?.value as JobRow | undefined;
-			if (job?.account !== account) {
-				return {kind: 'no_such_job'};
-			}
-
-			if (job.finalState !== undefined || page.value.rows.some(row => row.key === cancellationKey(jobId))) {
-				return {kind: 'accepted'};
-			}
-
-			const stored = await this.#deps.store.transact([{table: TABLES.jobs, key: cancellationKey(jobId), version: 0}], [{table: TABLES.jobs, key: cancellationKey(jobId), value: {}}], timeoutMs);
-			if (stored.ok || stored.error.kind === 'condition_failed') {
-				this.#notifyLeader({jobId, isCancelled: true});
-				return {kind: 'accepted'};
-			}
-
-			return stored.error.kind;
+		const outcome = await this.#executor.executeWrite({
+			budgetMs,
+			deadlineMs: budgetMs,
+			write: {rowKey: cancellationKey(jobId)},
+			knownOutcome: () => {
+				const job = this.#deps.storedJob(jobId);
+				return job?.account === account && (job.isCancelled || job.hasEnded) ? {kind: 'accepted'} : undefined;
+			},
+			makeRelayRequest: mayRelay ? remainingMs => ({kind: 'cancel', jobId, account, budgetMs: remainingMs}) : undefined,
+			callStore: async timeoutMs => this.#storeCancellation(jobId, account, timeoutMs),
 		});
+		// The job may still be stored by a request that got no answer, and would then run.
+		return outcome.kind === 'no_such_job' && this.maySubmitTakeEffect(jobId) ? {kind: 'unknown'} : outcome;
 	}
 
 	/**
@@ -165,170 +131,63 @@
 			return known.account === account ? {kind: 'state', state: known.state} : {kind: 'no_such_job'};
 		}
 
-		return this.#withRetries({budgetMs, deadlineMs: budgetMs}, mayRelay && (remainingMs => ({kind: 'state', jobId, account, budgetMs: remainingMs})), async timeoutMs => this.#stateFromStore(jobId, account, timeoutMs));
+		return this.#executor.execute({
+			budgetMs,
+			deadlineMs: budgetMs,
+			makeRelayRequest: mayRelay ? remainingMs => ({kind: 'state', jobId, account, budgetMs: remainingMs}) : undefined,
+			callStore: async timeoutMs => readStoredJobState(this.#deps.store, jobId, account, timeoutMs),
+		});
 	}
 
 	/**
-	 * Executes a request relayed by another entry.
+	 * Executes a request relayed by another entry. The store compares the configuration that a job was checked against, as
+	 * this entry may know an older one, none, or a newer one than the store had when the job was stored.
 	 *
 	 * @param request - The request.
 	 * @returns An answer with the outcome as its body.
 	 */
 	async onRelay(request: RelayRequest): Promise<RouteAnswer> {
-		if (request.kind !== 'submit') {
-			const outcome = request.kind === 'cancel'
-				? await this.cancel(request.jobId, request.account, request.budgetMs, false)
-				: await this.state(request.jobId, request.account, request.budgetMs, false);
-			return {status: 200, body: outcome};
-		}
-
-		const {known} = this.#deps.config;
-		if (known?.row.version !== request.configRowVersion) {
-			return {status: 200, body: {kind: 'configuration_changed'} satisfies JobRequestOutcome};
-		}
-
-		return {status: 200, body: await this.submit({...request, configRow: known.row, deadlineMs: request.budgetMs}, false)};
-	}
-
-	async #storeJob({jobId, row, configRow, budgetMs, deadlineMs}: SubmitRequest, mayRelay: boolean): Promise<JobRequestOutcome> {
-		const conditions = [
-			{table: TABLES.jobs, key: jobId, version: 0},
-			{table: configRow.table, key: configRow.key, version: configRow.version},
-		];
-		if (!mayRelay && this.#isStoreUnreachable()) {
-			return {kind: 'not_stored'};
-		}
-
-		return this.#withRetries({budgetMs, deadlineMs}, mayRelay && (remainingMs => ({kind: 'submit', jobId, row, configRowVersion: configRow.version, budgetMs: remainingMs})), async timeoutMs => {
-			const stored = await this.#deps.store.transact(conditions, [{table: TABLES.jobs, key: jobId, value: row}], timeoutMs);
-			if (stored.ok) {
-				this.#notifyLeader({jobId, row});
-				return {kind: 'accepted'};
-			}
-
-			if (stored.error.kind !== 'condition_failed') {
-				return stored.error.kind;
+		switch (request.kind) {
+			case 'submit': {
+				const configRow = {...this.#deps.config.location, version: request.configRowVersion};
+				return {status: 200, body: await this.submit({...request, configRow, deadlineMs: request.budgetMs}, false)};
 			}
 
-			const present = stored.error.rows.find(candidate => candidate.table === TABLES.jobs && candidate.key === jobId && candidate.version > 0);
-			if (present && !present.isRemoved) {
-				return (present.value as JobRow | undefined)?.account === row.account ? {kind: 'accepted'} : {kind: 'conflict'};
+			case 'cancel': {
+				return {status: 200, body: await this.cancel(request.jobId, request.account, request.budgetMs, false)};
 			}
 
-			for (const other of stored.error.rows) {
-				this.#deps.config.applyIfNewer(other, 'acceptance');
+			case 'state': {
+				return {status: 200, body: await this.state(request.jobId, request.account, request.budgetMs, false)};
 			}
-
-			return {kind: 'configuration_changed'};
-		});
-	}
-
-	/** Calls the store until the outcome is known, the budget is used up, or another entry has executed the request. */
-	async #withRetries(
-		{budgetMs, deadlineMs}: {readonly budgetMs: number; readonly deadlineMs: number},
-		makeRelayRequest: false | ((remainingMs: number) => RelayRequest),
-		callStore: (timeoutMs: number) => Promise<JobRequestOutcome | 'unavailable' | 'outcome_unknown' | 'history_lost' | 'rejected'>,
-	): Promise<JobRequestOutcome> {
-		const startMs = this.#deps.clock.monotonicMs();
-		let isOutcomeUnknown = false;
-		let wasRefused = false;
-		for (;;) {
-			const endMs = startMs + (isOutcomeUnknown ? deadlineMs : budgetMs);
-			const nowMs = this.#deps.clock.monotonicMs();
-			if (nowMs >= endMs) {
-				return isOutcomeUnknown ? {kind: 'unknown'} : {kind: 'not_stored'};
-			}
-
-			// Relaying while the store is merely slow would add to the load that slows it down for all entries.
-			if (makeRelayRequest && (wasRefused || this.#deps.config.ageMs > STORE_SUSPECT_TIMEOUT_MS)) {
-				const relayed = await this.#relay(makeRelayRequest, endMs);
-				if (relayed?.kind === 'unknown') {
-					isOutcomeUnknown = true;
-				} else if (relayed && relayed.kind !== 'not_stored') {
-					return relayed;
-				} else if (relayed && !isOutcomeUnknown && this.#isStoreUnreachable()) {
-					return relayed;
-				}
-			}
-
-			const outcome = await this.#callStoreOnce(callStore, startMs + deadlineMs);
-			if (typeof outcome === 'object') {
-				return outcome;
-			}
-
-			wasRefused = outcome !== 'outcome_unknown';
-			isOutcomeUnknown ||= outcome === 'outcome_unknown';
-			await sleep(RETRY_DELAY_MS);
 		}
 	}
 
-	async #callStoreOnce<Outcome>(callStore: (timeoutMs: number) => Promise<Outcome>, endMs: number): Promise<Outcome> {
-		const startMs = this.#deps.clock.monotonicMs();
-		const timeoutMs = Math.max(1, Math.min(this.#storeTimeout.currentMs, endMs - startMs));
-		const outcome = await callStore(timeoutMs);
-		const tookMs = this.#deps.clock.monotonicMs() - startMs;
-		if (typeof outcome === 'object') {
-			this.#storeTimeout.recordAnswer(tookMs);
-		} else if (tookMs >= timeoutMs) {
-			this.#storeTimeout.recordTimeout(timeoutMs);
-		}
-
-		return outcome;
-	}
-
-	/** Whether the store is unreachable from this entry. */
-	#isStoreUnreachable(): boolean {
-		return this.#deps.config.ageMs > STORE_UNREACHABLE_TIMEOUT_MS;
-	}
-
-	/** Relays a request to other entries, one after another; undefined when none of them has answered. */
-	async #relay(makeRequest: (remainingMs: number) => RelayRequest, endMs: number): Promise<JobRequestOutcome | undefined> {
-		let isOutcomeUnknown = false;
-		let isRefused = false;
-		for (const address of this.#deps.entries()) {
-			const remainingMs = Math.min(RELAY_TIMEOUT_MS, endMs - this.#deps.clock.monotonicMs());
-			if (remainingMs <= RETRY_DELAY_MS) {
-				break;
-			}
-
-			const request = makeRequest(remainingMs - RETRY_DELAY_MS);
-			const answer = await this.#clientOf(address).call({method: 'POST', path: PEER_PATHS.relay, body: request, timeoutMs: remainingMs});
-			const outcome = answer.ok && answer.value.status === 200 ? decodeRelayOutcome(answer.value.body) : undefined;
-			this.#deps.logger.info('relayed', {
-				job: request.jobId, request: request.kind, to: address, outcome: outcome?.kind ?? 'no answer',
-			});
-			if (outcome && outcome.kind !== 'not_stored' && outcome.kind !== 'unknown') {
-				return outcome;
-			}
-
-			isRefused ||= outcome?.kind === 'not_stored';
-			isOutcomeUnknown ||= outcome?.kind === 'unknown' || (!answer.ok && answer.error.kind === 'no_answer');
+	async #storeJob({jobId, row, configRow}: SubmitRequest, timeoutMs: number): Promise<JobRequestOutcome | StoreCallFailure> {
+		const {table, key, version} = configRow;
+		const stored = await this.#executor.writeJobRow(jobId, row, [{table, key, version}], timeoutMs);
+		if (stored.ok) {
+			this.#notifyLeader({jobId, row});
+			return {kind: 'accepted'};
 		}
 
-		if (isOutcomeUnknown) {
-			return {kind: 'unknown'};
+		if (stored.error.kind !== 'condition_failed') {
+			return stored.error.kind;
 		}
 
-		return isRefused ? {kind: 'not_stored'} : undefined;
-	}
-
-	async #stateFromLeader(jobId: string): Promise<{state: JobState; account: string} | undefined> {
-		const leader = this.#deps.leader();
-		if (leader) {
-			return leader.core.jobView(jobId);
+		const present = stored.error.rows.find(candidate => candidate.table === TABLES.jobs && candidate.key === jobId && candidate.version > 0);
+		if (present && !present.isRemoved) {
+			return submitOutcome((present.value as JobRow | undefined)?.account === row.account);
 		}
 
-		const address = this.#deps.leaderAddress();
-		if (address === undefined) {
-			return undefined;
+		for (const other of stored.error.rows) {
+			this.#deps.config.applyIfNewer(other, 'acceptance');
 		}
 
-		const answer = await this.#clientOf(address).call({method: 'POST', path: PEER_PATHS.jobState, body: {jobId}, timeoutMs: LEADER_TIMEOUT_MS});
-		const body = answer.ok ? decodeJobStateAnswer(answer.value.body) : undefined;
-		return body?.state !== undefined && body.account !== undefined ? {state: body.state, account: body.account} : undefined;
+		return {kind: 'configuration_changed'};
 	}
 
-	async #stateFromStore(jobId: string, account: string, timeoutMs: number): Promise<JobRequestOutcome | 'unavailable'> {
+	async #storeCancellation(jobId: string, account: string, timeoutMs: number): Promise<JobRequestOutcome | StoreCallFailure> {
 		const page = await this.#deps.store.read(TABLES.jobs, jobRowRange(jobId), timeoutMs);
 		if (!page.ok) {
 			return 'unavailable';
@@ -339,20 +198,27 @@
 			return {kind: 'no_such_job'};
 		}
 
-		if (job.finalState !== undefined) {
-			return {kind: 'state', state: job.finalState};
+		if (job.finalState !== undefined || page.value.rows.some(row => row.key === cancellationKey(jobId))) {
+			return {kind: 'accepted'};
 		}
 
-		if (page.value.rows.some(row => row.key === cancellationKey(jobId))) {
-			return {kind: 'state', state: JOB_STATES.cancelled};
+		const stored = await this.#executor.writeJobRow(cancellationKey(jobId), {}, [], timeoutMs);
+		if (stored.ok || stored.error.kind === 'condition_failed') {
+			this.#notifyLeader({jobId, isCancelled: true});
+			return {kind: 'accepted'};
 		}
 
-		const runs = await this.#deps.store.read(TABLES.runs, prefixRange(`${jobId}.`), timeoutMs);
-		if (!runs.ok) {
-			return 'unavailable';
+		return stored.error.kind;
+	}
+
+	async #stateFromLeader(jobId: string): Promise<{state: JobState; account: string} | undefined> {
+		const leader = this.#deps.leader();
+		if (leader) {
+			return leader.core.jobView(jobId);
 		}
 
-		return {kind: 'state', state: runs.value.rows.length > 0 ? JOB_STATES.running : JOB_STATES.queued};
+		const address = this.#deps.leaderAddress();
+		return address === undefined ? undefined : this.#calls.jobState(address, jobId);
 	}
 
 	/** Notifies the leader at once; its change feed would deliver the same a little later. */
@@ -362,22 +228,12 @@
 		if (leader) {
 			leader.onStored(notice.jobId, notice.row);
 		} else if (address !== undefined) {
-			void this.#clientOf(address).call({method: 'POST', path: PEER_PATHS.stored, body: notice, timeoutMs: LEADER_TIMEOUT_MS});
+			this.#calls.notifyStored(address, notice);
 		}
 	}
-
-	#clientOf(address: string): JsonClient {
-		let client = this.#clients.get(address);
-		if (!client) {
-			client = new JsonClient(address);
-			this.#clients.set(address, client);
-		}
-
-		return client;
-	}
 }
 
-/** Key range of a job's row and the row of its cancellation. */
-function jobRowRange(jobId: string): {readonly from: string; readonly to: string} {
-	return {from: jobId, to: `${cancellationKey(jobId)}\0`};
+/** @returns The outcome for a job whose id is in use. */
+function submitOutcome(isSameAccount: boolean): JobRequestOutcome {
+	return isSameAccount ? {kind: 'accepted'} : {kind: 'conflict'};
 }
--- a/packages/pool-entry/src/peer-message-decoding.ts
+++ b/packages/pool-entry/src/peer-message-decoding.ts
@@ -4,7 +4,7 @@
 import {
 	decodeJobRow, isEpoch, JOB_STATES, type JobState, type StoredRow,
 } from '@amaranthsail/pool';
-import type {JobRequestOutcome} from './job-service.js';
+import type {JobRequestOutcome} from './job-request-outcome.js';
 import type {
 	HelloAnswer, HelloRequest, JobStateAnswer, JobStateRequest, RelayRequest, StoredNotice,
 } from './peer-messages.js';
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -109,6 +109,7 @@
 			logger,
 			config: this.#config,
 			leader: () => this.#leader?.canAnswer ? this.#leader : undefined,
+			storedJob: jobId => this.#leader?.core.storedJob(jobId),
 			leaderAddress: () => this.#leader ? undefined : this.#follower.leaderAddress,
 			entries: () => this.#otherEntries(),
 		});
--- /dev/null
+++ b/packages/pool-entry/tests/caller-api.test.ts
@@ -0,0 +1,115 @@
+import {createServer} from 'node:http';
+import {expect} from 'chai';
+import {JsonClient, silentLogger, SystemClock} from '@amaranthsail/core';
+import type {PoolConfig, Queue, StoredRow} from '@amaranthsail/pool';
+import {listen, ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
+import {MemoryPoolStore} from './support.js';
+import {CallerApi, type CallerApiDependencies} from '@amaranthsail/pool-entry/caller-api.js';
+import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
+import {JobService} from '@amaranthsail/pool-entry/job-service.js';
+
+const JOB_ID = '00000000000000a1';
+
+const BODY = {spec: 'work', steps: [{count: 1}]};
+
+const CONFIG = {table: 'configurations', key: 'newest'};
+
+/** How long a stopping entry takes to answer requests in progress, at most. */
+const END_TIMEOUT_MS = 500;
+
+type Jobs = CallerApiDependencies['jobs'];
+
+type Fixture = {
+	readonly store: MemoryPoolStore;
+	readonly api: CallerApi;
+	readonly call: (method: string) => Promise<number | string>;
+	readonly close: () => void;
+};
+
+/** @returns Jobs of which no request is ever refused for good. */
+function fakeJobs(mayTakeEffect: boolean): Jobs {
+	return {
+		submit: async () => ({kind: 'configuration_changed'}),
+		cancel: async () => ({kind: 'configuration_changed'}),
+		state: async () => ({kind: 'configuration_changed'}),
+		stop: () => undefined,
+		maySubmitTakeEffect: () => mayTakeEffect,
+		mayCancelTakeEffect: () => mayTakeEffect,
+	};
+}
+
+async function serveApi(options: {readonly jobs?: Jobs; readonly isPublic?: (check: number) => boolean; readonly isConfigUsable?: boolean} = {}): Promise<Fixture> {
+	const store = new MemoryPoolStore();
+	const clock = new SystemClock();
+	let host = '';
+	let reads = 0;
+	const decode = (row: StoredRow): PoolConfig => {
+		const queue: Queue = {
+			name: 'q', host, pathPrefix: '/q/', isPublic: options.isPublic?.(reads) ?? true, service: 's', priority: 1, maxAttempts: 3, stretch: 3, targetLatencyMs: 1000,
+		};
+		return {version: row.version, queues: [queue], accounts: []};
+	};
+
+	const config = new ConfigFollower(store, {...CONFIG, decode}, clock, silentLogger);
+	const refresh = config.refresh.bind(config);
+	config.refresh = async timeoutMs => {
+		reads++;
+		store.put(CONFIG.table, CONFIG.key, {});
+		return refresh(timeoutMs);
+	};
+
+	const jobs = options.jobs ?? new JobService({
+		store, clock, logger: silentLogger, config, leader: () => undefined, storedJob: () => undefined, leaderAddress: () => undefined, entries: () => [],
+	});
+	const api = new CallerApi({
+		clock, logger: silentLogger, metrics: new ProcessMetrics(), config, jobs, isConfigUsable: () => options.isConfigUsable ?? true, pendingCount: () => undefined,
+	});
+	const server = await listen(createServer((message, response) => {
+		void api.serve(message, response);
+	}), '127.0.0.1:0');
+	const address = server.address();
+	const port = typeof address === 'object' && address ? address.port : 0;
+	host = '127.0.0.1';
+	config.applyIfNewer(store.put(CONFIG.table, CONFIG.key, {}), 'test');
+	config.markConfirmed();
+	const client = new JsonClient(`127.0.0.1:${port}`);
+	return {
+		store,
+		api,
+		async call(method) {
+			const answer = await client.call({method, path: `/q/${JOB_ID}`, headers: {host}, ...(method === 'POST' && {body: BODY}), timeoutMs: 3000});
+			return answer.ok ? answer.value.status : answer.error.message;
+		},
+		close() {
+			client.close();
+			server.closeAllConnections();
+			server.close();
+		},
+	};
+}
+
+describe('CallerApi', () => {
+	const refusals: ReadonlyArray<{readonly title: string; readonly options: Parameters<typeof serveApi>[0]; readonly status: number}> = [
+		{title: 'the configuration keeps changing', options: {}, status: 503},
+		{title: 'its key has been dropped meanwhile', options: {isPublic: check => check === 0}, status: 401},
+		{title: 'there is no current configuration', options: {isConfigUsable: false}, status: 503},
+	];
+	for (const {title, options, status} of refusals) {
+		for (const method of ['POST', 'DELETE']) {
+			// These checks answered on their own, though an earlier write for the same job had got no answer.
+			it(`answers 504 to a ${method} that may take effect, and ${status} to another, when ${title}`, async () => {
+				const unknown = await serveApi({...options, jobs: fakeJobs(true)});
+				const refused = await serveApi({...options, jobs: fakeJobs(false)});
+				expect([await unknown.call(method), await refused.call(method)]).to.deep.equal([504, status]);
+				unknown.close();
+				refused.close();
+			});
+		}
+	}
+
+	it('answers 401 to a request with an unknown key, whatever has become of an earlier one for that job', async () => {
+		const fixture = await serveApi({jobs: fakeJobs(true), isPublic: () => false});
+		expect(await fixture.call('POST')).to.equal(401);
+		fixture.close();
+	});
+});
--- a/packages/pool-entry/tests/job-service.test.ts
+++ b/packages/pool-entry/tests/job-service.test.ts
@@ -17,7 +17,7 @@
 	config.applyIfNewer(configRow, 'test');
 	config.markConfirmed();
 	const service = new JobService({
-		store, clock, logger: silentLogger, config, leader: () => undefined, leaderAddress: () => undefined, entries: () => entries,
+		store, clock, logger: silentLogger, config, leader: () => undefined, storedJob: () => undefined, leaderAddress: () => undefined, entries: () => entries,
 	});
 	return {service, config, configRow};
 }
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -21,6 +21,9 @@
 /** At 90 jobs each time, this removes 32,400 jobs an hour, far more than the 990 a day of the two-year plan. */
 const PRUNE_INTERVAL_MS = 10_000;
 
+/** What is stored of a job. */
+export type StoredJob = {readonly account: string; readonly isCancelled: boolean; readonly hasEnded: boolean};
+
 /**
  * Decides for a pool's leader, without any I/O.
  *
@@ -194,6 +197,17 @@
 		return job && {state: visibleState(job), account: job.account};
 	}
 
+	/**
+	 * Looks up a job that is stored. What this returns stays true if another process leads by now.
+	 *
+	 * @param id - The job.
+	 * @returns What is stored of it, or undefined for an unknown job.
+	 */
+	storedJob(id: string): StoredJob | undefined {
+		const job = this.#context.jobs.get(id);
+		return job && {account: job.account, isCancelled: job.isCancelled, hasEnded: FINAL_STATES.has(job.state)};
+	}
+
 	/** @returns The number of jobs none of whose tasks has been placed, by queue. */
 	pendingCounts(): ReadonlyMap<string, number> {
 		const counts = new Map<string, number>();
