Answer 503 at shutdown to requests that have written nothing

Callers saw 504 from a stopping entry for every POST and DELETE that it could not finish, also for those that arrived after its end, although nothing had been written and 503 was true.

Cause: the callers' API did not know which requests had written, and the retry loop of an answered request could still write afterwards.

Now the entry stops writing first; then requests with a write in progress or without an answer get 504, the others 503.

Evidence: three tests of "CallerApi at the end of its process" fail on (504 instead of 503, once for a job in progress and twice for requests that arrive afterwards); the two with an unsettled write, and that nothing is written after a refusal, pass now.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -90,24 +90,25 @@
 		this.#deps.metrics.observe('request', tookMs, {method: request.method, status: String(answer.status)});
 	}
 
-	/** Answers all requests in progress, and those that arrive later, at once: their outcome is unknown to the caller. */
+	/** Answers all requests in progress, and those that arrive later, at once. Nothing is written after these answers. */
 	end(): void {
 		this.#isEnded = true;
+		this.#deps.jobs.stop();
 		for (const answer of this.#unansweredRequests) {
 			answer();
 		}
 	}
 
 	async #answerBeforeEnd(request: CallerRequest): Promise<RouteAnswer> {
-		const unfinished: RouteAnswer = request.method === 'GET' ? {status: 503, body: {problem: 'this entry is stopping'}} : toAnswer({kind: 'unknown'});
+		const unfinished = (): RouteAnswer => this.#unlessUnknown(request, {status: 503, body: {problem: 'this entry is stopping'}});
 		if (this.#isEnded) {
-			return unfinished;
+			return unfinished();
 		}
 
 		let end = (): void => undefined;
 		const ended = new Promise<RouteAnswer>(resolve => {
 			end = () => {
-				resolve(unfinished);
+				resolve(unfinished());
 			};
 		});
 		this.#unansweredRequests.add(end);
--- a/packages/pool-entry/tests/caller-api.test.ts
+++ b/packages/pool-entry/tests/caller-api.test.ts
@@ -113,3 +113,51 @@
 		fixture.close();
 	});
 });
+
+describe('CallerApi at the end of its process', () => {
+	// All requests in progress were answered with 504, also those that had written nothing.
+	it('answers 503 to a job of which nothing has been written, and writes nothing of it later', async () => {
+		const {store, api, call, close} = await serveApi();
+		store.fault = 'refuse';
+		const answer = call('POST');
+		await sleep(100);
+		api.end();
+		expect(await answer).to.equal(503);
+		store.fault = 'none';
+		await sleep(300);
+		expect([...store.rows.keys()].filter(key => key.startsWith('jobs/'))).to.deep.equal([]);
+		close();
+	});
+
+	const unsettled: ReadonlyArray<{readonly title: string; readonly fault: 'lose_call' | 'slow'}> = [
+		{title: 'whose write is in progress', fault: 'slow'},
+		{title: 'whose write got no answer', fault: 'lose_call'},
+	];
+	for (const {title, fault} of unsettled) {
+		it(`answers 504 to a job ${title}`, async () => {
+			const {store, api, call, close} = await serveApi();
+			store.fault = fault;
+			const answer = call('POST');
+			await sleep(80);
+			const endedAtMs = performance.now();
+			api.end();
+			expect(await answer).to.equal(504);
+			expect(performance.now() - endedAtMs).to.be.below(END_TIMEOUT_MS);
+			close();
+		});
+	}
+
+	const late: ReadonlyArray<{readonly method: string; readonly status: number}> = [
+		{method: 'POST', status: 503},
+		{method: 'DELETE', status: 503},
+		{method: 'GET', status: 503},
+	];
+	for (const {method, status} of late) {
+		it(`answers ${status} to a ${method} that arrives afterwards`, async () => {
+			const {api, call, close} = await serveApi();
+			api.end();
+			expect(await call(method)).to.equal(status);
+			close();
+		});
+	}
+});
