Give no count of waiting jobs before the stored state is read

Cause: a leader that was still reading the stored state sent the counts of its empty state, and entries take a queue without a count for one without waiting jobs.

Counts are now absent unless the leader has read the stored state and was shown within 1.5 s to lead. The leader's own answers follow the same rule, which asks for no successful commit: a leader that knows the counts no longer answers 503 because it cannot write.

--- a/packages/pool-entry/src/leadership-permit.ts
+++ b/packages/pool-entry/src/leadership-permit.ts
@@ -66,12 +66,12 @@
 
 	/** @returns Whether orders may be sent. */
 	mayOrder(nowMs: number): boolean {
-		return this.#isConfirmedWithin(PEER_SILENCE_MS, nowMs);
+		return this.wasConfirmedWithin(PEER_SILENCE_MS, nowMs);
 	}
 
 	/** @returns Whether leases may be renewed. */
 	mayRenewLeases(nowMs: number): boolean {
-		return this.#isConfirmedWithin(this.#deposedLeaderGraceMs, nowMs);
+		return this.wasConfirmedWithin(this.#deposedLeaderGraceMs, nowMs);
 	}
 
 	/** @returns Whether to ask the store now for a confirmation. */
@@ -84,7 +84,12 @@
 		return true;
 	}
 
-	#isConfirmedWithin(spanMs: number, nowMs: number): boolean {
+	/**
+	 * @param spanMs - Time before `nowMs`.
+	 * @param nowMs - Leader's clock.
+	 * @returns Whether the store or another entry has shown within this time that this process leads.
+	 */
+	wasConfirmedWithin(spanMs: number, nowMs: number): boolean {
 		const isPauseUnnoticed = this.#lastTickAtMs !== undefined && nowMs - this.#lastTickAtMs > MAX_TICK_GAP_MS;
 		return this.#pausedUntilMs === undefined && !isPauseUnnoticed
 			&& nowMs - Math.max(this.#lastPeerCallAtMs, this.#lastConfirmedAtMs) < spanMs;
--- a/packages/pool-entry/src/peer-message-decoding.ts
+++ b/packages/pool-entry/src/peer-message-decoding.ts
@@ -37,12 +37,16 @@
 		isLeading,
 		configRowVersion,
 		entries: asList(entries).filter(entry => isAddress(entry)),
-		pending: Object.fromEntries(Object.entries(asFields(pending)).filter((entry): entry is [string, number] => isCount(entry[1]))),
+		...(isCounts(pending) && {pending}),
 		isDeputy: isDeputy !== false,
 		largestCores: numberOr(largestCores, 0),
 	};
 }
 
+function isCounts(value: unknown): value is Readonly<Record<string, number>> {
+	return typeof value === 'object' && value !== null && !Array.isArray(value) && Object.values(value).every(count => isCount(count));
+}
+
 /** @returns The request for a job's state, or undefined when it is malformed. */
 export function decodeJobStateRequest(body: unknown): JobStateRequest | undefined {
 	const {jobId} = asFields(body);
--- a/packages/pool-entry/src/peer-messages.ts
+++ b/packages/pool-entry/src/peer-messages.ts
@@ -24,13 +24,13 @@
 /** Answer of any entry to {@link HelloRequest}. */
 export type HelloAnswer = {
 	readonly epoch: number;
-	/** Whether the entry leads and its commits succeed, or it is recovering the stored state in order to lead. */
+	/** Whether the entry leads and its commits succeed, or it is reading the stored state in order to lead. */
 	readonly isLeading: boolean;
 	readonly configRowVersion: number;
 	/** Addresses of the entries that have called it or that it has learned from others. */
 	readonly entries: readonly string[];
-	/** Number of jobs that have not started, by queue. */
-	readonly pending: Readonly<Record<string, number>>;
+	/** Number of jobs that have not started, by queue; absent unless the entry leads and has read the stored state. */
+	readonly pending?: Readonly<Record<string, number>>;
 	/** Whether the caller is one of the entries that monitor the leader closely. */
 	readonly isDeputy: boolean;
 	/** Processor capacity of the largest entry that is known. */
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -22,14 +22,12 @@
 import {
 	type ConfigurationAnswer, type HelloAnswer, type HelloRequest, type JobStateAnswer, PEER_PATHS,
 } from './peer-messages.js';
+import {PendingCounts} from './pending-counts.js';
 import {PoolLeader} from './pool-leader.js';
 
 /** Margin below the bound within which a new configuration has to be active; covers the transit of a request. */
 const CONFIG_MARGIN_MS = 300;
 
-/** Maximum age of the leader's counts of waiting jobs that are still served to callers. */
-const MAX_PENDING_AGE_MS = 1500;
-
 /** New connections may still arrive after SIGTERM until two readiness checks of the platform have failed. */
 const DRAIN_DELAY_MS = 2500;
 
@@ -56,9 +54,9 @@
 	readonly #address: string;
 	readonly #limits: PoolLimits;
 	readonly #entries: EntryDirectory;
+	readonly #pendingCounts = new PendingCounts(this.#clock);
 	readonly #servers: GracefulServer[] = [];
 	#leader: PoolLeader | undefined;
-	#pending: {readonly counts: Readonly<Record<string, number>>; readonly atMs: number} | undefined;
 	#isStopping = false;
 
 	/**
@@ -120,7 +118,7 @@
 			config: this.#config,
 			jobs: this.#jobs,
 			isConfigUsable: () => this.#isConfigUsable(),
-			pendingCount: queue => this.#pendingCount(queue),
+			pendingCount: queue => this.#pendingCounts.countOf(queue, this.#leader),
 		});
 	}
 
@@ -242,6 +240,7 @@
 	#onHelloRequest(request: HelloRequest): RouteAnswer {
 		this.#entries.recordCall(request);
 		this.#leader?.recordPeerCall(request.epoch);
+		const pending = this.#pendingCounts.ofLeader(this.#leader);
 		void this.#fetchConfigIfNewer(request.configRowVersion, request.address);
 		return {
 			status: 200,
@@ -250,7 +249,7 @@
 				isLeading: (this.#leader?.isLeading ?? false) || (this.#leader?.isRecovering ?? false),
 				configRowVersion: this.#config.known?.row.version ?? 0,
 				entries: this.#entries.addresses,
-				pending: Object.fromEntries(this.#leader?.core.pendingCounts() ?? []),
+				...(pending && {pending}),
 				isDeputy: this.#entries.isDeputy(request.address),
 				largestCores: this.#entries.largestCores,
 			} satisfies HelloAnswer,
@@ -258,11 +257,10 @@
 	}
 
 	#onHelloAnswer(answer: HelloAnswer, address: string): void {
-		const nowMs = this.#clock.monotonicMs();
 		this.#entries.recordMentioned([address, ...answer.entries]);
 
-		if (answer.isLeading) {
-			this.#pending = {counts: answer.pending, atMs: nowMs};
+		if (answer.pending) {
+			this.#pendingCounts.record(answer.pending);
 		}
 
 		void this.#fetchConfigIfNewer(answer.configRowVersion, address);
@@ -283,15 +281,6 @@
 		}
 	}
 
-	#pendingCount(queue: string): number | undefined {
-		if (this.#leader?.isLeading) {
-			return this.#leader.core.pendingCounts().get(queue) ?? 0;
-		}
-
-		const pending = this.#pending;
-		return pending && this.#clock.monotonicMs() - pending.atMs < MAX_PENDING_AGE_MS ? pending.counts[queue] ?? 0 : undefined;
-	}
-
 	#otherEntries(): readonly string[] {
 		const leader = this.#follower.leaderAddress;
 		const others = this.#entries.addresses;
--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -117,6 +117,14 @@
 		return !this.#isStopped && !this.#isRecovered;
 	}
 
+	/**
+	 * @param spanMs - Time before now.
+	 * @returns Whether it has read the stored state, and was shown within this time to lead.
+	 */
+	wasConfirmedWithin(spanMs: number): boolean {
+		return !this.#isStopped && this.#isRecovered && this.#permit.wasConfirmedWithin(spanMs, this.#deps.clock.monotonicMs());
+	}
+
 	/** @param config - The newest configuration. */
 	setConfig(config: PoolConfig): void {
 		this.core.setConfig(config);
--- a/packages/pool-entry/tests/leadership-permit.test.ts
+++ b/packages/pool-entry/tests/leadership-permit.test.ts
@@ -6,49 +6,12 @@
 import {AGENT_PATHS, type OrderRequest, type WatchAnswer} from '@amaranthsail/pool-agent';
 import {ErrorGuard, ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
 import {MemoryPoolStore, servePeer} from './support.js';
+import {LEADER_ROW, makeLeader, SETTLE_MS} from './leader-fixture.js';
 import {LeadershipPermit} from '@amaranthsail/pool-entry/leadership-permit.js';
 import {PoolLeader} from '@amaranthsail/pool-entry/pool-leader.js';
 
 const GRACE_MS = 3000;
 
-/** Time for some ticks and calls of a leader over the loopback interface. */
-const SETTLE_MS = 400;
-
-const LEADER_ROW: LeaderRow = {
-	holder: 'self/1', address: '127.0.0.1:1', epoch: 1, commit: 0,
-};
-
-type LeaderFixture = {
-	readonly clock: ManualClock;
-	readonly store: MemoryPoolStore;
-	readonly metrics: ProcessMetrics;
-	readonly leader: PoolLeader;
-	/** Reasons for which the leader has given up leadership. */
-	readonly lost: readonly string[];
-};
-
-/** @returns A leader that has taken over and has not read the stored state yet. */
-function makeLeader(): LeaderFixture {
-	const clock = new ManualClock(100_000);
-	const store = new MemoryPoolStore();
-	store.follow = async table => {
-		await sleep(SETTLE_MS);
-		return store.read(table, {});
-	};
-
-	const {version} = store.put(TABLES.leader, LEADER_KEY, LEADER_ROW);
-	const metrics = new ProcessMetrics();
-	const lost: string[] = [];
-	const leader = new PoolLeader({row: LEADER_ROW, version}, {
-		store, clock, logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost(reason) {
-			lost.push(reason);
-		},
-	});
-	return {
-		clock, store, metrics, leader, lost,
-	};
-}
-
 describe('LeadershipPermit', () => {
 	type Step = {readonly atMs: number; readonly event: 'tick' | 'peer' | 'confirmed'; readonly sentAtMs?: number};
 	const ticks = (fromMs: number, untilMs: number): Step[] => Array.from({length: Math.floor((untilMs - fromMs) / 100) + 1}, (_, index) => ({atMs: fromMs + (index * 100), event: 'tick'}));
