Let another entry take over from a leader that cannot read the stored state

Cause: a leader counted as leading while it read the stored state, without a bound in time, so no other entry took over.

It now reports that it does not lead once no read has succeeded for 1.2 s, as a leader does whose commits fail. A store that needs longer for an answer would not let another entry take over either.

--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -23,6 +23,12 @@
 /** A leader whose commits have failed for this long reports that it does not lead, so that a standby takes over. */
 const MAX_COMMIT_FAILURE_MS = 700;
 
+/**
+ * A leader that cannot read the stored state for this long reports that it does not lead. Another entry needs an answer
+ * of the store within less than this in order to take over.
+ */
+const MAX_READ_FAILURE_MS = 1200;
+
 /** Dependencies of {@link PoolLeader}. */
 export type PoolLeaderDependencies = {
 	readonly store: PoolStore;
@@ -44,6 +50,8 @@
 	readonly #agentLinks: AgentLinks;
 	readonly #permit: LeadershipPermit;
 	#gaugesDueMs = Number.NEGATIVE_INFINITY;
+	/** Last answer of the store to the takeover or to a read of the stored state. */
+	#lastReadAtMs: number;
 	#isStopped = false;
 	#isRecovered = false;
 	#isTickScheduled = false;
@@ -55,6 +63,7 @@
 	constructor(leadership: Leadership, deps: PoolLeaderDependencies) {
 		this.#deps = deps;
 		this.#leadership = leadership;
+		this.#lastReadAtMs = deps.clock.monotonicMs();
 		this.#permit = new LeadershipPermit(deps.clock.monotonicMs(), deps.limits.deposedLeaderGraceMs);
 		this.core = new PoolCore(deps.clock, deps.limits, (event, fields) => {
 			deps.logger.info(event, {epoch: leadership.row.epoch, ...fields});
@@ -112,9 +121,9 @@
 		return !this.#isStopped && this.#isRecovered && this.#permit.mayOrder(this.#deps.clock.monotonicMs());
 	}
 
-	/** Whether it is still reading the stored state. */
+	/** Whether it is still reading the stored state, and the store answers. */
 	get isRecovering(): boolean {
-		return !this.#isStopped && !this.#isRecovered;
+		return !this.#isStopped && !this.#isRecovered && this.#deps.clock.monotonicMs() - this.#lastReadAtMs < MAX_READ_FAILURE_MS;
 	}
 
 	/**
@@ -246,6 +255,7 @@
 				continue;
 			}
 
+			this.#lastReadAtMs = this.#deps.clock.monotonicMs();
 			// The feed delivers changes between two pages: it starts at the version of the first page.
 			version ??= page.value.version;
 			rows.push(...page.value.rows);
