Believe a deregistration only once the worker's port is closed

Cause: the agent took the deregistration of a draining worker for its end. A worker that gets no acknowledgement in time goes on for some seconds, and a frozen agent reads the call long after it was sent.

The agent now waits until the worker's port refuses connections or another incarnation answers there, as it did for workers that do not drain. A draining worker may go on answering for any time.

--- a/packages/pool-agent/src/announced-worker.ts
+++ b/packages/pool-agent/src/announced-worker.ts
@@ -1,7 +1,7 @@
 import {WORKER_STATES, type WorkerFacts} from '@amaranthsail/pool';
 import {HeartbeatSequence} from './heartbeat-sequence.js';
 
-/** A worker that deregisters ends at once. One that answers for this time after its deregistration hasn't sent it. */
+/** A worker that does not drain and answers for this time after a deregistration hasn't sent it. */
 const MAX_ANSWERS_AFTER_LEAVE_MS = 2000;
 
 /** Number of incarnations that have left and are still reported. */
@@ -29,7 +29,12 @@
 	readonly isConfirmed: boolean;
 };
 
-type Leave = {readonly incarnation: string; readonly atMs: number};
+type Leave = {
+	readonly incarnation: string;
+	readonly atMs: number;
+	/** Whether the worker had announced it by draining. */
+	readonly isExpected: boolean;
+};
 
 /**
  * The incarnation of the worker that its heartbeats name.
@@ -117,35 +122,34 @@
 			worker !== undefined && worker.facts.id === expectedId && (startedAtMs === undefined || worker.startedAtMs === startedAtMs);
 		if (isAnswering(this.#known)) {
 			this.#known = this.#known.isConfirmed ? this.#known : {...this.#known, isConfirmed: true};
-			if (this.#leave && nowMs - this.#leave.atMs > MAX_ANSWERS_AFTER_LEAVE_MS) {
+			if (this.#leave && !this.#leave.isExpected && nowMs - this.#leave.atMs > MAX_ANSWERS_AFTER_LEAVE_MS) {
 				this.#leave = undefined;
 			}
 		} else if (isAnswering(this.#held)) {
-			this.#setKnown({...this.#held, isConfirmed: true});
+			const next = {...this.#held, isConfirmed: true};
+			if (this.#leave?.isExpected) {
+				this.#recordLeft(this.#leave.incarnation);
+			}
+
+			this.#setKnown(next);
 		}
 	}
 
 	/**
-	 * Processes a deregistration. One that a draining worker sends is expected; an incarnation that has not answered yet may
-	 * receive a late one of the incarnation before it.
+	 * Processes a deregistration. It does not show that the worker has ended: a worker that gets no acknowledgement in time
+	 * goes on for some seconds, and the call may have been waiting while this process or its VM was paused. So the worker has
+	 * left once its port refuses connections. A deregistration that a draining worker sends is expected; others may be late
+	 * ones of an earlier incarnation.
 	 *
 	 * @param workerId - Id of the worker.
 	 * @param startedAtMs - Start time of the incarnation that leaves, if the call names it.
 	 * @param nowMs - Agent's clock.
-	 * @returns The incarnation that has left; undefined if it isn't known, or may still be there.
 	 */
-	onLeave(workerId: string, startedAtMs: number | undefined, nowMs: number): string | undefined {
+	onLeave(workerId: string, startedAtMs: number | undefined, nowMs: number): void {
 		const known = this.#known;
-		if (known?.facts.id !== workerId || (startedAtMs ?? known.startedAtMs) !== known.startedAtMs) {
-			return undefined;
-		}
-
-		if (known.isConfirmed && known.facts.state === WORKER_STATES.draining) {
-			return this.#removeKnown(known);
+		if (known?.facts.id === workerId && (startedAtMs ?? known.startedAtMs) === known.startedAtMs) {
+			this.#leave = {incarnation: known.facts.life, atMs: nowMs, isExpected: known.isConfirmed && known.facts.state === WORKER_STATES.draining};
 		}
-
-		this.#leave = {incarnation: known.facts.life, atMs: nowMs};
-		return undefined;
 	}
 
 	/**
@@ -173,8 +177,12 @@
 
 	#removeKnown(known: KnownWorker): string {
 		this.#known = undefined;
-		this.#leave = undefined;
-		this.#leftIncarnations = [...this.#leftIncarnations, known.facts.life].slice(-MAX_LEFT_INCARNATIONS);
+		this.#recordLeft(known.facts.life);
 		return known.facts.life;
 	}
+
+	#recordLeft(incarnation: string): void {
+		this.#leave = undefined;
+		this.#leftIncarnations = [...this.#leftIncarnations, incarnation].slice(-MAX_LEFT_INCARNATIONS);
+	}
 }
--- a/packages/pool-agent/src/pool-agent-core.ts
+++ b/packages/pool-agent/src/pool-agent-core.ts
@@ -99,7 +99,7 @@
 	 * @param startedAtMs - Start time of the incarnation that has left, if the call names it.
 	 */
 	onLeave(workerId: string, startedAtMs?: number): void {
-		this.#onLeft(this.#announced.onLeave(workerId, startedAtMs, this.#deps.clock.monotonicMs()));
+		this.#announced.onLeave(workerId, startedAtMs, this.#deps.clock.monotonicMs());
 		if (this.#announced.known?.facts.id === workerId) {
 			this.#deps.logger.info('deregistration held', {worker: this.#announced.known.facts.life});
 			void this.#pollWorker(0, {isCheck: true});
