Close idle connections to an address when one stops answering

Cause: after the timeout of one connection the client took the next idle one, which was silent too, and so on: one timeout for each connection that a burst had left open.

Now a request without an answer closes the idle connections to its address, and the next request opens a new one.

--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -81,6 +81,18 @@
 		this.#agent.destroy();
 	}
 
+	/**
+	 * Connections to one address go silent together, for example when a firewall forgets them. So after one has not answered,
+	 * the next request uses a new connection instead of waiting for each idle one in turn.
+	 */
+	#closeIdleConnections(): void {
+		for (const sockets of Object.values(this.#agent.freeSockets)) {
+			for (const socket of sockets ?? []) {
+				socket.destroy();
+			}
+		}
+	}
+
 	/** @throws When the request is invalid; then nothing has been sent. */
 	async #send(jsonRequest: JsonRequest, bodyText: string | undefined): Promise<Result<JsonResponse, RequestError>> {
 		return new Promise(resolve => {
@@ -110,7 +122,13 @@
 				outgoing.destroy();
 			};
 
-			const timer = setTimeout(abort, Math.min(jsonRequest.timeoutMs, MAX_TIMER_MS), `no answer within ${jsonRequest.timeoutMs} ms`);
+			const timer = setTimeout(() => {
+				if (isConnected) {
+					this.#closeIdleConnections();
+				}
+
+				abort(`no answer within ${jsonRequest.timeoutMs} ms`);
+			}, Math.min(jsonRequest.timeoutMs, MAX_TIMER_MS));
 			const connectTimer = setTimeout(() => {
 				if (!isConnected) {
 					abort(`no connection within ${CONNECT_TIMEOUT_MS} ms`);
