Count a job as waiting until its placement is stored

Callers could see too few waiting jobs, and a job as running that no worker had been told of, while the leader could not reach the store.

Cause: counts and states were taken from the leader's decisions, also from those whose commits had not succeeded. A leader answers with them while other entries call it.

A job now counts as begun once a run of it is stored, which is when its start may be sent.

Evidence: "counts a job as waiting until its placement is stored" fails without the change (no waiting job counted instead of one).

--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -2,7 +2,9 @@
 import type {Commit} from './commit-queue.js';
 import {CrashLedger} from './crash-ledger.js';
 import {JobLifecycle} from './job-lifecycle.js';
-import {FINAL_STATES, type Job} from './job-model.js';
+import {
+	FINAL_STATES, type Job, RUN_PHASES, type Task,
+} from './job-model.js';
 import {
 	JOB_STATES, type JobState, type OrderOutcome, type PoolConfig, type WorkerOrder,
 } from './model.js';
@@ -208,7 +210,7 @@
 		return job && {account: job.account, isCancelled: job.isCancelled, hasEnded: FINAL_STATES.has(job.state)};
 	}
 
-	/** @returns The number of jobs none of whose tasks has been placed, by queue. */
+	/** @returns The number of jobs for none of whose tasks a run is stored, by queue. */
 	pendingCounts(): ReadonlyMap<string, number> {
 		const counts = new Map<string, number>();
 		for (const job of this.#context.jobs.values()) {
@@ -254,6 +256,11 @@
 		return job.state;
 	}
 
-	const hasStarted = job.occurrences.some(occurrence => occurrence.steps.some(step => step.tasks.some(task => task.lastRunNumber > 0)));
-	return hasStarted ? JOB_STATES.running : JOB_STATES.queued;
+	const isRunning = job.occurrences.some(occurrence => occurrence.steps.some(step => step.tasks.some(task => hasStarted(task))));
+	return isRunning ? JOB_STATES.running : JOB_STATES.queued;
+}
+
+/** Whether a run of the task is stored. Nothing is started before, and the store may stay unreachable. */
+function hasStarted({lastRunNumber, run}: Task): boolean {
+	return lastRunNumber > 1 || (lastRunNumber === 1 && run?.phase !== RUN_PHASES.recording);
 }
--- a/packages/pool/tests/pool-core.test.ts
+++ b/packages/pool/tests/pool-core.test.ts
@@ -79,6 +79,22 @@
 		});
 	});
 
+	// While the store could not be reached, jobs counted as begun that no worker had been told of.
+	it('counts a job as waiting until its placement is stored', () => {
+		const worker = new FakeWorker('w1');
+		const harness = new PoolHarness([worker]);
+		harness.runCycle();
+		harness.isStoreAvailable = false;
+		harness.submit('j1', 'normal', [makeStep()]);
+		harness.advance(500);
+		expect(harness.core.pendingCounts().get('normal')).to.equal(1);
+		expect(harness.core.jobView('j1')?.state).to.equal('queued');
+		harness.isStoreAvailable = true;
+		harness.advance(500);
+		expect(harness.core.pendingCounts().get('normal')).to.equal(undefined);
+		expect(harness.core.jobView('j1')?.state).to.equal('running');
+	});
+
 	// The jobs and suspects tables grew without bound.
 	it('removes ended jobs from the store and from memory after an hour, and keeps waiting ones', () => {
 		const worker = new FakeWorker('w1');
