--- a/packages/pool-entry/tests/pending-counts.test.ts
+++ b/packages/pool-entry/tests/pending-counts.test.ts
@@ -1,22 +1,12 @@
 import {expect} from 'chai';
 import {ManualClock} from '@amaranthsail/core';
 import {sleep} from '@amaranthsail/pool-runtime';
-import {type JobRow, type PoolConfig, TABLES} from '@amaranthsail/pool';
+import {type PoolConfig, TABLES} from '@amaranthsail/pool';
 import {makeLeader, SETTLE_MS} from './leader-fixture.js';
+import {JOB_ROW} from './support.js';
 import type {PoolLeader} from '@amaranthsail/pool-entry/pool-leader.js';
 import {PendingCounts} from '@amaranthsail/pool-entry/pending-counts.js';
 
-const JOB_ROW: JobRow = {
-	queue: 'q',
-	account: 'a',
-	acceptedAtMs: 1,
-	spec: {
-		payload: '', steps: [{
-			taskCount: 1, shape: {cpuMillis: 1, memoryMb: 1, accelerators: 1}, estimatedMs: 1, after: [], isGang: false, prefersOneRack: false, isCheckpointing: false, isLasting: false,
-		}],
-	},
-};
-
 const CONFIG: PoolConfig = {version: 1, queues: [], accounts: []};
 
 /** @returns What a leader looks like that knows one waiting job, or nothing yet. */
--- a/packages/pool-entry/tests/support.ts
+++ b/packages/pool-entry/tests/support.ts
@@ -2,7 +2,7 @@
 import {err, ok, type Result} from '@amaranthsail/core';
 import {type RouteHandler, serveJson} from '@amaranthsail/pool-runtime';
 import type {
-	KeyRange, PoolStore, RowCondition, RowPage, RowWrite, StoredRow, StoreError,
+	JobRow, KeyRange, PoolStore, RowCondition, RowPage, RowWrite, StoredRow, StoreError,
 } from '@amaranthsail/pool';
 
 /** Fault that {@link MemoryPoolStore} applies to its calls. */
@@ -11,6 +11,18 @@
 /** Time of one transaction of a slow store, which executes one at a time. */
 export const SLOW_TRANSACTION_MS = 170;
 
+/** A stored job with one task. */
+export const JOB_ROW: JobRow = {
+	queue: 'q',
+	account: 'north',
+	acceptedAtMs: 1,
+	spec: {
+		payload: '', steps: [{
+			taskCount: 1, shape: {cpuMillis: 1, memoryMb: 1, accelerators: 1}, estimatedMs: 1, after: [], isGang: false, prefersOneRack: false, isCheckpointing: false, isLasting: false,
+		}],
+	},
+};
+
 /** Serves a peer's API on a free port of the loopback interface. */
 export async function servePeer(routes: Record<string, RouteHandler>): Promise<{readonly address: string; readonly close: () => void}> {
 	const server = await serveJson('127.0.0.1:0', routes, (path, error) => {
--- a/packages/pool-entry/tests/unknown-outcomes.test.ts
+++ b/packages/pool-entry/tests/unknown-outcomes.test.ts
@@ -1,24 +1,15 @@
 import {expect} from 'chai';
 import {silentLogger, SystemClock} from '@amaranthsail/core';
-import {cancellationKey, type JobRow, type StoredRow, TABLES} from '@amaranthsail/pool';
+import {cancellationKey, type StoredRow, TABLES} from '@amaranthsail/pool';
 import type {RouteHandler} from '@amaranthsail/pool-runtime';
-import {MemoryPoolStore, servePeer, type StoreFault} from './support.js';
+import {
+	JOB_ROW, MemoryPoolStore, servePeer, type StoreFault,
+} from './support.js';
 import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
 import {JobService, type JobServiceDependencies} from '@amaranthsail/pool-entry/job-service.js';
 import {decodeRelayRequest} from '@amaranthsail/pool-entry/peer-message-decoding.js';
 import {PEER_PATHS} from '@amaranthsail/pool-entry/peer-messages.js';
 
-const ROW: JobRow = {
-	queue: 'q',
-	account: 'north',
-	acceptedAtMs: 0,
-	spec: {
-		payload: '', steps: [{
-			taskCount: 1, shape: {cpuMillis: 1, memoryMb: 1, accelerators: 1}, estimatedMs: 1, after: [], isGang: false, prefersOneRack: false, isCheckpointing: false, isLasting: false,
-		}],
-	},
-};
-
 const TIMES = {budgetMs: 250, deadlineMs: 250};
 
 const CONFIG = {table: 'configurations', key: 'newest'};
@@ -89,7 +80,7 @@
 			const peer = await relayPeer(handler(store, configRow));
 			const {service} = createEntry(store, configRow, {entries: () => [peer]});
 			failNext(store, 'lose_answer', 'refuse');
-			expect(await service.submit({jobId: 'j1', row: ROW, configRow, ...TIMES})).to.deep.equal({kind: 'unknown'});
+			expect(await service.submit({jobId: 'j1', row: JOB_ROW, configRow, ...TIMES})).to.deep.equal({kind: 'unknown'});
 			expect(store.rows.has(`${TABLES.jobs}/j1`)).to.equal(true);
 			expect(service.maySubmitTakeEffect('j1')).to.equal(true);
 		});
@@ -106,7 +97,7 @@
 			const peer = await relayPeer(() => ({status}));
 			const {service} = createEntry(store, configRow, {entries: () => [peer]});
 			store.fault = 'refuse';
-			expect(await service.submit({jobId: 'j1', row: ROW, configRow, ...TIMES})).to.deep.equal({kind: outcome});
+			expect(await service.submit({jobId: 'j1', row: JOB_ROW, configRow, ...TIMES})).to.deep.equal({kind: outcome});
 		});
 	}
 
@@ -116,13 +107,13 @@
 		const configRow = store.put(CONFIG.table, CONFIG.key, {});
 		const {service} = createEntry(store, configRow);
 		store.fault = 'lose_call';
-		expect(await service.submit({jobId: 'j1', row: ROW, configRow, ...TIMES})).to.deep.equal({kind: 'unknown'});
+		expect(await service.submit({jobId: 'j1', row: JOB_ROW, configRow, ...TIMES})).to.deep.equal({kind: 'unknown'});
 		store.put(CONFIG.table, CONFIG.key, {});
 		store.fault = 'none';
-		expect(await service.submit({jobId: 'j1', row: ROW, configRow, ...TIMES})).to.deep.equal({kind: 'configuration_changed'});
+		expect(await service.submit({jobId: 'j1', row: JOB_ROW, configRow, ...TIMES})).to.deep.equal({kind: 'configuration_changed'});
 		expect(service.maySubmitTakeEffect('j1')).to.equal(false);
 		store.fault = 'refuse';
-		expect(await service.submit({jobId: 'j1', row: ROW, configRow, ...TIMES})).to.deep.equal({kind: 'not_stored'});
+		expect(await service.submit({jobId: 'j1', row: JOB_ROW, configRow, ...TIMES})).to.deep.equal({kind: 'not_stored'});
 	});
 
 	it('stays unknown if the write depended on a newer configuration than the replaced one', async () => {
@@ -132,10 +123,10 @@
 		const {service} = createEntry(store, older);
 		store.fault = 'lose_call';
 		await service.onRelay({
-			kind: 'submit', jobId: 'j1', row: ROW, configRowVersion: newer.version, budgetMs: 100,
+			kind: 'submit', jobId: 'j1', row: JOB_ROW, configRowVersion: newer.version, budgetMs: 100,
 		});
 		store.fault = 'none';
-		expect(await service.submit({jobId: 'j1', row: ROW, configRow: older, ...TIMES})).to.deep.equal({kind: 'configuration_changed'});
+		expect(await service.submit({jobId: 'j1', row: JOB_ROW, configRow: older, ...TIMES})).to.deep.equal({kind: 'configuration_changed'});
 		expect(service.maySubmitTakeEffect('j1')).to.equal(true);
 	});
 
@@ -145,7 +136,7 @@
 		const {service, config} = createEntry(store, undefined);
 		config.markConfirmed();
 		const answer = await service.onRelay({
-			kind: 'submit', jobId: 'j1', row: ROW, configRowVersion: configRow.version, budgetMs: 100,
+			kind: 'submit', jobId: 'j1', row: JOB_ROW, configRowVersion: configRow.version, budgetMs: 100,
 		});
 		expect(answer.body).to.deep.equal({kind: 'accepted'});
 	});
@@ -169,7 +160,7 @@
 			const other = createEntry(store, configRow, {entries: () => [peer]});
 			store.fault = 'refuse';
 			const {service} = isRelayed ? other : leader;
-			expect(await service.submit({jobId: 'j1', row: {...ROW, account}, configRow, ...TIMES})).to.deep.equal({kind: outcome});
+			expect(await service.submit({jobId: 'j1', row: {...JOB_ROW, account}, configRow, ...TIMES})).to.deep.equal({kind: outcome});
 		});
 	}
 
@@ -195,7 +186,7 @@
 		const store = new MemoryPoolStore();
 		const {service, config} = createEntry(store, undefined);
 		config.markConfirmed();
-		store.put(TABLES.jobs, 'j1', ROW);
+		store.put(TABLES.jobs, 'j1', JOB_ROW);
 		failNext(store, 'lose_answer', 'refuse');
 		expect(await service.cancel('j1', 'north', 100)).to.deep.equal({kind: 'unknown'});
 		expect(store.rows.has(`${TABLES.jobs}/${cancellationKey('j1')}`)).to.equal(true);
@@ -207,7 +198,7 @@
 		const configRow = store.put(CONFIG.table, CONFIG.key, {});
 		const {service} = createEntry(store, configRow);
 		store.fault = 'lose_call';
-		await service.submit({jobId: 'j1', row: ROW, configRow, ...TIMES});
+		await service.submit({jobId: 'j1', row: JOB_ROW, configRow, ...TIMES});
 		store.fault = 'none';
 		expect(await service.cancel('j1', 'north', 100)).to.deep.equal({kind: 'unknown'});
 		expect(await service.cancel('j2', 'north', 100)).to.deep.equal({kind: 'no_such_job'});
