Let entries on slow links receive a large configuration

An entry on a 10 Mbit/s link answered by version 32 until 4 s after version 38 was acknowledged. A configuration with 1,825 queues is an answer of 700 KB. Every exchange with the leader started another transfer of it, each rejected request one more, and all were cut off after 0.5 to 1.2 s, so none ever ended; the entry went on serving, as the leader still answered it.

Requests for the configuration share one transfer, the feed is asked for changes only, a transfer may last while bytes arrive, peers are asked once at a time and only if the feed does not deliver, and an entry that knows of a newer version for longer than the bound allows answers 503.

--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -25,7 +25,10 @@
 	readonly path: string;
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: unknown;
+	/** Longest wait for the answer; with `transferTimeoutMs`, for its first bytes and between two parts of it. */
 	readonly timeoutMs: number;
+	/** Longest time for the whole answer. A large one takes seconds on a slow link, on which a silent connection has to be noticed earlier. */
+	readonly transferTimeoutMs?: number;
 	/** Decides, before anything is written, whether the request may use a connection; if not, it fails as not sent. */
 	readonly acceptsConnection?: (socket: Socket) => boolean;
 };
@@ -122,13 +125,16 @@
 				outgoing.destroy();
 			};
 
-			const timer = setTimeout(() => {
+			const onTimeout = (): void => {
 				if (isConnected) {
 					this.#closeIdleConnections();
 				}
 
 				abort(`no answer within ${jsonRequest.timeoutMs} ms`);
-			}, Math.min(jsonRequest.timeoutMs, MAX_TIMER_MS));
+			};
+
+			const endMs = performance.now() + (jsonRequest.transferTimeoutMs ?? 0);
+			let timer = setTimeout(onTimeout, Math.min(jsonRequest.timeoutMs, MAX_TIMER_MS));
 			const connectTimer = setTimeout(() => {
 				if (!isConnected) {
 					abort(`no connection within ${CONNECT_TIMEOUT_MS} ms`);
@@ -160,6 +166,10 @@
 				const chunks: Uint8Array[] = [];
 				response.on('data', (chunk: Uint8Array) => {
 					chunks.push(chunk);
+					if (jsonRequest.transferTimeoutMs !== undefined) {
+						clearTimeout(timer);
+						timer = setTimeout(onTimeout, Math.max(0, Math.min(jsonRequest.timeoutMs, endMs - performance.now())));
+					}
 				});
 				response.on('error', error => {
 					fail(timeoutMessage === '' ? error.message : timeoutMessage);
--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -214,7 +214,7 @@
 		}
 
 		await config.refresh();
-		return selectFromConfig(config.known, request);
+		return this.#deps.isConfigUsable() ? selectFromConfig(config.known, request) : {status: 503, body: {problem: 'no current configuration'}};
 	}
 }
 
--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -24,6 +24,9 @@
 
 const READ_TIMEOUT_MS = 800;
 
+/** The store answers at once whether there is a change. */
+const SHORTEST_FEED_WAIT_MS = 1;
+
 /** Keeps the newest configuration. It never returns to an older version, whatever the store's feed or a peer sends. */
 export class ConfigFollower {
 	readonly #store: PoolStore;
@@ -32,6 +35,11 @@
 	readonly #logger: Logger;
 	#known: KnownConfig | undefined;
 	#confirmedAtMs = Number.NEGATIVE_INFINITY;
+	/** A newer row than the known one that another entry has, and since when this is known. */
+	#announced: {readonly rowVersion: number; readonly sinceMs: number} | undefined;
+	/** Position in the store's change feed. */
+	#feedVersion: number | undefined;
+	#refreshing: Promise<number | undefined> | undefined;
 	#listener: ((config: PoolConfig) => void) | undefined;
 	#isStopped = false;
 
@@ -64,6 +72,18 @@
 		return this.#clock.monotonicMs() - this.#confirmedAtMs;
 	}
 
+	/** Milliseconds since another entry was first heard to have a newer configuration than the known one; 0 if none has. */
+	get behindMs(): number {
+		return this.#announced ? this.#clock.monotonicMs() - this.#announced.sinceMs : 0;
+	}
+
+	/** @param rowVersion - Version of the configuration row that another entry has. */
+	recordAnnounced(rowVersion: number): void {
+		if (rowVersion > (this.#known?.row.version ?? 0) && !this.#announced) {
+			this.#announced = {rowVersion, sinceMs: this.#clock.monotonicMs()};
+		}
+	}
+
 	/** @param listener - Called with each new configuration. */
 	onChange(listener: (config: PoolConfig) => void): void {
 		this.#listener = listener;
@@ -97,6 +117,10 @@
 			version: config.version, previous: this.#known?.config.version ?? 'none', rowVersion: row.version, origin, queues: config.queues.length, accounts: config.accounts.length,
 		});
 		this.#known = {config, row};
+		if (this.#announced && this.#announced.rowVersion <= row.version) {
+			this.#announced = undefined;
+		}
+
 		this.#listener?.(config);
 	}
 
@@ -106,54 +130,31 @@
 	}
 
 	/**
-	 * Reads the configuration now.
+	 * Asks the store for a newer configuration. Calls share the request in progress: on a slow link, each further transfer
+	 * of a large configuration would delay all of them beyond their timeouts.
 	 *
-	 * @param timeoutMs - Timeout of the read.
-	 * @returns Version of the store at the read, or undefined when the read failed.
+	 * @param timeoutMs - Longest wait; the request itself may go on.
+	 * @returns Version of the store at the request, or undefined when it failed or did not end in time.
 	 */
 	async refresh(timeoutMs = READ_TIMEOUT_MS): Promise<number | undefined> {
-		const {table, key} = this.#source;
-		const sentAtMs = this.#clock.monotonicMs();
-		const page = await this.#store.read(table, {from: key, to: `${key}\0`}, timeoutMs);
-		if (!page.ok) {
-			return undefined;
-		}
-
-		for (const row of page.value.rows) {
-			this.applyIfNewer(row, 'read');
-		}
-
-		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentAtMs);
-		return page.value.version;
+		this.#refreshing ??= this.#refreshAndRelease();
+		return Promise.race([this.#refreshing, sleep(timeoutMs).then(() => undefined)]);
 	}
 
 	/** Follows the store's change feed until {@link ConfigFollower.stop} is called. */
 	async run(): Promise<void> {
-		let version: number | undefined;
 		let isStoreReached = true;
 		while (!this.#isStopped) {
-			if (version === undefined) {
-				version = await this.refresh();
-			} else {
-				const page = await this.#store.follow(this.#source.table, version, FEED_WAIT_MS);
-				if (page.ok) {
-					for (const row of page.value.rows) {
-						this.applyIfNewer(row, 'feed');
-					}
-
-					version = Math.max(version, page.value.version);
-					this.markConfirmed();
-				} else {
-					version = page.error.kind === 'history_lost' ? await this.refresh() : undefined;
-				}
-			}
-
-			if ((version !== undefined) !== isStoreReached) {
-				isStoreReached = version !== undefined;
-				this.#logger.info(isStoreReached ? 'store reached again' : 'store not reached', {purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(this.ageMs)});
+			const isReached = this.#feedVersion === undefined ? await this.refresh() !== undefined : await this.#follow(FEED_WAIT_MS, 'feed');
+			if (isReached !== isStoreReached) {
+				isStoreReached = isReached;
+				this.#logger.info(isStoreReached ? 'store reached again' : 'store not reached', {
+					purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(this.ageMs), behindMs: Math.round(this.behindMs),
+				});
 			}
 
-			if (version === undefined) {
+			if (!isReached) {
+				this.#feedVersion = undefined;
 				await sleep(RETRY_DELAY_MS);
 			}
 		}
@@ -163,4 +164,50 @@
 	stop(): void {
 		this.#isStopped = true;
 	}
+
+	async #refreshAndRelease(): Promise<number | undefined> {
+		try {
+			// The feed returns the configuration only if it has changed.
+			if (this.#feedVersion !== undefined && await this.#follow(SHORTEST_FEED_WAIT_MS, 'read')) {
+				return this.#feedVersion;
+			}
+
+			return await this.#read();
+		} finally {
+			this.#refreshing = undefined;
+		}
+	}
+
+	async #read(): Promise<number | undefined> {
+		const {table, key} = this.#source;
+		const sentAtMs = this.#clock.monotonicMs();
+		const page = await this.#store.read(table, {from: key, to: `${key}\0`}, READ_TIMEOUT_MS);
+		if (!page.ok) {
+			return undefined;
+		}
+
+		this.#onRows(page.value.rows, 'read', sentAtMs);
+		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
+		return page.value.version;
+	}
+
+	/** @returns Whether the store has answered. */
+	async #follow(waitMs: number, origin: string): Promise<boolean> {
+		const page = await this.#store.follow(this.#source.table, this.#feedVersion!, waitMs);
+		if (!page.ok) {
+			return page.error.kind === 'history_lost' && await this.#read() !== undefined;
+		}
+
+		this.#onRows(page.value.rows, origin, this.#clock.monotonicMs());
+		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
+		return true;
+	}
+
+	#onRows(rows: readonly StoredRow[], origin: string, confirmedAtMs: number): void {
+		for (const row of rows) {
+			this.applyIfNewer(row, origin);
+		}
+
+		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, confirmedAtMs);
+	}
 }
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -39,6 +39,15 @@
 
 const PEER_TIMEOUT_MS = 500;
 
+/** Longest transfer of a configuration from a peer over a slow link. */
+const CONFIG_TRANSFER_TIMEOUT_MS = 4000;
+
+/** An entry that reaches the store gets a new configuration from its feed within this time, and needs no second transfer. */
+const FEED_DELAY_MS = 400;
+
+/** Entries exchange the version of their configurations at least this often. */
+const MAX_HELLO_INTERVAL_MS = 1000;
+
 /** An entry process: the callers' API, the API for peers and agents, and the leader while this process leads. */
 export class PoolEntryProgram {
 	readonly #settings: NodeSettings;
@@ -58,6 +67,7 @@
 	readonly #servers: GracefulServer[] = [];
 	#leader: PoolLeader | undefined;
 	#isStopping = false;
+	#isFetchingConfig = false;
 
 	/**
 	 * @param settings - Settings of this process.
@@ -169,10 +179,15 @@
 
 	/**
 	 * The configuration is usable while the store or the leader has confirmed it within the bound. A leader learns of a
-	 * newer one from the entries that call it, so it may rely on its own only while they do.
+	 * newer one from the entries that call it, so it may rely on its own only while they do. A configuration that another
+	 * entry has replaced for that long is not usable, whoever confirms it.
 	 */
 	#isConfigUsable(): boolean {
 		const limitMs = this.#settings.bounds.configApplyMs - CONFIG_MARGIN_MS;
+		return this.#config.behindMs < limitMs - MAX_HELLO_INTERVAL_MS && this.#isConfigConfirmed(limitMs);
+	}
+
+	#isConfigConfirmed(limitMs: number): boolean {
 		return this.#config.ageMs < limitMs || this.#leader?.canAnswer === true || this.#follower.leaderSilentMs < limitMs;
 	}
 
@@ -266,15 +281,22 @@
 		void this.#fetchConfigIfNewer(answer.configRowVersion, address);
 	}
 
-	/** Fetches the configuration from a peer that has a newer one. */
+	/** Fetches the configuration from a peer that has a newer one, unless the store is about to deliver it. */
 	async #fetchConfigIfNewer(rowVersion: number, address: string): Promise<void> {
 		if (rowVersion <= (this.#config.known?.row.version ?? 0)) {
 			return;
 		}
 
+		this.#config.recordAnnounced(rowVersion);
+		if (this.#isFetchingConfig || (this.#config.known && this.#config.behindMs < FEED_DELAY_MS && this.#config.ageMs < MAX_HELLO_INTERVAL_MS)) {
+			return;
+		}
+
+		this.#isFetchingConfig = true;
 		const client = new JsonClient(address, 1);
-		const answer = await client.call({method: 'POST', path: PEER_PATHS.configuration, body: {}, timeoutMs: PEER_TIMEOUT_MS});
+		const answer = await client.call({method: 'POST', path: PEER_PATHS.configuration, body: {}, timeoutMs: PEER_TIMEOUT_MS, transferTimeoutMs: CONFIG_TRANSFER_TIMEOUT_MS});
 		client.close();
+		this.#isFetchingConfig = false;
 		const row = answer.ok ? decodeStoredRow(asFields(answer.value.body).row) : undefined;
 		if (row) {
 			this.#config.applyIfNewer(row, `peer ${address}`);
