Break the circles of imports in the pool

The job model imported the judgement of crashes, and the run lifecycle the late starts, each for one type or function. The record of a crash and the account of unanswered starts have modules of their own; no behaviour changes.

--- a/packages/pool/src/job-model.ts
+++ b/packages/pool/src/job-model.ts
@@ -3,7 +3,7 @@
 } from './model.js';
 import type {QueueTerms} from './queue-terms.js';
 import {formatTaskName} from './task-name.js';
-import type {WorkerCrash} from './worker-crash.js';
+import type {WorkerCrash} from './crash-record.js';
 
 /** Phases of a run as its leader sees it. */
 export const RUN_PHASES = {
--- a/packages/pool/src/late-starts.ts
+++ b/packages/pool/src/late-starts.ts
@@ -2,12 +2,7 @@
 import type {PoolContext} from './pool-context.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
-
-/** A call without an answer is carried out within seconds, or never. */
-const MAX_CALL_DELAY_MS = 10_000;
-
-/** An agent that has stood still relays the orders that it then finds, at most this long after they were sent. */
-const MAX_RELAY_DELAY_MS = 10_000;
+import {MAX_CALL_DELAY_MS, mayStartLate} from './unanswered-starts.js';
 
 /**
  * Prevents starts that remained unanswered from being carried out by a later incarnation of their worker. An incarnation
@@ -129,34 +124,7 @@
 	}
 }
 
-/**
- * Remembers a run that ends while a start of it remains unanswered.
- *
- * @param run - The run.
- * @param worker - Its worker.
- * @param nowMs - Leader's clock.
- */
-export function recordEndedUnanswered(run: Run, worker: TrackedWorker, nowMs: number): void {
-	for (const [task, {endedAtMs}] of worker.endedUnanswered) {
-		if (endedAtMs >= nowMs - MAX_CALL_DELAY_MS) {
-			break;
-		}
-
-		worker.endedUnanswered.delete(task);
-	}
-
-	if (mayStartLate(run, nowMs)) {
-		worker.endedUnanswered.delete(run.task.name);
-		worker.endedUnanswered.set(run.task.name, {run: run.number, endedAtMs: nowMs});
-	}
-}
-
 /** @returns Whether a late start of the run has been awaited for so long that its task is placed again. */
 export function isLateStartOverdue(run: Run, nowMs: number): boolean {
 	return run.keptFor !== undefined && nowMs >= run.keptFor.untilMs;
 }
-
-function mayStartLate(run: Run, nowMs: number): boolean {
-	const isStartDue = run.unansweredStarts > 0 && nowMs - run.startSentAtMs <= MAX_RELAY_DELAY_MS + MAX_CALL_DELAY_MS;
-	return isStartDue || run.keptFor !== undefined;
-}
--- a/packages/pool/src/row-decoding.ts
+++ b/packages/pool/src/row-decoding.ts
@@ -8,7 +8,7 @@
 import {
 	type IncarnationRow, type JobRow, type LeaderRow, MAX_EPOCH, type MemberRow, type RunRow,
 } from './rows.js';
-import {CRASH_EVIDENCE, type CrashEvidence, type WorkerCrash} from './worker-crash.js';
+import {CRASH_EVIDENCE, type CrashEvidence, type WorkerCrash} from './crash-record.js';
 
 /**
  * Decodes a row of the jobs table.
--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -1,6 +1,6 @@
 import type {JobSpec, JobState} from './model.js';
 import type {QueueTerms} from './queue-terms.js';
-import type {WorkerCrash} from './worker-crash.js';
+import type {WorkerCrash} from './crash-record.js';
 
 /** Tables of a pool. */
 export const TABLES = {
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -4,12 +4,12 @@
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
 } from './model.js';
-import {recordEndedUnanswered} from './late-starts.js';
 import {lostCoreSeconds} from './lost-work.js';
 import type {PoolContext} from './pool-context.js';
 import type {RowWrite} from './ports.js';
 import {encodeRunRow} from './run-row.js';
 import {reasonToWithdrawStarts, type TrackedWorker} from './tracked-worker.js';
+import {recordEndedUnanswered} from './unanswered-starts.js';
 import {recordStartAnswer} from './worker-crash.js';
 import {recordRunFailure, recordRunSuccess} from './worker-quarantine.js';
 
--- a/packages/pool/src/worker-crash.ts
+++ b/packages/pool/src/worker-crash.ts
@@ -1,33 +1,8 @@
+import {CRASH_EVIDENCE, type CrashEvidence, type WorkerCrash} from './crash-record.js';
 import type {Run} from './job-model.js';
 import {type OrderOutcome, REFUSALS} from './model.js';
 import {type TrackedWorker, workerIdOf} from './tracked-worker.js';
 
-/** What is known of a run on a worker that crashed. */
-export const CRASH_EVIDENCE = {
-	/** The run is known to have started shortly before, and runs of no other job had. */
-	atStart: 'atStart',
-	/** The run is known to have started shortly before, as runs of other jobs had. */
-	atSharedStart: 'atSharedStart',
-	/** The run had been at work for longer. */
-	duringWork: 'duringWork',
-	/** A start was sent and not answered, so the run may never have started. */
-	possible: 'possible',
-} as const;
-
-/** One of {@link CRASH_EVIDENCE}. */
-export type CrashEvidence = (typeof CRASH_EVIDENCE)[keyof typeof CRASH_EVIDENCE];
-
-/** A worker that crashed, or was lost, while a task ran there. Stored under these names. */
-export type WorkerCrash = {
-	/** The worker's incarnation. */
-	readonly life: string;
-	readonly evidence: CrashEvidence;
-	/** A later incarnation has reported. A worker that is only silent may come back with its runs. */
-	readonly isConfirmed: boolean;
-	/** Another task that ran there has been given up for it. */
-	readonly isExplained?: boolean;
-};
-
 /** Weights of confirmed crashes; a task is given up at {@link GIVE_UP_WEIGHT}: after two crashes at its start, or three in its work. */
 const CRASH_WEIGHTS: Readonly<Record<CrashEvidence, number>> = {
 	atStart: 6, atSharedStart: 4, duringWork: 4, possible: 2,
--- a/packages/pool/tests/worker-crash-evidence.test.ts
+++ b/packages/pool/tests/worker-crash-evidence.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
-import {type CrashEvidence, isCrashingTask} from '@amaranthsail/pool/worker-crash.js';
+import type {CrashEvidence} from '@amaranthsail/pool/crash-record.js';
+import {isCrashingTask} from '@amaranthsail/pool/worker-crash.js';
 
 type Case = {
 	readonly title: string;
