--- a/packages/pool/src/crash-ledger.ts
+++ b/packages/pool/src/crash-ledger.ts
@@ -1,9 +1,9 @@
-import {listCrashEvidence, type WorkerCrash} from './crash-record.js';
+import type {WorkerCrash} from './crash-record.js';
 import type {Job, Task} from './job-model.js';
 import type {PoolContext} from './pool-context.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import type {TrackedWorker} from './tracked-worker.js';
-import {crashWeightOf, isCrashingTask} from './worker-crash.js';
+import {crashWeightOf, isCrashingTask, listCrashEvidence} from './worker-crash.js';
 
 /** Bounds the row of a task that loses one worker after another without a crash; more than any task has confirmed crashes. */
 const MAX_STORED_CRASHES = 8;
