Evacuate failure domains in the leader's decisions

An operator needs to clear a failure domain within 5 s without ending the work that runs there. Workers of an evacuated failure domain are left out of placement, reservations, preemption, free capacity and headroom; starts that are stored and not known to have been carried out are withdrawn, and queued orders are checked again when they are sent.

--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -1,5 +1,6 @@
 import type {Clock, LogFields} from '@amaranthsail/core';
 import {CommitQueue} from './commit-queue.js';
+import {Evacuations} from './evacuations.js';
 import {FINAL_STATES, type Job, type Task} from './job-model.js';
 import type {PoolConfig, Queue, WorkerOrder} from './model.js';
 import type {PoolLimits} from './pool-limits.js';
@@ -13,7 +14,7 @@
 export type OutgoingOrder = {readonly agent: string; readonly incarnation: string; readonly order: WorkerOrder};
 
 /** Decisions that have a metric of their own; they are logged under these names. */
-export const POOL_EVENTS = {rowUnreadable: 'row unreadable'} as const;
+export const POOL_EVENTS = {rowUnreadable: 'row unreadable', startWithdrawn: 'start withdrawn'} as const;
 
 /** Logs the decisions of the pool's leader. */
 export type DecisionLogger = (event: string, fields: LogFields) => void;
@@ -24,6 +25,7 @@
 	readonly workers = new Map<string, TrackedWorker>();
 	readonly commits = new CommitQueue();
 	readonly headroom = new UrgentHeadroom();
+	readonly evacuations: Evacuations;
 	readonly unreadableJobs = new UnreadableJobs();
 	/** Open tasks under which a worker has crashed, or may have. */
 	readonly crashSuspects = new Set<Task>();
@@ -43,6 +45,7 @@
 	 * @param log - Logs decisions.
 	 */
 	constructor(readonly clock: Clock, readonly limits: PoolLimits, readonly log: DecisionLogger) {
+		this.evacuations = new Evacuations(limits);
 		this.takenOverAtMs = clock.monotonicMs();
 	}
 
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -1,6 +1,8 @@
 import type {Clock} from '@amaranthsail/core';
 import type {Commit} from './commit-queue.js';
 import {CrashLedger} from './crash-ledger.js';
+import {isStillDue} from './due-order.js';
+import {EvacuationLog} from './evacuation-log.js';
 import {JobLifecycle} from './job-lifecycle.js';
 import {
 	FINAL_STATES, type Job, RUN_PHASES, type Task,
@@ -39,6 +41,7 @@
 	readonly #crashes: CrashLedger;
 	readonly #workers: WorkerRegistry;
 	readonly #schedulingRound: SchedulingRound;
+	readonly #evacuationLog: EvacuationLog;
 	readonly #roundPacer = new RoundPacer();
 	readonly #onRound: (durationMs: number) => void;
 	#isRecovered = false;
@@ -62,7 +65,8 @@
 			this.#jobs.endIfFinished(job);
 		});
 		this.#workers = new WorkerRegistry(this.#context, this.#runs, this.#crashes);
-		this.#schedulingRound = new SchedulingRound(this.#context, this.#runs);
+		this.#evacuationLog = new EvacuationLog(this.#context);
+		this.#schedulingRound = new SchedulingRound(this.#context, this.#runs, this.#evacuationLog);
 	}
 
 	/** Whether a worker has refused this leader's epoch. */
@@ -83,6 +87,24 @@
 		this.#context.setConfig(config);
 	}
 
+	/**
+	 * Sets which failure domains are evacuated.
+	 *
+	 * @param failureDomains - All failure domains whose evacuation is requested.
+	 * @param confirmedAtMs - Leader's clock when the store was asked for the requests. A deployment with a bound on evacuations
+	 * sends starts only while this is recent.
+	 */
+	setEvacuations(failureDomains: ReadonlySet<string>, confirmedAtMs: number): void {
+		const {evacuations, log} = this.#context;
+		const previous = evacuations.failureDomains;
+		evacuations.set(failureDomains);
+		evacuations.confirm(confirmedAtMs);
+		if (previous.size !== failureDomains.size || [...previous].some(failureDomain => !failureDomains.has(failureDomain))) {
+			this.#context.needsSchedulingRound = true;
+			log('evacuations applied', {failureDomains: [...failureDomains], previous: [...previous]});
+		}
+	}
+
 	/**
 	 * Adds a job whose row is stored. One whose row could not be read at the takeover may have runs, which only the next
 	 * leader restores.
@@ -129,6 +151,7 @@
 	/** Does what has become due: checks the workers, stores checkpoints, sends orders, and places waiting units. */
 	tick(): void {
 		this.#workers.tick();
+		this.#evacuationLog.recordUnknown();
 		this.#jobs.createDueOccurrences();
 		if (this.#context.nowMs() >= this.#checkpointsDueMs) {
 			this.#checkpointsDueMs = this.#context.nowMs() + CHECKPOINT_STORE_INTERVAL_MS;
@@ -154,9 +177,9 @@
 		return this.#context.commits.takeNext();
 	}
 
-	/** @returns The orders to send. */
+	/** @returns The orders to send at once. */
 	takeOrders(): readonly OutgoingOrder[] {
-		return this.#context.takeOrders();
+		return this.#context.takeOrders().filter(outgoing => isStillDue(outgoing, this.#context));
 	}
 
 	/**
@@ -234,12 +257,12 @@
 			runs += worker.runs.size;
 		}
 
-		return {jobs: openJobs, runs, workers: this.#context.workers.size};
+		return {jobs: openJobs, runs, workers: this.#context.workers.size, evacuated_failure_domains: this.#context.evacuations.failureDomains.size};
 	}
 
 	#runDueRound(): void {
 		const startedAtMs = this.#context.nowMs();
-		if (!this.#context.config || !this.#roundPacer.isDue(startedAtMs, this.#context.needsSchedulingRound)) {
+		if (!this.#context.config || !this.#context.evacuations.areKnown || !this.#roundPacer.isDue(startedAtMs, this.#context.needsSchedulingRound)) {
 			return;
 		}
 
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -24,6 +24,8 @@
 	readonly retainEndedMs: number;
 	/** Time without progress after which a run counts as stalled. */
 	readonly stallTimeoutMs: number;
+	/** Time after the request of an evacuation from which nothing may be started in that failure domain; absent where none is requested. */
+	readonly evacuationMs?: number;
 };
 
 /** Limits used where the deployment's bounds set none. */
--- a/packages/pool/src/run-lifecycle.ts
+++ b/packages/pool/src/run-lifecycle.ts
@@ -4,12 +4,13 @@
 import {
 	type ListedEnd, type ListedRun, type OrderOutcome, REFUSALS, RUN_OUTCOMES, type RunOutcome, type WorkerOrder,
 } from './model.js';
+import {queueDueOrder} from './due-order.js';
 import {recordEndedUnanswered} from './late-starts.js';
 import {lostCoreSeconds} from './lost-work.js';
 import type {PoolContext} from './pool-context.js';
 import type {RowWrite} from './ports.js';
 import {encodeRunRow} from './run-row.js';
-import {reasonToWithdrawStarts, type TrackedWorker} from './tracked-worker.js';
+import type {TrackedWorker} from './tracked-worker.js';
 import {recordStartAnswer} from './worker-crash.js';
 import {recordRunFailure, recordRunSuccess} from './worker-quarantine.js';
 
@@ -136,37 +137,9 @@
 	 * @param run - The run.
 	 */
 	sendDueOrder(run: Run): void {
-		const worker = this.#context.workers.get(run.incarnation);
-		const nowMs = this.#context.nowMs();
-		if (!worker || run.isOrderInFlight || run.nextOrderAtMs > nowMs) {
-			return;
-		}
-
-		if (run.phase === RUN_PHASES.starting && worker.hasReportedLists && !worker.suspicion) {
-			const reason = run.knownSinceMs === undefined ? reasonToWithdrawStarts(worker) : undefined;
-			if (reason !== undefined) {
-				this.stopUnit(run, reason);
-				return;
-			}
-
-			run.isOrderInFlight = true;
-			run.unansweredStarts++;
-			run.startSentAtMs = nowMs;
-			this.#context.queueOrder({
-				agent: worker.agent,
-				incarnation: run.incarnation,
-				order: {
-					kind: 'start',
-					task: run.task.name,
-					run: run.number,
-					payload: run.task.step.job.spec!.payload,
-					leaseUntilMs: Math.floor(worker.workerClockMs + this.#context.limits.leaseMs),
-					checkpoint: run.startCheckpoint,
-				},
-			});
-		} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedOrderCount === undefined) {
-			run.isOrderInFlight = true;
-			this.#context.queueOrder({agent: worker.agent, incarnation: run.incarnation, order: {kind: 'stop', task: run.task.name, run: run.number}});
+		const reason = queueDueOrder(run, this.#context);
+		if (reason !== undefined) {
+			this.stopUnit(run, reason);
 		}
 	}
 
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -2,6 +2,7 @@
 	addShapes, EMPTY_SHAPE, subtractShapes, weightInCores,
 } from './capacity.js';
 import {CrashExposure} from './crash-exposure.js';
+import type {EvacuationLog} from './evacuation-log.js';
 import {type ExpectedRelease, findEarliestStart, orderReleases} from './earliest-start.js';
 import {Guarantees, URGENT_PRIORITY} from './guarantees.js';
 import {IdleServices} from './idle-services.js';
@@ -13,6 +14,7 @@
 import {planPreemption} from './preemption.js';
 import {estimateRemainingMs} from './run-estimate.js';
 import type {RunLifecycle} from './run-lifecycle.js';
+import {countRunsOfStep, findWorkerOfStep} from './step-runs.js';
 import {listVictims} from './victims.js';
 import {
 	freeCapacity, rackOf, type TrackedWorker, workerIdOf,
@@ -72,16 +74,19 @@
 	readonly #runs: RunLifecycle;
 	readonly #idleServices = new IdleServices();
 	readonly #crashExposure = new CrashExposure();
+	readonly #evacuationLog: EvacuationLog;
 	/** Expected ends of running tasks in the present round, by service. */
 	readonly #releasesByService = new Map<string, readonly ExpectedRelease[]>();
 
 	/**
 	 * @param context - State of the pool.
 	 * @param runs - Starts and stops runs.
+	 * @param evacuationLog - Logs steps that wait for the end of an evacuation.
 	 */
-	constructor(context: PoolContext, runs: RunLifecycle) {
+	constructor(context: PoolContext, runs: RunLifecycle, evacuationLog: EvacuationLog) {
 		this.#context = context;
 		this.#runs = runs;
+		this.#evacuationLog = evacuationLog;
 	}
 
 	/** Places the units that fit, in the order of {@link listPendingUnits}. */
@@ -124,7 +129,11 @@
 				this.#runs.start(unit.tasks, incarnations);
 				this.#crashExposure.forget(incarnations);
 				this.#releasesByService.delete(unit.service);
-			} else if (unit.priority === URGENT_PRIORITY) {
+				continue;
+			}
+
+			this.#evacuationLog.recordWaiting(unit.step, unit.service);
+			if (unit.priority === URGENT_PRIORITY) {
 				this.#reserveOrPreempt(unit, request, serviceWorkers, guarantees);
 			} else {
 				blocked.add(unit.step);
@@ -223,7 +232,7 @@
 	#listPresentWorkers(nowMs: number): readonly RoundWorker[] {
 		const workers: RoundWorker[] = [];
 		for (const worker of this.#context.workers.values()) {
-			if (!isPresent(worker, nowMs, this.#context.limits.suspectTimeoutMs)) {
+			if (this.#context.evacuations.has(worker.facts.failureDomain) || !isPresent(worker, nowMs, this.#context.limits.suspectTimeoutMs)) {
 				continue;
 			}
 
@@ -301,8 +310,7 @@
 		const maxWaitMs = unit.priority === URGENT_PRIORITY
 			? reclaimMs * (spec.prefersOneRack ? URGENT_RACK_WAIT_SHARE : URGENT_WAIT_SHARE)
 			: spec.estimatedMs * (remoteFactor - 1) * REMOTE_WAIT_SHARE;
-		const runningTask = spec.prefersOneRack && !spec.isGang ? unit.step.tasks.find(task => task.run) : undefined;
-		const runningWorker = runningTask?.run && this.#context.workers.get(runningTask.run.incarnation);
+		const runningWorker = spec.prefersOneRack && !spec.isGang ? findWorkerOfStep(unit.step, this.#context) : undefined;
 		return {
 			step: spec,
 			count: unit.tasks.length,
@@ -326,15 +334,6 @@
 	return groups;
 }
 
-function countRunsOfStep(worker: TrackedWorker, step: StepState): number {
-	let count = 0;
-	for (const run of worker.runs.values()) {
-		count += run.task.step === step ? 1 : 0;
-	}
-
-	return count;
-}
-
 /** A unit beyond its guarantee preempts others only if it can still be on time and the lost work does not exceed its own. */
 function isPreemptionWorthwhile(unit: PendingUnit, lostCoreSeconds: number): boolean {
 	const {shape, estimatedMs} = unit.step.spec;
@@ -354,7 +353,7 @@
 	return (capacity.accelerators === 0 || free.accelerators * 2 > capacity.accelerators) && free.cpuMillis * 2 > capacity.cpuMillis;
 }
 
-/** @returns Whether a worker reports; its capacity is part of its service's, whether it may get new work or not. */
+/** @returns Whether a worker reports; unless it is evacuated, its capacity is part of its service's, whether it may get new work or not. */
 function isPresent(worker: TrackedWorker, nowMs: number, suspectTimeoutMs: number): boolean {
 	return worker.hasReportedLists && !worker.isLost && !worker.suspicion && nowMs - worker.listsAsOfMs < suspectTimeoutMs;
 }
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -2,6 +2,7 @@
 	addShapes, EMPTY_SHAPE, fitsInto, subtractShapes,
 } from './capacity.js';
 import {EndAcknowledgements} from './end-acknowledgements.js';
+import type {Evacuations} from './evacuations.js';
 import type {Run} from './job-model.js';
 import type {TaskShape, WorkerFacts} from './model.js';
 
@@ -118,9 +119,14 @@
  * Checks again, before a start is sent, what held when it was placed.
  *
  * @param worker - A worker with a run that it has neither acknowledged nor listed.
+ * @param evacuations - The evacuated failure domains.
  * @returns Why such runs have to be placed again, or undefined.
  */
-export function reasonToWithdrawStarts(worker: TrackedWorker): string | undefined {
+export function reasonToWithdrawStarts(worker: TrackedWorker, evacuations: Pick<Evacuations, 'has'>): string | undefined {
+	if (evacuations.has(worker.facts.failureDomain)) {
+		return 'failure domain is evacuated';
+	}
+
 	if (worker.drainingSinceMs !== undefined) {
 		return 'worker is draining';
 	}
--- a/packages/pool/src/victims.ts
+++ b/packages/pool/src/victims.ts
@@ -54,9 +54,13 @@
 	return stoppable;
 }
 
-/** Lists the runs of a service that are not being stopped, the members of a gang together, the newest jobs first. */
+/**
+ * Lists the runs of a service that are not being stopped, the members of a gang together, the newest jobs first. Work with
+ * a run in an evacuated failure domain is left out, as what runs there continues to its end.
+ */
 function stoppableUnits(service: string, context: PoolContext): ReadonlyArray<readonly Run[]> {
 	const units = new Map<string, Run[]>();
+	const evacuated = new Set<string>();
 	for (const worker of context.workers.values()) {
 		if (worker.facts.service !== service) {
 			continue;
@@ -68,11 +72,15 @@
 				const members = units.get(id) ?? [];
 				members.push(run);
 				units.set(id, members);
+				if (context.evacuations.has(worker.facts.failureDomain)) {
+					evacuated.add(id);
+				}
 			}
 		}
 	}
 
-	return [...units.values()].toSorted((left, right) => right[0]!.task.step.job.acceptedAtLeaderClockMs - left[0]!.task.step.job.acceptedAtLeaderClockMs);
+	const stoppable = [...units].filter(([id]) => !evacuated.has(id)).map(([, runs]) => runs);
+	return stoppable.toSorted((left, right) => right[0]!.task.step.job.acceptedAtLeaderClockMs - left[0]!.task.step.job.acceptedAtLeaderClockMs);
 }
 
 function unitIdOf(run: Run): string {
--- a/packages/pool/tests/support/pool-harness.ts
+++ b/packages/pool/tests/support/pool-harness.ts
@@ -53,6 +53,10 @@
 	readonly log: Array<{event: string; fields: Readonly<Record<string, unknown>>}> = [];
 	/** While false, commits stay pending. */
 	isStoreAvailable = true;
+	/** Failure domains whose evacuation is requested. */
+	readonly evacuated = new Set<string>();
+	/** While false, the leader does not learn of changes of {@link PoolHarness.evacuated}. */
+	areEvacuationsFollowed = true;
 	core: PoolCore;
 	/** Called with an order that an unreachable worker does not get now. */
 	onLostOrder?: (worker: FakeWorker, order: WorkerOrder) => void;
@@ -69,6 +73,7 @@
 	}
 
 	recoverLeader(): void {
+		this.#followEvacuations();
 		this.core.recover({jobs: this.rowsOf(TABLES.jobs), runs: this.rowsOf(TABLES.runs), incarnations: this.rowsOf(TABLES.lives)});
 	}
 
@@ -99,6 +104,7 @@
 	}
 
 	runCycle(): void {
+		this.#followEvacuations();
 		for (const worker of this.workers) {
 			this.report(worker);
 		}
@@ -171,6 +177,12 @@
 		return this.log.filter(entry => entry.event === event).map(entry => entry.fields);
 	}
 
+	#followEvacuations(): void {
+		if (this.isStoreAvailable && this.areEvacuationsFollowed) {
+			this.core.setEvacuations(this.evacuated, this.clock.monotonicMs());
+		}
+	}
+
 	#createCore(): PoolCore {
 		const core = new PoolCore(this.clock, this.limits, (event, fields) => {
 			this.log.push({event, fields});
--- a/packages/pool/tests/support/pool-simulation.ts
+++ b/packages/pool/tests/support/pool-simulation.ts
@@ -1,7 +1,7 @@
 import {FakeWorker} from './fake-worker.js';
 import {PoolHarness, TEST_CONFIG} from './pool-harness.js';
 import {
-	fitsInto, type PoolConfig, REFUSALS, type RunOutcome, type StepSpec, subtractShapes, type WorkerFacts, type WorkerOrder, WORKER_STATES,
+	DEFAULT_LIMITS, fitsInto, type PoolConfig, REFUSALS, type RunOutcome, type StepSpec, subtractShapes, type WorkerFacts, type WorkerOrder, WORKER_STATES,
 } from '@amaranthsail/pool';
 
 export const STEP_MS = 100;
@@ -94,9 +94,9 @@
 	#incarnations = 1;
 	#isLeaderPresent = true;
 
-	constructor(workerCount: number, private readonly plan: {readonly jobs: readonly PlannedJob[]; readonly troubles: readonly PlannedTrouble[]}) {
+	constructor(workerCount: number, private readonly plan: {readonly jobs: readonly PlannedJob[]; readonly troubles: readonly PlannedTrouble[]}, limits = DEFAULT_LIMITS) {
 		this.workers = Array.from({length: workerCount}, (_, index) => createWorker(index));
-		this.harness = new PoolHarness(this.workers);
+		this.harness = new PoolHarness(this.workers, limits);
 		this.harness.configure(SIMULATION_CONFIG);
 		this.harness.onLostOrder = (worker, order) => {
 			this.#lateOrders.push({
