Follow the operator's requests to evacuate failure domains

Rows evacuate/ZONE of the table op are delivered by the feed that the entries already keep open for the configuration; an EvacuationFollower keeps the set by the versions of the rows. The range is read at the start, after every read that moves the feed, and when nothing has confirmed the requests for 1.8 s. A new leader reads it together with its stored state, after its takeover. The part is off without bounds.evacuationMs; a bound below 3,500 ms is refused, as it leaves no time for a start between two confirmations.

Entries log each request and its end, and serve evacuated_failure_domains and withdrawn_starts_total.

--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -16,6 +16,17 @@
 	readonly row: StoredRow;
 };
 
+/** Receives all rows of the configuration's table from the feed. */
+export type TableListener = {
+	/**
+	 * @param rows - Rows that have changed.
+	 * @param askedAtMs - Time at which the store was asked for them.
+	 */
+	onRows(rows: readonly StoredRow[], askedAtMs: number): void;
+	/** The feed begins, or begins again: earlier changes of rows other than the configuration will not be delivered. */
+	onGap(): void;
+};
+
 /** Longest wait of a feed call; also bounds how late a silent connection is noticed. */
 const FEED_WAIT_MS = 700;
 
@@ -41,6 +52,7 @@
 	#feedVersion: number | undefined;
 	#refreshing: Promise<number | undefined> | undefined;
 	#listener: ((config: PoolConfig) => void) | undefined;
+	#tableListener: TableListener | undefined;
 	#isStopped = false;
 
 	/**
@@ -92,6 +104,11 @@
 		}
 	}
 
+	/** @param listener - Receives the other rows of the table; set before the first request. */
+	setTableListener(listener: TableListener): void {
+		this.#tableListener = listener;
+	}
+
 	/**
 	 * Makes a configuration row current if it is newer than the known one.
 	 *
@@ -187,18 +204,21 @@
 		}
 
 		this.#onRows(page.value.rows, 'read', sentAtMs);
+		this.#tableListener?.onGap();
 		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
 		return page.value.version;
 	}
 
 	/** @returns Whether the store has answered. */
 	async #follow(waitMs: number, origin: string): Promise<boolean> {
+		const sentAtMs = this.#clock.monotonicMs();
 		const page = await this.#store.follow(this.#source.table, this.#feedVersion!, waitMs);
 		if (!page.ok) {
 			return page.error.kind === 'history_lost' && await this.#read() !== undefined;
 		}
 
 		this.#onRows(page.value.rows, origin, this.#clock.monotonicMs());
+		this.#tableListener?.onRows(page.value.rows, sentAtMs);
 		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
 		return true;
 	}
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -3,7 +3,7 @@
 	asFields, JsonClient, type Logger, SystemClock,
 } from '@amaranthsail/core';
 import {
-	CONFIG_KEY, CONFIG_TABLE, decodeConfiguration, type NodeSettings, READINESS_PATH, RowStore,
+	CONFIG_KEY, CONFIG_TABLE, decodeConfiguration, decodeEvacuation, EVACUATION_PREFIX, type NodeSettings, READINESS_PATH, RowStore,
 } from '@amaranthsail/platform-adapter';
 import {DEFAULT_LIMITS, leaseMsWithin, type PoolLimits} from '@amaranthsail/pool';
 import {ANNOUNCE_PATH, type AnnounceRequest, decodeAnnounceRequest} from '@amaranthsail/pool-agent';
@@ -14,6 +14,7 @@
 import type {Leadership} from './commit-loop.js';
 import {ConfigFollower} from './config-follower.js';
 import {EntryDirectory} from './entry-directory.js';
+import {EvacuationFollower} from './evacuation-follower.js';
 import {JobService} from './job-service.js';
 import {LeaderFollower} from './leadership.js';
 import {
@@ -57,6 +58,8 @@
 	readonly #clock = new SystemClock();
 	readonly #store: RowStore;
 	readonly #config: ConfigFollower;
+	/** Absent in deployments without evacuations. */
+	readonly #evacuations: EvacuationFollower | undefined;
 	readonly #follower: LeaderFollower;
 	readonly #jobs: JobService;
 	readonly #callerApi: CallerApi;
@@ -89,11 +92,13 @@
 			remoteFactor: settings.bounds.remoteFactor,
 			reclaimMs: settings.bounds.reclaimMs,
 			stopTimeoutMs: settings.bounds.stopTimeoutMs,
+			...(settings.bounds.evacuationMs !== undefined && {evacuationMs: settings.bounds.evacuationMs}),
 		};
 		this.#config = new ConfigFollower(this.#store, {table: CONFIG_TABLE, key: CONFIG_KEY, decode: decodeConfiguration}, this.#clock, logger);
 		this.#config.onChange(config => {
 			this.#leader?.setConfig(config);
 		});
+		this.#evacuations = settings.bounds.evacuationMs === undefined ? undefined : this.#followEvacuations();
 		this.#follower = new LeaderFollower({
 			store: this.#store,
 			clock: this.#clock,
@@ -152,6 +157,10 @@
 			}), callerAddress!)),
 		);
 		void this.#guard.supervise('configuration', async () => this.#config.run());
+		if (this.#evacuations) {
+			void this.#guard.supervise('evacuations', async () => this.#evacuations!.run());
+		}
+
 		void this.#guard.supervise('leader follower', async () => this.#follower.run());
 	}
 
@@ -191,6 +200,19 @@
 		return this.#config.ageMs < limitMs || this.#leader?.canAnswer === true || this.#follower.leaderSilentMs < limitMs;
 	}
 
+	#followEvacuations(): EvacuationFollower {
+		const source = {table: CONFIG_TABLE, prefix: EVACUATION_PREFIX, decode: decodeEvacuation};
+		const follower = new EvacuationFollower(this.#store, source, this.#clock, this.#logger);
+		follower.onChange(() => {
+			this.#metrics.set('evacuated_failure_domains', follower.failureDomains.size);
+			if (this.#leader) {
+				follower.applyTo(this.#leader.core);
+			}
+		});
+		this.#config.setTableListener(follower);
+		return follower;
+	}
+
 	#startLeading(leadership: Leadership): void {
 		const leader = new PoolLeader(leadership, {
 			store: this.#store,
@@ -199,6 +221,7 @@
 			metrics: this.#metrics,
 			limits: this.#limits,
 			guard: this.#guard,
+			evacuations: this.#evacuations,
 			onLeadershipLost: (_reason, knownEpoch = 0) => {
 				this.#follower.recordEpoch(knownEpoch);
 				if (this.#leader === leader) {
--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -5,6 +5,7 @@
 import {type ErrorGuard, type ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
 import {AgentLinks} from './agent-links.js';
 import {CommitLoop, type Leadership} from './commit-loop.js';
+import type {EvacuationFollower} from './evacuation-follower.js';
 import {LeadershipPermit} from './leadership-permit.js';
 
 /** Longest time between two ticks of the core. */
@@ -37,6 +38,8 @@
 	readonly metrics: ProcessMetrics;
 	readonly limits: PoolLimits;
 	readonly guard: ErrorGuard;
+	/** Absent in deployments without evacuations. */
+	readonly evacuations?: EvacuationFollower | undefined;
 	/** Called once when another process leads or has to take over; with the epoch that another process knows, if one does. */
 	readonly onLeadershipLost: (reason: string, knownEpoch?: number) => void;
 };
@@ -70,6 +73,8 @@
 			deps.metrics.count('decisions', {event: event.replaceAll(' ', '_')});
 			if (event === POOL_EVENTS.rowUnreadable) {
 				deps.metrics.count('unreadable_rows', {table: String(fields.table)});
+			} else if (event === POOL_EVENTS.startWithdrawn) {
+				deps.metrics.count('withdrawn_starts', {reason: String(fields.reason).replaceAll(' ', '_')});
 			}
 		}, durationMs => {
 			deps.metrics.observe('round', durationMs);
@@ -202,10 +207,13 @@
 	}
 
 	async #lead(): Promise<void> {
+		const evacuationsRead = this.#deps.evacuations?.readWhile(() => !this.#isStopped);
 		let jobs = await this.#readTable(TABLES.jobs);
 		const runs = await this.#readTable(TABLES.runs);
 		const incarnations = await this.#readTable(TABLES.lives);
 		const members = await this.#readTable(TABLES.members);
+		await evacuationsRead;
+		this.#deps.evacuations?.applyTo(this.core);
 		if (this.#isStopped) {
 			return;
 		}
--- a/packages/pool-entry/tests/leader-fixture.ts
+++ b/packages/pool-entry/tests/leader-fixture.ts
@@ -4,7 +4,7 @@
 } from '@amaranthsail/pool';
 import {ErrorGuard, ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
 import {MemoryPoolStore} from './support.js';
-import {PoolLeader} from '@amaranthsail/pool-entry/pool-leader.js';
+import {PoolLeader, type PoolLeaderDependencies} from '@amaranthsail/pool-entry/pool-leader.js';
 
 /** Time for some ticks and calls of a leader over the loopback interface. */
 export const SETTLE_MS = 400;
@@ -24,7 +24,7 @@
 };
 
 /** @returns A leader that has taken over and has not read the stored state yet. */
-export function makeLeader(): LeaderFixture {
+export function makeLeader(deps: Pick<PoolLeaderDependencies, 'evacuations'> = {}): LeaderFixture {
 	const clock = new ManualClock(100_000);
 	const store = new MemoryPoolStore();
 	store.follow = async table => {
@@ -36,7 +36,7 @@
 	const metrics = new ProcessMetrics();
 	const lost: string[] = [];
 	const leader = new PoolLeader({row: LEADER_ROW, version}, {
-		store, clock, logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost(reason) {
+		...deps, store, clock, logger: silentLogger, metrics, limits: DEFAULT_LIMITS, guard: new ErrorGuard(silentLogger, metrics), onLeadershipLost(reason) {
 			lost.push(reason);
 		},
 	});
--- a/packages/pool/src/evacuations.ts
+++ b/packages/pool/src/evacuations.ts
@@ -1,15 +1,9 @@
-import {type PoolLimits, SLOW_CLOCK_FACTOR} from './pool-limits.js';
+import {type PoolLimits, SLOW_CLOCK_FACTOR, START_TRANSIT_MS} from './pool-limits.js';
 import type {TrackedWorker} from './tracked-worker.js';
 
-/** Time that a start has to reach its worker: the agent checks its worker for 0.5 s and allows 0.7 s for the order. */
-const START_TRANSIT_MS = 2000;
-
 /** Time between the last moment at which a worker accepts a start and the bound on the evacuation. */
 const DEADLINE_MARGIN_MS = 200;
 
-/** Shortest bound that can be kept: a confirmation is up to 1.4 s old while the store answers. */
-export const MIN_EVACUATION_MS = START_TRANSIT_MS + 1500;
-
 /** Failure domains to whose workers nothing more may be sent, and when the store last confirmed that these are all. */
 export class Evacuations {
 	readonly #evacuationMs: number | undefined;
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -257,7 +257,7 @@
 			runs += worker.runs.size;
 		}
 
-		return {jobs: openJobs, runs, workers: this.#context.workers.size, evacuated_failure_domains: this.#context.evacuations.failureDomains.size};
+		return {jobs: openJobs, runs, workers: this.#context.workers.size};
 	}
 
 	#runDueRound(): void {
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -59,6 +59,12 @@
 /** Covers the transit of an answer that was read before the suspicion was stored. */
 export const FENCE_MARGIN_MS = 150;
 
+/** Time that a start has to reach its worker: the agent checks its worker for up to 0.5 s and allows 0.7 s for the order. */
+export const START_TRANSIT_MS = 2000;
+
+/** Shortest bound on evacuations that leaves time for a start: the last confirmation of the requests is up to 1.4 s old. */
+export const MIN_EVACUATION_MS = START_TRANSIT_MS + 1500;
+
 /** A longer lease delays the work of a dead worker without saving any more work. */
 const MAX_LEASE_MS = 8000;
 
