--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -2,7 +2,6 @@
 	addShapes, EMPTY_SHAPE, fitsInto, subtractShapes,
 } from './capacity.js';
 import {EndAcknowledgements} from './end-acknowledgements.js';
-import type {Evacuations} from './evacuations.js';
 import type {Run} from './job-model.js';
 import type {TaskShape, WorkerFacts} from './model.js';
 
@@ -122,7 +121,7 @@
  * @param evacuations - The evacuated failure domains.
  * @returns Why such runs have to be placed again, or undefined.
  */
-export function reasonToWithdrawStarts(worker: TrackedWorker, evacuations: Pick<Evacuations, 'has'>): string | undefined {
+export function reasonToWithdrawStarts(worker: TrackedWorker, evacuations: {has(failureDomain: string): boolean}): string | undefined {
 	if (evacuations.has(worker.facts.failureDomain)) {
 		return 'failure domain is evacuated';
 	}
