Place urgent units on fast workers and other work on slow ones

Cause: best fit spreads all work over all workers. A gang with one member on a slow worker of deployment M takes 2.4 times as long, and an urgent gang on slow workers is late after a few tenths of a second of waiting.

Change: where the speeds of a service count, urgent units go to fast workers and others to slow ones if these have room; gangs go to workers of one class if there is room. Nothing less urgent waits while any worker is free. An urgent unit that does not fit onto fast workers uses slow ones at once, unless running tasks are expected to free fast ones in less time than it would lose, at most half of the bound on guaranteed starts. A disturbed worker ranks by its present speed instead of by the last run times on it. Preemption prefers fast workers unless less than half of the work is lost elsewhere; nothing is preempted for speed alone. The types of a round's workers move to a module of their own.

--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -18,6 +18,10 @@
 	readonly isTooRisky: boolean;
 	/** How far the unit should be kept apart from the work there, since one of them may crash the worker; 0 to 9. */
 	readonly crashExposure: number;
+	/** Whether it is one of the fast workers of a service whose speeds differ much. */
+	readonly isFast: boolean;
+	/** Added to the score of a fit for the worker's speed; 0 where speeds do not count. */
+	readonly speedPenalty: number;
 };
 
 /** What is to be placed together: a single task, or all members of a gang. */
@@ -32,6 +36,8 @@
 	readonly isLastAttempt: boolean;
 	/** Rack on which other tasks of the step run, if the step prefers one rack. */
 	readonly stepRack?: string;
+	/** Whether fast workers are tried before slow ones, or after them; absent where speeds do not count. */
+	readonly prefersFast?: boolean;
 };
 
 /** Weight of a worker's slowness against the capacity that the task leaves unused. */
@@ -92,15 +98,31 @@
 		groups.push(...racksByFreeAccelerators(allowed));
 	}
 
+	const nearGroups = splitBySpeed(request, groups);
+	const farGroups: Array<readonly CandidateWorker[]> = [];
 	if (groups.length === 0 || request.mayBeRemote || !canEverFit(request, groups)) {
-		groups.push(allowed);
+		farGroups.push(allowed);
 	}
 
 	if (request.mayBeRisky && allowed.length < eligible.length) {
-		groups.push(eligible.filter(worker => !(request.isLastAttempt && worker.isTooRisky && worker.hasFailedHere)));
+		farGroups.push(eligible.filter(worker => !(request.isLastAttempt && worker.isTooRisky && worker.hasFailedHere)));
 	}
 
-	return groups;
+	return [...nearGroups, ...farGroups.flatMap(group => splitBySpeed(request, [group]))];
+}
+
+/**
+ * Puts groups of one speed class before those of all workers, since the slowest member sets the pace of a gang. They leave
+ * out workers with a disadvantage that may be worse than a mixed gang; for single tasks the score decides.
+ */
+function splitBySpeed({prefersFast, count}: PlacementRequest, groups: ReadonlyArray<readonly CandidateWorker[]>): ReadonlyArray<readonly CandidateWorker[]> {
+	if (prefersFast === undefined || count === 1) {
+		return groups;
+	}
+
+	const isSound = ({hasFailedHere, crashExposure, slowness}: CandidateWorker): boolean => !hasFailedHere && crashExposure === 0 && slowness <= MAX_NORMAL_SLOWNESS;
+	const ofOneSpeed = [prefersFast, !prefersFast].flatMap(isFast => groups.map(group => group.filter(worker => worker.isFast === isFast && isSound(worker))));
+	return [...ofOneSpeed.filter(group => group.length > 0), ...groups];
 }
 
 /** Orders racks by free accelerators, the fullest rack first, which keeps whole racks free for wide gangs. */
@@ -162,6 +184,7 @@
 		+ share(left.cpuMillis, capacity.cpuMillis)
 		+ share(left.memoryMb, capacity.memoryMb)
 		+ (SLOWNESS_WEIGHT * Math.max(0, worker.slowness - MAX_NORMAL_SLOWNESS))
+		+ worker.speedPenalty
 		+ (worker.crashExposure * CRASH_EXPOSURE_WEIGHT)
 		+ (worker.hasFailedHere ? FAILED_HERE_WEIGHT : 0)
 		+ (worker.isTooRisky ? TOO_RISKY_WEIGHT : 0);
--- a/packages/pool/src/preemption.ts
+++ b/packages/pool/src/preemption.ts
@@ -19,6 +19,9 @@
 	readonly lostCoreSeconds: number;
 };
 
+/** Where speeds count, the workers tried first are left only if others lose less than this share of the work there. */
+const MIN_SAVED_SHARE = 0.5;
+
 /** Victims by the worker incarnations on which they run, those that lose the least work first. */
 type VictimIndex = ReadonlyMap<string, readonly Victim[]>;
 
@@ -38,14 +41,15 @@
  * @param request - What is to be placed.
  * @param workers - The usable workers.
  * @param victims - What may be stopped.
- * @returns The cheapest plan over the groups of workers, or undefined when stopping all victims is not enough.
+ * @returns The cheapest plan over the groups of workers (where speeds count, one on the preferred workers if it is not much dearer), or undefined when stopping all victims is not enough.
  */
 export function planPreemption(request: PlacementRequest, workers: readonly CandidateWorker[], victims: readonly Victim[]): PreemptionPlan | undefined {
 	let best: PreemptionPlan | undefined;
 	const victimsByIncarnation = indexVictims(victims);
+	const lessThan = request.prefersFast === undefined ? 1 : MIN_SAVED_SHARE;
 	for (const group of candidateGroups(request, workers)) {
 		const plan = planWithinGroup(request, group, victimsByIncarnation);
-		if (plan && (!best || plan.lostCoreSeconds < best.lostCoreSeconds)) {
+		if (plan && (!best || plan.lostCoreSeconds < best.lostCoreSeconds * lessThan)) {
 			best = plan;
 		}
 	}
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -12,7 +12,11 @@
 import type {PoolContext} from './pool-context.js';
 import {planPreemption} from './preemption.js';
 import {estimateRemainingMs} from './run-estimate.js';
+import {
+	allocate, groupByService, isHalfIdle, type RoundWorker,
+} from './round-worker.js';
 import type {RunLifecycle} from './run-lifecycle.js';
+import {SpeedPreference} from './speed-preference.js';
 import {listVictims} from './victims.js';
 import {
 	freeCapacity, rackOf, type TrackedWorker, workerIdOf,
@@ -37,26 +41,6 @@
 /** Longest wait for a worker without a task that has crashed others, or of such a task for a worker of its own; urgent work waits only for the latter. */
 const MAX_CRASH_SEPARATION_WAIT_MS = 1500;
 
-/** A present worker and its capacity during one round. */
-type RoundWorker = {
-	readonly worker: TrackedWorker;
-	readonly isUsable: boolean;
-	/** It would be usable, but its failures count against it for now. */
-	readonly isQuarantined: boolean;
-	free: TaskShape;
-	/** Free capacity once the runs that are being stopped have ended. */
-	freeAfterStops: TaskShape;
-	/** Capacity reserved for waiting units from their expected start. */
-	readonly reservations: Reservation[];
-};
-
-type Reservation = {
-	readonly shape: TaskShape;
-	readonly fromMs: number;
-	/** Units that have waited long in an idle service may not use it either. */
-	readonly isFirm: boolean;
-};
-
 /** A unit that has waited for this long no longer leaves its reservations to others, so that small jobs do not starve wide ones. */
 const FIRM_RESERVATION_WAIT_MS = 10_000;
 
@@ -72,6 +56,7 @@
 	readonly #runs: RunLifecycle;
 	readonly #idleServices = new IdleServices();
 	readonly #crashExposure = new CrashExposure();
+	readonly #speedPreference: SpeedPreference;
 	/** Expected ends of running tasks in the present round, by service. */
 	readonly #releasesByService = new Map<string, readonly ExpectedRelease[]>();
 
@@ -82,6 +67,7 @@
 	constructor(context: PoolContext, runs: RunLifecycle) {
 		this.#context = context;
 		this.#runs = runs;
+		this.#speedPreference = new SpeedPreference(context);
 	}
 
 	/** Places the units that fit, in the order of {@link listPendingUnits}. */
@@ -96,6 +82,7 @@
 
 		this.#releasesByService.clear();
 		this.#crashExposure.clear();
+		this.#speedPreference.clear();
 		const workers = this.#listPresentWorkers(nowMs);
 		/** Steps of which a task did not fit, apart for tasks that may use other workers; all their tasks have the same shape. */
 		const blockedSteps = [new Set<StepState>(), new Set<StepState>(), new Set<StepState>(), new Set<StepState>()];
@@ -119,7 +106,12 @@
 			const mayUseAll = isOverdue && (unit.step.spec.isLasting || this.#idleServices.idleMsOf(unit.service, nowMs) >= MAX_IDLE_POOL_WAIT_MS);
 			const candidates = this.#listCandidates(unit, serviceWorkers, roundWorker => freeCapacityFor(roundWorker, unit, {nowMs, mayUseAll}));
 			const incarnations = mayUseAll || this.#leavesHeadroom(unit, serviceWorkers, nowMs) ? placeUnit(request, candidates) : undefined;
-			if (incarnations) {
+			const fastStart = incarnations && !isOverdue
+				? this.#speedPreference.awaitFast(unit, request, {candidates, incarnations}, () => this.#releasesOf(unit.service, presentWorkers, nowMs))
+				: undefined;
+			if (fastStart) {
+				allocate(workers, fastStart.incarnations, unit.step.spec.shape);
+			} else if (incarnations) {
 				allocate(workers, incarnations, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, incarnations);
 				this.#crashExposure.forget(incarnations);
@@ -128,28 +120,30 @@
 				this.#reserveOrPreempt(unit, request, serviceWorkers, guarantees);
 			} else {
 				blocked.add(unit.step);
-				const count = reservedUnits.get(unit.service) ?? 0;
-				if (count < MAX_RESERVED_UNITS_PER_SERVICE && this.#reserveEarliestStart(unit, request, serviceWorkers, nowMs)) {
-					reservedUnits.set(unit.service, count + 1);
-				}
+				this.#reserveEarliestStart(unit, request, serviceWorkers, reservedUnits);
 			}
 		}
 	}
 
 	/** Reserves workers for a unit from the time at which enough running tasks are expected to have ended. */
-	#reserveEarliestStart(unit: PendingUnit, request: PlacementRequest, workers: readonly RoundWorker[], nowMs: number): boolean {
+	#reserveEarliestStart(unit: PendingUnit, request: PlacementRequest, workers: readonly RoundWorker[], reservedUnits: Map<string, number>): void {
+		const count = reservedUnits.get(unit.service) ?? 0;
+		if (count >= MAX_RESERVED_UNITS_PER_SERVICE) {
+			return;
+		}
+
+		const nowMs = this.#context.nowMs();
 		const start = findEarliestStart(request, this.#listCandidates(unit, workers, roundWorker => roundWorker.free), this.#releasesOf(unit.service, workers, nowMs));
 		if (!start) {
-			return false;
+			return;
 		}
 
+		reservedUnits.set(unit.service, count + 1);
 		for (const incarnation of start.incarnations) {
 			workers.find(roundWorker => roundWorker.worker.incarnation === incarnation)!.reservations.push({
 				shape: unit.step.spec.shape, fromMs: start.atMs, isFirm: nowMs - unit.waitingSinceMs >= FIRM_RESERVATION_WAIT_MS,
 			});
 		}
-
-		return true;
 	}
 
 	/** Lists the expected ends of a service's runs, once for all units of a round; lasting tasks do not end. */
@@ -266,6 +260,7 @@
 		const failedWorkerIds = new Set(unit.tasks.flatMap(task => [...task.failedWorkerIds]));
 		const crashedWorkerIds = new Set(unit.tasks.flatMap(task => task.crashes.filter(crash => !crash.isExplained).map(crash => workerIdOf(crash.life))));
 		const hasCrashSuspects = this.#context.crashSuspects.size > 0;
+		const prefersFast = this.#speedPreference.prefersFast(unit);
 		return workers.map(roundWorker => {
 			const {worker} = roundWorker;
 			return {
@@ -274,7 +269,7 @@
 				labels: worker.facts.labels,
 				capacity: worker.facts.capacity,
 				free: freeOf(roundWorker),
-				slowness: worker.slowness,
+				...this.#speedPreference.speedOf(worker, unit, prefersFast),
 				sameStepCount: hasLimitPerWorker ? countRunsOfStep(worker, unit.step) : 0,
 				hasFailedHere: failedWorkerIds.has(worker.facts.id),
 				isTooRisky: roundWorker.isQuarantined || (cannotAffordFailure && isUnreliable(worker, nowMs)),
@@ -303,6 +298,7 @@
 			: spec.estimatedMs * (remoteFactor - 1) * REMOTE_WAIT_SHARE;
 		const runningTask = spec.prefersOneRack && !spec.isGang ? unit.step.tasks.find(task => task.run) : undefined;
 		const runningWorker = runningTask?.run && this.#context.workers.get(runningTask.run.incarnation);
+		const prefersFast = this.#speedPreference.prefersFast(unit);
 		return {
 			step: spec,
 			count: unit.tasks.length,
@@ -310,22 +306,11 @@
 			mayBeRisky: isOverdue,
 			isLastAttempt: this.#isOnLastAttempt(unit),
 			...(runningWorker && {stepRack: rackOf(runningWorker.facts)}),
+			...(prefersFast !== undefined && {prefersFast}),
 		};
 	}
 }
 
-function groupByService(workers: readonly RoundWorker[]): ReadonlyMap<string, readonly RoundWorker[]> {
-	const groups = new Map<string, RoundWorker[]>();
-	for (const roundWorker of workers) {
-		const {service} = roundWorker.worker.facts;
-		const group = groups.get(service) ?? [];
-		group.push(roundWorker);
-		groups.set(service, group);
-	}
-
-	return groups;
-}
-
 function countRunsOfStep(worker: TrackedWorker, step: StepState): number {
 	let count = 0;
 	for (const run of worker.runs.values()) {
@@ -342,18 +327,6 @@
 	return unit.isCoveredByGuarantee || (unit.punctuality === PUNCTUALITY.onTime && lostCoreSeconds <= ownCoreSeconds);
 }
 
-/** @returns Whether less than half of the workers' accelerators, if they have any, and of their processors are in use. */
-function isHalfIdle(workers: readonly RoundWorker[]): boolean {
-	let free = EMPTY_SHAPE;
-	let capacity = EMPTY_SHAPE;
-	for (const roundWorker of workers) {
-		free = addShapes(free, roundWorker.free);
-		capacity = addShapes(capacity, roundWorker.worker.facts.capacity);
-	}
-
-	return (capacity.accelerators === 0 || free.accelerators * 2 > capacity.accelerators) && free.cpuMillis * 2 > capacity.cpuMillis;
-}
-
 /** @returns Whether a worker reports; its capacity is part of its service's, whether it may get new work or not. */
 function isPresent(worker: TrackedWorker, nowMs: number, suspectTimeoutMs: number): boolean {
 	return worker.hasReportedLists && !worker.isLost && !worker.suspicion && nowMs - worker.listsAsOfMs < suspectTimeoutMs;
@@ -381,11 +354,3 @@
 
 	return free;
 }
-
-function allocate(workers: readonly RoundWorker[], incarnations: readonly string[], shape: TaskShape): void {
-	for (const incarnation of incarnations) {
-		const roundWorker = workers.find(candidate => candidate.worker.incarnation === incarnation)!;
-		roundWorker.free = subtractShapes(roundWorker.free, shape);
-		roundWorker.freeAfterStops = subtractShapes(roundWorker.freeAfterStops, shape);
-	}
-}
--- /dev/null
+++ b/packages/pool/tests/speed-placement.test.ts
@@ -0,0 +1,123 @@
+import {expect} from 'chai';
+import {FakeWorker} from './support/fake-worker.js';
+import {makeStep, PoolHarness} from './support/pool-harness.js';
+import type {StepSpec} from '@amaranthsail/pool';
+
+const FAST = ['w0', 'w1', 'w2', 'w3'];
+const SLOW = ['w4', 'w5', 'w6', 'w7', 'w8', 'w9', 'w10', 'w11'];
+
+const WHOLE = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
+const HALF = {cpuMillis: 1000, memoryMb: 1000, accelerators: 4};
+
+/** A pool of four fast and eight slow workers, whose speeds a gang has shown unless `fastPercent` is that of slow ones. */
+function createPool(fastPercent = 5): PoolHarness {
+	const workers = [...FAST, ...SLOW].map(agent => new FakeWorker(agent));
+	for (const worker of workers) {
+		worker.percentPerReport = FAST.includes(worker.agent) ? fastPercent : 2;
+	}
+
+	const harness = new PoolHarness(workers);
+	harness.runCycle();
+	harness.submit('learn', 'normal', [makeStep({shape: WHOLE, taskCount: 12, isGang: true})]);
+	harness.advance(1500);
+	harness.cancel('learn');
+	harness.advance(300);
+	expect(harness.events('worker speeds').length).to.equal(fastPercent === 5 ? 1 : 0);
+	return harness;
+}
+
+function placesOf(harness: PoolHarness, job: string): readonly string[] {
+	return harness.workers.filter(worker => [...worker.runs.keys()].some(task => task.startsWith(`${job}.`))).map(({agent}) => agent);
+}
+
+/** Occupies workers by one job each, from now on until they end. */
+function occupy(harness: PoolHarness, agents: readonly string[], step: Partial<StepSpec>): void {
+	for (const agent of agents) {
+		harness.submit(`on-${agent}`, 'normal', [makeStep({shape: WHOLE, estimatedMs: 60_000, requiredLabel: agent, ...step})]);
+	}
+
+	harness.runCycle();
+}
+
+function createLabelledPool(fastPercent = 5): PoolHarness {
+	const harness = createPool(fastPercent);
+	for (const worker of harness.workers) {
+		worker.facts = {...worker.facts, labels: ['a', 'r1', worker.agent]};
+	}
+
+	harness.runCycle();
+	return harness;
+}
+
+describe('placement on workers of different speeds', () => {
+	const cases: ReadonlyArray<{title: string; occupied?: readonly string[]; occupiedShape?: typeof WHOLE; queue: string; step: Partial<StepSpec>; expected: readonly string[] | number; within: readonly string[]}> = [
+		{title: 'an urgent gang goes to fast workers', queue: 'urgent', step: {taskCount: 4, isGang: true, shape: WHOLE}, expected: 4, within: FAST},
+		{title: 'an urgent gang goes to fast workers although half used slow ones fit better', occupied: SLOW, occupiedShape: HALF, queue: 'urgent', step: {taskCount: 2, isGang: true, shape: HALF}, expected: 1, within: FAST},
+		{title: 'an urgent task goes to a fast worker although half used slow ones fit better', occupied: SLOW, occupiedShape: HALF, queue: 'urgent', step: {shape: HALF}, expected: 1, within: FAST},
+		{title: 'an urgent gang that does not fit onto fast workers goes to slow ones at once', queue: 'urgent', step: {taskCount: 5, isGang: true, shape: WHOLE}, expected: 5, within: SLOW},
+		{title: 'an urgent gang goes to slow workers at once while fast ones are busy for long', occupied: FAST, queue: 'urgent', step: {taskCount: 2, isGang: true, shape: WHOLE}, expected: 2, within: SLOW},
+		{title: 'less urgent work leaves half used fast workers free', occupied: FAST, occupiedShape: HALF, queue: 'normal', step: {shape: HALF}, expected: 1, within: SLOW},
+		{title: 'a less urgent gang leaves half used fast workers free', occupied: FAST, occupiedShape: HALF, queue: 'batch', step: {taskCount: 3, isGang: true, shape: HALF}, expected: 2, within: SLOW},
+		{title: 'less urgent work goes to a fast worker rather than wait', occupied: SLOW, queue: 'normal', step: {shape: WHOLE}, expected: 1, within: FAST},
+		{title: 'a less urgent gang goes to fast workers alone if slow ones have no room for all of it', occupied: SLOW.slice(1), queue: 'normal', step: {taskCount: 2, isGang: true, shape: WHOLE}, expected: 2, within: FAST},
+		{title: 'a less urgent gang uses both rather than wait', occupied: [...SLOW.slice(1), ...FAST.slice(1)], queue: 'normal', step: {taskCount: 2, isGang: true, shape: WHOLE}, expected: ['w0', 'w4'], within: ['w0', 'w4']},
+	];
+	for (const {title, occupied = [], occupiedShape = WHOLE, queue, step, expected, within} of cases) {
+		it(title, () => {
+			const harness = createLabelledPool();
+			occupy(harness, occupied, {shape: occupiedShape});
+			harness.submit('j', queue, [makeStep({estimatedMs: 3000, ...step})]);
+			harness.runCycle();
+			const places = placesOf(harness, 'j');
+			expect(within).to.include.members([...places]);
+			expect(typeof expected === 'number' ? places.length : places).to.deep.equal(expected);
+		});
+	}
+
+	it('an urgent gang waits for fast workers that are free soon, but not for long', () => {
+		const harness = createLabelledPool();
+		occupy(harness, FAST, {estimatedMs: 2200});
+		harness.advance(1500);
+		harness.submit('j', 'urgent', [makeStep({taskCount: 2, isGang: true, shape: WHOLE})]);
+		harness.advance(300);
+		expect(placesOf(harness, 'j')).to.deep.equal([]);
+		for (const agent of FAST.slice(0, 2)) {
+			harness.workers.find(worker => worker.agent === agent)!.end(`on-${agent}.0.0.0`, 'done');
+		}
+
+		harness.runCycle();
+		expect(placesOf(harness, 'j')).to.deep.equal(['w0', 'w1']);
+		harness.submit('j2', 'urgent', [makeStep({taskCount: 2, isGang: true, shape: WHOLE})]);
+		// Guards against an urgent gang that waits on and on for runs that take longer than predicted.
+		harness.advance(1500);
+		expect(placesOf(harness, 'j2').length).to.equal(2);
+	});
+
+	it('stops no work only to place an urgent gang on fast workers', () => {
+		const harness = createLabelledPool();
+		occupy(harness, FAST, {});
+		harness.submit('j', 'urgent', [makeStep({taskCount: 2, isGang: true, shape: WHOLE})]);
+		harness.advance(1000);
+		expect(harness.events('preemption')).to.deep.equal([]);
+	});
+
+	it('keeps a task that failed on a slow worker off it while a fast one is free', () => {
+		const harness = createLabelledPool();
+		occupy(harness, SLOW.slice(1), {});
+		harness.submit('j', 'normal', [makeStep({shape: WHOLE})]);
+		harness.runCycle();
+		expect(placesOf(harness, 'j')).to.deep.equal(['w4']);
+		harness.advance(600);
+		harness.workers.find(({agent}) => agent === 'w4')!.end('j.0.0.0', 'failed');
+		harness.runCycle();
+		expect(FAST).to.include.members([...placesOf(harness, 'j')]);
+	});
+
+	it('changes nothing among workers of one speed', () => {
+		const harness = createLabelledPool(2);
+		occupy(harness, SLOW.slice(0, 1), {shape: HALF});
+		harness.submit('j', 'urgent', [makeStep({shape: HALF})]);
+		harness.runCycle();
+		expect(placesOf(harness, 'j')).to.deep.equal(['w4']);
+	});
+});
--- a/packages/pool/tests/support/fake-worker.ts
+++ b/packages/pool/tests/support/fake-worker.ts
@@ -25,6 +25,8 @@
 	startOutcome: OrderOutcome | undefined;
 	/** Stops are not answered. */
 	areStopsLost = false;
+	/** Progress of its tasks in each report. */
+	percentPerReport = PERCENT_PER_REPORT;
 	/** Its tasks make no progress. */
 	isStalled = false;
 	/** Tasks whose start crashes the worker before it answers. */
@@ -58,7 +60,7 @@
 	report(clockMs: number): AgentReport {
 		if (clockMs > this.#clockMs && !this.isStalled) {
 			for (const fakeRun of this.runs.values()) {
-				fakeRun.percent = Math.min(fakeRun.percent + PERCENT_PER_REPORT, 99);
+				fakeRun.percent = Math.min(fakeRun.percent + this.percentPerReport, 99);
 			}
 		}
 
