Keep the estimated speeds of workers across a change of the leader

Cause: without the estimates, each new leader places by best fit until gangs have shown the speeds again.

A new leader reads the row beside its first ticks, so that a slow or failed read delays neither the takeover nor any placement; an unreadable row or entry counts as no evidence. Classes follow the workers that are present.

Tests: packages/pool-entry 141 passing (before the case of the speeds row in malformed-messages.test.ts, which passes); speed-placement.test.ts and worker-speeds.test.ts 45 passing.

--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -212,6 +212,10 @@
 
 		this.core.recover({jobs: jobs.rows, runs: runs.rows, incarnations: incarnations.rows});
 		this.#isRecovered = true;
+		void this.#deps.guard.supervise('worker speeds', async () => {
+			const speeds = await this.#readTable(TABLES.speeds);
+			this.core.restoreSpeeds(speeds.rows);
+		});
 		this.#agentLinks.start(this.#readMembers(members.rows));
 		void this.#deps.guard.supervise('tick loop', async () => this.#tickLoop());
 		let {version} = jobs;
--- a/packages/pool-entry/tests/malformed-messages.test.ts
+++ b/packages/pool-entry/tests/malformed-messages.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {JsonClient} from '@amaranthsail/core';
 import {
-	decodeIncarnationRow, decodeJobRow, decodeLeaderRow, decodeMemberRow, decodeRunRow,
+	decodeIncarnationRow, decodeJobRow, decodeLeaderRow, decodeMemberRow, decodeRunRow, decodeSpeedsRow,
 } from '@amaranthsail/pool';
 import {
 	decodeAnnounceRequest, decodeOrderAnswer, decodeOrderRequest, decodeWatchAnswer, decodeWatchRequest,
@@ -28,6 +28,7 @@
 	{title: 'run row', decode: decodeRunRow, valid: {run: 2, life: 'w@1', failures: 1, checkpoint: 'c'}},
 	{title: 'leader row', decode: decodeLeaderRow, valid: {holder: 'h', address: 'h:1', epoch: 3, commit: 4}},
 	{title: 'member row', decode: decodeMemberRow, valid: {address: 'h:1'}},
+	{title: 'speeds row', decode: decodeSpeedsRow, valid: {workers: {w1: [0.5, 10]}}},
 	{title: 'incarnation row', decode: decodeIncarnationRow, valid: {life: 'w@1'}},
 	{title: 'hello request', decode: decodeHelloRequest, valid: {address: 'h:1', epoch: 1, configRowVersion: 2, failureDomain: 'd', cores: 1}},
 	{title: 'hello answer', decode: decodeHelloAnswer, valid: {epoch: 1, isLeading: true, configRowVersion: 2, entries: ['h:1'], pending: {q: 1}, isDeputy: true, largestCores: 1}},
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -8,13 +8,17 @@
 import {
 	JOB_STATES, type JobState, type OrderOutcome, type PoolConfig, type WorkerOrder,
 } from './model.js';
-import {type DecisionLogger, type OutgoingOrder, PoolContext} from './pool-context.js';
+import {
+	type DecisionLogger, type OutgoingOrder, POOL_EVENTS, PoolContext,
+} from './pool-context.js';
 import type {PoolLimits} from './pool-limits.js';
 import {recover, type StoredState} from './state-recovery.js';
 import {type JobRow, type MemberRow, TABLES} from './rows.js';
+import type {StoredRow} from './ports.js';
 import {RoundPacer} from './round-pacer.js';
 import {RunLifecycle} from './run-lifecycle.js';
 import {SchedulingRound} from './scheduling-round.js';
+import {decodeSpeedsRow, SpeedsRowWriter} from './speeds-row.js';
 import {type AgentReport, WorkerRegistry} from './worker-registry.js';
 
 /** Runs write a checkpoint every 1 to 2 s; one transaction a second stores those of all runs. */
@@ -39,6 +43,7 @@
 	readonly #crashes: CrashLedger;
 	readonly #workers: WorkerRegistry;
 	readonly #schedulingRound: SchedulingRound;
+	readonly #speedsRow: SpeedsRowWriter;
 	readonly #roundPacer = new RoundPacer();
 	readonly #onRound: (durationMs: number) => void;
 	#isRecovered = false;
@@ -63,6 +68,7 @@
 		});
 		this.#workers = new WorkerRegistry(this.#context, this.#runs, this.#crashes);
 		this.#schedulingRound = new SchedulingRound(this.#context, this.#runs);
+		this.#speedsRow = new SpeedsRowWriter(this.#context);
 	}
 
 	/** Whether a worker has refused this leader's epoch. */
@@ -78,6 +84,23 @@
 		});
 	}
 
+	/**
+	 * Adopts the speeds that an earlier leader knew. Placement does not wait for them; without a readable row, the speeds
+	 * are learned again.
+	 *
+	 * @param rows - Rows of the speeds table.
+	 */
+	restoreSpeeds(rows: readonly StoredRow[]): void {
+		for (const row of rows) {
+			const speeds = decodeSpeedsRow(row.value);
+			if (speeds) {
+				this.#context.speeds.restore(speeds.workers, this.#context.nowMs());
+			} else {
+				this.#context.log(POOL_EVENTS.rowUnreadable, {table: row.table, key: row.key, rowVersion: row.version});
+			}
+		}
+	}
+
 	/** @param config - The newest configuration. */
 	setConfig(config: PoolConfig): void {
 		this.#context.setConfig(config);
@@ -146,6 +169,8 @@
 			}
 		}
 
+		this.#context.refreshSpeeds();
+		this.#speedsRow.tick();
 		this.#runDueRound();
 	}
 
@@ -239,7 +264,6 @@
 
 	#runDueRound(): void {
 		const startedAtMs = this.#context.nowMs();
-		this.#context.refreshSpeeds();
 		if (!this.#context.config || !this.#roundPacer.isDue(startedAtMs, this.#context.needsSchedulingRound)) {
 			return;
 		}
--- a/packages/pool/src/rows.ts
+++ b/packages/pool/src/rows.ts
@@ -12,9 +12,11 @@
 	lives: 'lives',
 	/** Workers that are suspected or lost, by incarnation; agents without a leader do not renew their leases. */
 	suspects: 'suspects',
+	/** Estimated speeds of the workers, in one row; a cache. */
+	speeds: 'speeds',
 } as const;
 
-/** Key of the only row of the leader table. */
+/** Key of the only row of the leader table, and of that of the speeds table. */
 export const LEADER_KEY = 'region';
 
 /** Highest epoch that is believed: above the time in seconds, from which epochs count on after an unreadable row. */
@@ -65,6 +67,9 @@
 /** A row of the lives table, by agent: the newest incarnation of the agent's worker that a leader has seen, in `life`. */
 export type IncarnationRow = {readonly life: string};
 
+/** The row of the speeds table: by agent, the logarithm of the worker's speed and the weight of its evidence. */
+export type SpeedsRow = {readonly workers: Readonly<Record<string, readonly [number, number]>>};
+
 /** A row of the members table, by agent. */
 export type MemberRow = {readonly address: string};
 
--- a/packages/pool/src/speed-evidence.ts
+++ b/packages/pool/src/speed-evidence.ts
@@ -112,15 +112,9 @@
 
 /** What is known of the speed of one worker VM. */
 export class WorkerEvidence {
-	belief: Belief;
+	belief = UNKNOWN_SPEED;
 	readonly #runs: RunEvidence[] = [];
-	#prior: Belief;
-
-	/** @param prior - What an earlier leader knew. */
-	constructor(prior: Belief = UNKNOWN_SPEED) {
-		this.#prior = prior;
-		this.belief = prior;
-	}
+	#prior = UNKNOWN_SPEED;
 
 	/** Weight of the evidence; 0 for an unknown worker. */
 	get weight(): number {
@@ -131,6 +125,14 @@
 		return this.#runs;
 	}
 
+	/** @param prior - What an earlier leader knew; runs that were observed since count in addition. */
+	adopt(prior: Belief): void {
+		this.#prior = prior;
+		if (this.#runs.length === 0) {
+			this.belief = prior;
+		}
+	}
+
 	/** Adds progress of a run, and drops the oldest run if there are too many. */
 	add(sample: PaceSample, progress: {readonly percents: number; readonly intervalMs: number}, effectOf: () => StepEffect): void {
 		let evidence = this.#runs.find(candidate => candidate.run === sample.run);
--- a/packages/pool/src/worker-speeds.ts
+++ b/packages/pool/src/worker-speeds.ts
@@ -68,17 +68,16 @@
 	}
 
 	/**
-	 * Infers the speeds from new evidence, if that is due.
+	 * Infers the speeds from new evidence and the classes of the present workers, if that is due.
 	 *
 	 * @param nowMs - Leader's clock.
 	 * @param listPresent - Lists the workers that are present.
 	 */
 	refresh(nowMs: number, listPresent: () => readonly SpeedSubject[]): void {
-		if (!this.#hasNewEvidence || nowMs < this.#refreshDueMs) {
+		if (this.#workers.size === 0 || nowMs < this.#refreshDueMs) {
 			return;
 		}
 
-		this.#hasNewEvidence = false;
 		this.#refreshDueMs = nowMs + REFRESH_INTERVAL_MS;
 		const counts = new Map<string, number>();
 		for (const {agent, service} of listPresent()) {
@@ -91,7 +90,12 @@
 		}
 
 		this.#forgetGone(nowMs);
-		inferSpeeds([...this.#workers.values()].map(({evidence}) => evidence));
+		if (this.#hasNewEvidence) {
+			this.#hasNewEvidence = false;
+			inferSpeeds([...this.#workers.values()].map(({evidence}) => evidence));
+		}
+
+		// The workers of a service become known to a new leader one by one.
 		for (const [service, count] of counts) {
 			this.#classify(service, count);
 		}
@@ -137,10 +141,7 @@
 	 */
 	restore(stored: StoredSpeeds, nowMs: number): void {
 		for (const [agent, [mean, weight]] of Object.entries(stored)) {
-			const evidence = new WorkerEvidence({mean, precision: UNKNOWN_SPEED.precision + Math.min(weight, MAX_KEPT_WEIGHT)});
-			this.#workers.set(agent, {
-				evidence, incarnation: '', service: '', lastSeenMs: nowMs,
-			});
+			this.#stateOf(agent, nowMs).evidence.adopt({mean, precision: UNKNOWN_SPEED.precision + Math.min(weight, MAX_KEPT_WEIGHT)});
 			this.#hasNewEvidence = true;
 		}
 	}
--- a/packages/pool/tests/speed-placement.test.ts
+++ b/packages/pool/tests/speed-placement.test.ts
@@ -9,6 +9,17 @@
 const WHOLE = {cpuMillis: 1000, memoryMb: 1000, accelerators: 8};
 const HALF = {cpuMillis: 1000, memoryMb: 1000, accelerators: 4};
 
+/** `occupied` workers run another job; `expected` are the workers of the job, or their number. */
+type PlacementCase = {
+	readonly title: string;
+	readonly occupied?: readonly string[];
+	readonly occupiedShape?: typeof WHOLE;
+	readonly queue: string;
+	readonly step: Partial<StepSpec>;
+	readonly expected: readonly string[] | number;
+	readonly within: readonly string[];
+};
+
 /** A pool of four fast and eight slow workers, whose speeds a gang has shown unless `fastPercent` is that of slow ones. */
 function createPool(fastPercent = 5): PoolHarness {
 	const workers = [...FAST, ...SLOW].map(agent => new FakeWorker(agent));
@@ -50,17 +61,18 @@
 }
 
 describe('placement on workers of different speeds', () => {
-	const cases: ReadonlyArray<{title: string; occupied?: readonly string[]; occupiedShape?: typeof WHOLE; queue: string; step: Partial<StepSpec>; expected: readonly string[] | number; within: readonly string[]}> = [
-		{title: 'an urgent gang goes to fast workers', queue: 'urgent', step: {taskCount: 4, isGang: true, shape: WHOLE}, expected: 4, within: FAST},
-		{title: 'an urgent gang goes to fast workers although half used slow ones fit better', occupied: SLOW, occupiedShape: HALF, queue: 'urgent', step: {taskCount: 2, isGang: true, shape: HALF}, expected: 1, within: FAST},
-		{title: 'an urgent task goes to a fast worker although half used slow ones fit better', occupied: SLOW, occupiedShape: HALF, queue: 'urgent', step: {shape: HALF}, expected: 1, within: FAST},
-		{title: 'an urgent gang that does not fit onto fast workers goes to slow ones at once', queue: 'urgent', step: {taskCount: 5, isGang: true, shape: WHOLE}, expected: 5, within: SLOW},
-		{title: 'an urgent gang goes to slow workers at once while fast ones are busy for long', occupied: FAST, queue: 'urgent', step: {taskCount: 2, isGang: true, shape: WHOLE}, expected: 2, within: SLOW},
-		{title: 'less urgent work leaves half used fast workers free', occupied: FAST, occupiedShape: HALF, queue: 'normal', step: {shape: HALF}, expected: 1, within: SLOW},
-		{title: 'a less urgent gang leaves half used fast workers free', occupied: FAST, occupiedShape: HALF, queue: 'batch', step: {taskCount: 3, isGang: true, shape: HALF}, expected: 2, within: SLOW},
+	const gangOf = (taskCount: number, shape = WHOLE): Partial<StepSpec> => ({taskCount, isGang: true, shape});
+	const cases: readonly PlacementCase[] = [
+		{title: 'an urgent gang goes to fast workers', queue: 'urgent', step: gangOf(4), expected: 4, within: FAST},
+		{title: 'an urgent gang passes over half used slow workers', occupied: SLOW, occupiedShape: HALF, queue: 'urgent', step: gangOf(2, HALF), expected: 1, within: FAST},
+		{title: 'an urgent task passes over half used slow workers', occupied: SLOW, occupiedShape: HALF, queue: 'urgent', step: {shape: HALF}, expected: 1, within: FAST},
+		{title: 'an urgent gang that is too wide for the fast workers goes to slow ones at once', queue: 'urgent', step: gangOf(5), expected: 5, within: SLOW},
+		{title: 'an urgent gang goes to slow workers at once while fast ones are busy for long', occupied: FAST, queue: 'urgent', step: gangOf(2), expected: 2, within: SLOW},
+		{title: 'less urgent work passes over half used fast workers', occupied: FAST, occupiedShape: HALF, queue: 'normal', step: {shape: HALF}, expected: 1, within: SLOW},
+		{title: 'a less urgent gang passes over half used fast workers', occupied: FAST, occupiedShape: HALF, queue: 'batch', step: gangOf(3, HALF), expected: 2, within: SLOW},
 		{title: 'less urgent work goes to a fast worker rather than wait', occupied: SLOW, queue: 'normal', step: {shape: WHOLE}, expected: 1, within: FAST},
-		{title: 'a less urgent gang goes to fast workers alone if slow ones have no room for all of it', occupied: SLOW.slice(1), queue: 'normal', step: {taskCount: 2, isGang: true, shape: WHOLE}, expected: 2, within: FAST},
-		{title: 'a less urgent gang uses both rather than wait', occupied: [...SLOW.slice(1), ...FAST.slice(1)], queue: 'normal', step: {taskCount: 2, isGang: true, shape: WHOLE}, expected: ['w0', 'w4'], within: ['w0', 'w4']},
+		{title: 'a less urgent gang goes to fast workers alone if slow ones are too few', occupied: SLOW.slice(1), queue: 'normal', step: gangOf(2), expected: 2, within: FAST},
+		{title: 'a less urgent gang uses both rather than wait', occupied: [...SLOW.slice(1), ...FAST.slice(1)], queue: 'normal', step: gangOf(2), expected: ['w0', 'w4'], within: ['w0', 'w4']},
 	];
 	for (const {title, occupied = [], occupiedShape = WHOLE, queue, step, expected, within} of cases) {
 		it(title, () => {
@@ -113,6 +125,47 @@
 		expect(FAST).to.include.members([...placesOf(harness, 'j')]);
 	});
 
+	it('is known to the next leader before any run has ended there', () => {
+		const harness = createLabelledPool();
+		harness.advance(10_000);
+		expect(harness.rowsOf('speeds').length).to.equal(1);
+		harness.replaceLeader();
+		harness.recoverLeader();
+		harness.advance(600);
+		harness.submit('j', 'urgent', [makeStep({taskCount: 4, isGang: true, shape: WHOLE})]);
+		harness.runCycle();
+		expect(placesOf(harness, 'j')).to.deep.equal(FAST);
+	});
+
+	for (const value of [undefined, null, [], {workers: []}, {workers: {w0: ['fast', 1], w1: [99, 1], w2: [0.5, -1], w3: [0.5]}}, {workers: {w0: [0.8, 1e300]}}]) {
+		it(`works without the row ${JSON.stringify(value)}`, () => {
+			const harness = createLabelledPool();
+			harness.replaceLeader();
+			harness.write('speeds', 'region', value);
+			harness.recoverLeader();
+			harness.advance(600);
+			harness.submit('j', 'urgent', [makeStep({taskCount: 4, isGang: true, shape: WHOLE})]);
+			harness.runCycle();
+			expect(placesOf(harness, 'j').length).to.equal(4);
+			expect(harness.events('worker speeds').length).to.equal(1);
+		});
+	}
+
+	it('writes the row at most every 10 s, only if a speed has moved, and never while speeds do not count', () => {
+		for (const {fastPercent, expected} of [{fastPercent: 5, expected: 1}, {fastPercent: 2, expected: 0}]) {
+			const harness = createLabelledPool(fastPercent);
+			const versions = new Set<number>();
+			for (let second = 0; second < 40; second++) {
+				harness.advance(1000);
+				for (const {version} of harness.rowsOf('speeds')) {
+					versions.add(version);
+				}
+			}
+
+			expect(versions.size).to.equal(expected);
+		}
+	});
+
 	it('changes nothing among workers of one speed', () => {
 		const harness = createLabelledPool(2);
 		occupy(harness, SLOW.slice(0, 1), {shape: HALF});
--- a/packages/pool/tests/support/pool-harness.ts
+++ b/packages/pool/tests/support/pool-harness.ts
@@ -70,6 +70,7 @@
 
 	recoverLeader(): void {
 		this.core.recover({jobs: this.rowsOf(TABLES.jobs), runs: this.rowsOf(TABLES.runs), incarnations: this.rowsOf(TABLES.lives)});
+		this.core.restoreSpeeds(this.rowsOf(TABLES.speeds));
 	}
 
 	submit(id: string, queue: string, steps: readonly StepSpec[], options: {account?: string; spec?: Partial<JobSpec>} = {}): void {
