Let an urgent unit wait for fast workers only if slow ones make it late

Change: a unit that is expected to be on time on slow workers uses them at once; otherwise it waits only while fast ones are expected to be free in time.

Tests: speed-placement.test.ts 23 passing.

--- a/packages/pool/src/speed-preference.ts
+++ b/packages/pool/src/speed-preference.ts
@@ -6,9 +6,12 @@
 import type {PoolContext} from './pool-context.js';
 import type {TrackedWorker} from './tracked-worker.js';
 
-/** A unit counts as on time on slow workers if this multiple of its remaining critical path is left. */
+/** A less urgent unit counts as on time if this multiple of the time that its job still needs is left. */
 const ON_TIME_MARGIN = 1.2;
 
+/** The same for urgent units, whose objective leaves little more than the time on slow workers. */
+const URGENT_ON_TIME_MARGIN = 1.1;
+
 /** Above the largest score of a fit (4), so that best fit does not decide between the speed classes. */
 const OTHER_CLASS_PENALTY = 4.5;
 
@@ -90,7 +93,8 @@
 
 	/**
 	 * Decides whether an urgent unit that does not fit onto free fast workers waits for them instead of using slow ones.
-	 * It does if they are expected to be free in less time than it would lose on slow ones.
+	 * It does if it would be late on slow ones, and fast ones are expected to be free in time, and in less time than it
+	 * would lose on slow ones. As long as it can be on time on slow ones, a wait could only make it late.
 	 *
 	 * @param unit - The unit.
 	 * @param request - What is to be placed.
@@ -120,15 +124,25 @@
 			return undefined;
 		}
 
+		const {onFastMs, onSlowMs} = this.#remainingMsOf(unit, URGENT_ON_TIME_MARGIN);
+		if (nowMs + onSlowMs <= unit.objectiveMs || nowMs + onFastMs > unit.objectiveMs) {
+			return undefined;
+		}
+
 		const start = findEarliestStart(request, fast, listReleases());
-		return start && start.atMs - nowMs <= maxWaitMs ? start : undefined;
+		return start && start.atMs - nowMs <= maxWaitMs && start.atMs + onFastMs <= unit.objectiveMs ? start : undefined;
 	}
 
 	#isOnTimeOnlyOnFast(unit: PendingUnit): boolean {
-		const {fastSpeed, slowSpeed} = this.#context.speeds.classesOf(unit.service);
-		const neededMs = remainingCriticalPathMs(unit.step.job) * ON_TIME_MARGIN / this.#medianSpeedOf(unit.service);
+		const {onFastMs, onSlowMs} = this.#remainingMsOf(unit, ON_TIME_MARGIN);
 		const leftMs = unit.objectiveMs - this.#context.nowMs();
-		return neededMs / slowSpeed > leftMs && neededMs / fastSpeed <= leftMs;
+		return onSlowMs > leftMs && onFastMs <= leftMs;
+	}
+
+	#remainingMsOf(unit: PendingUnit, margin: number): {readonly onFastMs: number; readonly onSlowMs: number} {
+		const {fastSpeed, slowSpeed} = this.#context.speeds.classesOf(unit.service);
+		const onMedianMs = remainingCriticalPathMs(unit.step.job) * margin / this.#medianSpeedOf(unit.service);
+		return {onFastMs: onMedianMs / fastSpeed, onSlowMs: onMedianMs / slowSpeed};
 	}
 
 	#medianSpeedOf(service: string): number {
