--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -79,6 +79,7 @@
 			remoteFactor: settings.bounds.remoteFactor,
 			reclaimMs: settings.bounds.reclaimMs,
 			stopTimeoutMs: settings.bounds.stopTimeoutMs,
+			minSpeedSpread: settings.minSpeedSpread ?? DEFAULT_LIMITS.minSpeedSpread,
 		};
 		this.#config = new ConfigFollower(this.#store, {table: CONFIG_TABLE, key: CONFIG_KEY, decode: decodeConfiguration}, this.#clock, logger);
 		this.#config.onChange(config => {
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -259,7 +259,15 @@
 			runs += worker.runs.size;
 		}
 
-		return {jobs: openJobs, runs, workers: this.#context.workers.size};
+		const classes = [...this.#context.speeds.allClasses().values()];
+		return {
+			jobs: openJobs,
+			runs,
+			workers: this.#context.workers.size,
+			workers_with_known_speed: classes.reduce((sum, {knownWorkers}) => sum + knownWorkers, 0),
+			fast_workers: classes.reduce((sum, {fast}) => sum + fast.size, 0),
+			max_speed_spread: Math.max(1, ...classes.map(({spread}) => spread)),
+		};
 	}
 
 	#runDueRound(): void {
