--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -93,6 +93,7 @@
 			reclaimMs: settings.bounds.reclaimMs,
 			stopTimeoutMs: settings.bounds.stopTimeoutMs,
 			...(settings.bounds.evacuationMs !== undefined && {evacuationMs: settings.bounds.evacuationMs}),
+			minSpeedSpread: settings.minSpeedSpread ?? DEFAULT_LIMITS.minSpeedSpread,
 		};
 		this.#config = new ConfigFollower(this.#store, {table: CONFIG_TABLE, key: CONFIG_KEY, decode: decodeConfiguration}, this.#clock, logger);
 		this.#config.onChange(config => {
--- a/packages/pool/src/pool-limits.ts
+++ b/packages/pool/src/pool-limits.ts
@@ -26,6 +26,8 @@
 	readonly stallTimeoutMs: number;
 	/** Time after the request of an evacuation from which nothing may be started in that failure domain; absent where none is requested. */
 	readonly evacuationMs?: number;
+	/** Placement takes the speeds of a service's workers into account once the 80th percentile is this multiple of the 20th. */
+	readonly minSpeedSpread: number;
 };
 
 /** Limits used where the deployment's bounds set none. */
@@ -51,6 +53,8 @@
 	retainEndedMs: 3_600_000,
 	// Progress is reported every second, a restore takes 0.6 s, and with a late restart an urgent job misses its objective.
 	stallTimeoutMs: 1500,
+	// The earlier deployments spread by up to 1.6, the one that needs this by 2.4.
+	minSpeedSpread: 1.8,
 };
 
 /** Factor by which a worker's clock may be slower than the leader's. */
