Plan a preemption without regard to speed if the plan on fast workers loses too much

Cause: the plan on the preferred workers is kept unless others lose less than half of the work. For a unit beyond its guarantee that plan may lose more than the unit is worth while one on other workers would not, so nothing was preempted.

Change: such a unit is planned for once more without the preference.

--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -37,7 +37,7 @@
 	/** Rack on which other tasks of the step run, if the step prefers one rack. */
 	readonly stepRack?: string;
 	/** Whether fast workers are tried before slow ones, or after them; absent where speeds do not count. */
-	readonly prefersFast?: boolean;
+	readonly prefersFast?: boolean | undefined;
 };
 
 /** Weight of a worker's slowness against the capacity that the task leaves unused. */
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -169,7 +169,12 @@
 		}
 
 		const victims = listVictims(unit, this.#context, guarantees);
-		const plan = planPreemption(request, candidates, victims.map(({victim}) => victim));
+		let plan = planPreemption(request, candidates, victims.map(({victim}) => victim));
+		if (plan && request.prefersFast !== undefined && !isPreemptionWorthwhile(unit, plan.lostCoreSeconds)) {
+			// Workers of the other class may lose less work.
+			plan = planPreemption({...request, prefersFast: undefined}, candidates, victims.map(({victim}) => victim));
+		}
+
 		if (!plan || !isPreemptionWorthwhile(unit, plan.lostCoreSeconds)) {
 			return;
 		}
--- a/packages/pool/src/speed-preference.ts
+++ b/packages/pool/src/speed-preference.ts
@@ -106,7 +106,8 @@
 		const {candidates, incarnations} = placement;
 		const {estimatedMs, preferredRack, prefersOneRack} = request.step;
 		// Away from its rack, a task loses more than on a slow worker.
-		if (request.prefersFast !== true || unit.priority !== URGENT_PRIORITY || preferredRack !== undefined || prefersOneRack) {
+		const isBoundToRack = preferredRack !== undefined || prefersOneRack;
+		if (request.prefersFast !== true || unit.priority !== URGENT_PRIORITY || isBoundToRack) {
 			return undefined;
 		}
 
--- a/packages/pool/tests/speed-placement.test.ts
+++ b/packages/pool/tests/speed-placement.test.ts
@@ -2,6 +2,8 @@
 import {FakeWorker} from './support/fake-worker.js';
 import {makeStep, PoolHarness, TEST_CONFIG} from './support/pool-harness.js';
 import type {StepSpec} from '@amaranthsail/pool';
+import type {CandidateWorker} from '@amaranthsail/pool/placement.js';
+import {planPreemption} from '@amaranthsail/pool/preemption.js';
 
 const FAST = ['w0', 'w1', 'w2', 'w3'];
 const SLOW = ['w4', 'w5', 'w6', 'w7', 'w8', 'w9', 'w10', 'w11'];
@@ -126,6 +128,22 @@
 		expect(harness.events('preemption')).to.deep.equal([]);
 	});
 
+	const preemptions = [
+		{title: 'of fast workers if little less is lost on slow ones', slowLoss: 60, expected: ['f1', 'f2']},
+		{title: 'of slow workers if much less is lost there', slowLoss: 40, expected: ['s1', 's2']},
+	];
+	for (const {title, slowLoss, expected} of preemptions) {
+		it(`preempts for an urgent gang without room the work ${title}`, () => {
+			const workers: readonly CandidateWorker[] = ['s1', 's2', 'f1', 'f2'].map(incarnation => ({
+				incarnation, rack: 'r', labels: [], capacity: WHOLE, free: {...WHOLE, accelerators: 0}, isFast: incarnation.startsWith('f'),
+				slowness: 1, sameStepCount: 0, hasFailedHere: false, isTooRisky: false, crashExposure: 0, speedPenalty: 0,
+			}));
+			const victims = workers.map(({incarnation, isFast}) => ({id: incarnation, shapes: new Map([[incarnation, WHOLE]]), lostCoreSeconds: isFast ? 100 : slowLoss}));
+			const request = {step: makeStep(gangOf(2)), count: 2, mayBeRemote: false, mayBeRisky: false, isLastAttempt: false, prefersFast: true};
+			expect(planPreemption(request, workers, victims)?.incarnations).to.deep.equal(expected);
+		});
+	}
+
 	it('keeps a task that failed on a slow worker off it while a fast one is free', () => {
 		const harness = createLabelledPool();
 		occupy(harness, SLOW.slice(1), {});
