--- a/packages/pool-entry/tests/evacuation-follower.test.ts
+++ b/packages/pool-entry/tests/evacuation-follower.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	err, type LogFields, ManualClock, ok, type Result, silentLogger,
+	err, ManualClock, ok, type Result, silentLogger,
 } from '@amaranthsail/core';
 import {sleep} from '@amaranthsail/pool-runtime';
 import {decodeEvacuation, EVACUATION_PREFIX} from '@amaranthsail/platform-adapter';
@@ -18,36 +18,38 @@
 	return {table: 'op', key: WEST, value: isRemoved ? undefined : value, version, isRemoved};
 }
 
+const NAMELESS: StoredRow = {...row(6), key: EVACUATION_PREFIX};
+
 type Fixture = {
 	readonly clock: ManualClock;
 	readonly store: MemoryPoolStore;
 	readonly follower: EvacuationFollower;
-	readonly lines: Array<readonly [string, LogFields | undefined]>;
-	/** What the follower last told the core. */
-	readonly told: () => {readonly failureDomains: readonly string[]; readonly confirmedAtMs: number};
+	readonly messages: string[];
+	/** @returns What the follower tells a core. */
+	readonly tell: () => {readonly failureDomains: readonly string[]; readonly confirmedAtMs: number};
 };
 
 function makeFollower(): Fixture {
 	const clock = new ManualClock(1000);
 	const store = new MemoryPoolStore();
-	const lines: Fixture['lines'] = [];
-	const log = (message: string, fields?: LogFields): void => {
-		lines.push([message, fields]);
+	const messages: string[] = [];
+	const log = (message: string): void => {
+		messages.push(message);
 	};
 
 	const follower = new EvacuationFollower(store, SOURCE, clock, {...silentLogger, info: log, warn: log});
-	const told: Fixture['told'] = () => {
-		let result = {failureDomains: [] as readonly string[], confirmedAtMs: 0};
+	const tell: Fixture['tell'] = () => {
+		let told = {failureDomains: [] as readonly string[], confirmedAtMs: 0};
 		follower.applyTo({
 			setEvacuations(failureDomains, confirmedAtMs) {
-				result = {failureDomains: [...failureDomains], confirmedAtMs};
+				told = {failureDomains: [...failureDomains], confirmedAtMs};
 			},
 		});
-		return result;
+		return told;
 	};
 
 	return {
-		clock, store, follower, lines, told,
+		clock, store, follower, messages, tell,
 	};
 }
 
@@ -60,60 +62,55 @@
 		{title: 'ignores an older withdrawal after a request', pages: [[row(6)], [row(5, true)]], expected: ['west'], messages: ['evacuation requested']},
 		{title: 'goes by the versions in one page, not by the order', pages: [[row(7), row(6, true), row(5)]], expected: ['west'], messages: ['evacuation requested']},
 		{title: 'counts an unreadable row by its key', pages: [[row(5, false, 'x')]], expected: ['west'], messages: ['evacuation unreadable', 'evacuation requested']},
-		{title: 'ignores other rows and a key without a name', pages: [[{...row(5), key: 'config'}, {...row(6), key: EVACUATION_PREFIX}, {...row(7), table: 'jobs'}]], expected: [], messages: ['evacuation unreadable']},
+		{title: 'ignores other rows and a key without a name', pages: [[{...row(5), key: 'config'}, NAMELESS, {...row(7), table: 'jobs'}]], expected: [], messages: ['evacuation unreadable']},
 	];
 	for (const {title, pages, expected, messages} of cases) {
 		it(title, () => {
-			const {follower, told, lines} = makeFollower();
+			const fixture = makeFollower();
 			for (const page of pages) {
-				follower.onRows(page, 0);
+				fixture.follower.onRows(page, 0);
 			}
 
-			expect(told().failureDomains).to.deep.equal(expected);
-			expect(lines.map(([message]) => message)).to.deep.equal(messages);
+			expect(fixture.tell().failureDomains).to.deep.equal(expected);
+			expect(fixture.messages).to.deep.equal(messages);
 		});
 	}
 
 	it('takes the absence of a row from the range for its withdrawal, unless the feed has delivered a newer version', async () => {
-		const {store, follower, told} = makeFollower();
+		const {store, follower, tell} = makeFollower();
 		follower.onRows([row(5), {...row(50), key: `${EVACUATION_PREFIX}north`}], 0);
 		store.version = 20;
 		await follower.read();
-		expect(told().failureDomains).to.deep.equal(['north']);
+		expect(tell().failureDomains).to.deep.equal(['north']);
 	});
 
-	it('is not confirmed by the feed while changes before it may be missing, nor by a read that fails', async () => {
-		const {clock, store, follower, told} = makeFollower();
-		const confirmations: number[] = [];
-		const feed = (): void => {
-			clock.advance(100);
-			follower.onRows([], clock.monotonicMs());
-			confirmations.push(told().confirmedAtMs);
-		};
+	const confirmations: ReadonlyArray<{readonly title: string; readonly steps: ReadonlyArray<'feed' | 'gap' | 'read' | 'failedRead' | 'gapDuringRead'>; readonly confirmedAtMs: number}> = [
+		{title: 'nothing before the range has been read', steps: ['feed'], confirmedAtMs: Number.NEGATIVE_INFINITY},
+		{title: 'nothing after a read that fails', steps: ['failedRead', 'feed'], confirmedAtMs: Number.NEGATIVE_INFINITY},
+		{title: 'the requests after a read', steps: ['read', 'feed'], confirmedAtMs: 1200},
+		{title: 'nothing after a gap', steps: ['read', 'gap', 'feed'], confirmedAtMs: 1100},
+		{title: 'the requests after a gap and a read', steps: ['read', 'gap', 'read', 'feed'], confirmedAtMs: 1400},
+		{title: 'nothing after a gap that begins during the read', steps: ['gapDuringRead', 'feed'], confirmedAtMs: 1100},
+	];
+	for (const {title, steps, confirmedAtMs} of confirmations) {
+		it(`takes a page of the feed to confirm ${title}`, async () => {
+			const {clock, store, follower, tell} = makeFollower();
+			for (const step of steps) {
+				clock.advance(100);
+				store.fault = step === 'failedRead' ? 'refuse' : 'none';
+				const reading = step.endsWith('ead') ? follower.read() : undefined;
+				if (step.startsWith('gap')) {
+					follower.onGap();
+				} else if (step === 'feed') {
+					follower.onRows([], clock.monotonicMs());
+				}
 
-		feed();
-		store.fault = 'refuse';
-		expect(await follower.read()).to.equal(false);
-		feed();
-		store.fault = 'none';
-		await follower.read();
-		feed();
-		follower.onGap();
-		feed();
-		await follower.read();
-		feed();
-		expect(confirmations).to.deep.equal([Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY, 1300, 1300, 1500]);
-	});
+				await reading;
+			}
 
-	it('stays unconfirmed by the feed if another gap begins during the read', async () => {
-		const {clock, follower, told} = makeFollower();
-		const reading = follower.read();
-		follower.onGap();
-		await reading;
-		clock.advance(100);
-		follower.onRows([], clock.monotonicMs());
-		expect(told().confirmedAtMs).to.equal(1000);
-	});
+			expect(tell().confirmedAtMs).to.equal(confirmedAtMs);
+		});
+	}
 });
 
 describe('the feed of the operator\'s rows', () => {
@@ -123,7 +120,7 @@
 	];
 	for (const {title, answer} of losses) {
 		it(`delivers requests, and ${title} has the whole range read again`, async () => {
-			const {clock, store, follower, told} = makeFollower();
+			const {clock, store, follower, tell} = makeFollower();
 			const answers = [ok({rows: [row(5)], version: 5, hasMore: false}), answer];
 			store.follow = async () => {
 				await sleep(5);
@@ -134,8 +131,8 @@
 			config.setTableListener(follower);
 			const seen: string[] = [];
 			follower.onChange(() => {
-				if (seen.at(-1) !== told().failureDomains.join('+')) {
-					seen.push(told().failureDomains.join('+'));
+				if (seen.at(-1) !== tell().failureDomains.join('+')) {
+					seen.push(tell().failureDomains.join('+'));
 				}
 			});
 			const running = [config.run(), follower.run()];
@@ -158,21 +155,21 @@
 		store.fault = 'refuse';
 		const {leader} = makeLeader({evacuations: follower});
 		const told: string[] = [];
-		const {core} = leader;
-		const setEvacuations = core.setEvacuations.bind(core);
-		core.setEvacuations = (failureDomains, confirmedAtMs) => {
+		leader.core.setEvacuations = failureDomains => {
 			told.push(...failureDomains);
-			setEvacuations(failureDomains, confirmedAtMs);
 		};
 
 		void leader.run();
-		await sleep(SETTLE_MS);
-		expect(leader.isLeading).to.equal(false);
-		store.put('op', WEST, {});
-		store.fault = 'none';
-		await sleep(SETTLE_MS);
-		expect(leader.isLeading).to.equal(true);
-		expect(told).to.deep.equal(['west']);
-		await leader.resign();
+		try {
+			await sleep(SETTLE_MS);
+			expect(leader.isLeading).to.equal(false);
+			store.put('op', WEST, {});
+			store.fault = 'none';
+			await sleep(SETTLE_MS);
+			expect(leader.isLeading).to.equal(true);
+			expect(told).to.deep.equal(['west']);
+		} finally {
+			await leader.resign();
+		}
 	});
 });
--- a/packages/pool/src/tracked-worker.ts
+++ b/packages/pool/src/tracked-worker.ts
@@ -121,7 +121,7 @@
  * @param evacuations - The evacuated failure domains.
  * @returns Why such runs have to be placed again, or undefined.
  */
-export function reasonToWithdrawStarts(worker: TrackedWorker, evacuations: {has(failureDomain: string): boolean}): string | undefined {
+export function reasonToWithdrawStarts(worker: TrackedWorker, evacuations: {readonly has: (failureDomain: string) => boolean}): string | undefined {
 	if (evacuations.has(worker.facts.failureDomain)) {
 		return 'failure domain is evacuated';
 	}
