Keep kinds of work apart that slow each other down on one worker

The leader now follows each run's own pace from list to list, and compares it before and after a kind of work begins or ends beside it. Pairs with enough evidence are ranked behind all other fits in placement, and excluded nowhere.

Steps take the optional wire field image, which names their kind of work; otherwise the kind is queue and shape.

--- a/packages/pool/src/model.ts
+++ b/packages/pool/src/model.ts
@@ -27,6 +27,8 @@
 	readonly isCheckpointing: boolean;
 	/** The tasks run until the job is cancelled. */
 	readonly isLasting: boolean;
+	/** Name of what the tasks run, by which the caller tells kinds of work apart. */
+	readonly image?: string;
 };
 
 /** When and how often the steps of a job run. */
--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -18,6 +18,8 @@
 	readonly isTooRisky: boolean;
 	/** How far the unit should be kept apart from the work there, since one of them may crash the worker; 0 to 9. */
 	readonly crashExposure: number;
+	/** Expected cost of tasks that slow each other down there, as a share of their run times; 0 without any. */
+	readonly interference: number;
 };
 
 /** What is to be placed together: a single task, or all members of a gang. */
@@ -32,6 +34,8 @@
 	readonly isLastAttempt: boolean;
 	/** Rack on which other tasks of the step run, if the step prefers one rack. */
 	readonly stepRack?: string;
+	/** The same cost of tasks of the unit itself on one worker. */
+	readonly ownInterference: number;
 };
 
 /** Weight of a worker's slowness against the capacity that the task leaves unused. */
@@ -46,10 +50,17 @@
 /** Ranks a worker where a crash would hit other work behind the others, but before one that is too risky. */
 const CRASH_EXPOSURE_WEIGHT = 5;
 
+/**
+ * Ranks a worker where tasks slow each other down behind all where they do not, however well the task fits: unused
+ * capacity scores at most 4. The cost itself decides between several such workers.
+ */
+const INTERFERENCE_WEIGHT = 4.5;
+const MAX_INTERFERENCE = 4;
+
 /** Slowness up to which a worker counts as normal; the workers' speeds differ by a quarter. */
 const MAX_NORMAL_SLOWNESS = 1.5;
 
-type FillState = {readonly worker: CandidateWorker; free: TaskShape; stepTaskCount: number};
+type FillState = {readonly worker: CandidateWorker; free: TaskShape; stepTaskCount: number; unitTaskCount: number};
 
 /**
  * Chooses workers for a task or a gang without preemption.
@@ -123,8 +134,8 @@
 }
 
 function placeMembers(request: PlacementRequest, workers: readonly CandidateWorker[]): readonly string[] | undefined {
-	const states: FillState[] = workers.map(worker => ({worker, free: worker.free, stepTaskCount: worker.sameStepCount}));
-	const {shape, maxPerWorker} = request.step;
+	const states: FillState[] = workers.map(worker => ({worker, free: worker.free, stepTaskCount: worker.sameStepCount, unitTaskCount: 0}));
+	const {step: {shape, maxPerWorker}, ownInterference} = request;
 	const incarnations: string[] = [];
 	for (let member = 0; member < request.count; member++) {
 		let best: FillState | undefined;
@@ -134,7 +145,7 @@
 				continue;
 			}
 
-			const score = scoreOf(state, shape);
+			const score = scoreOf(state, shape, ownInterference);
 			if (score < bestScore) {
 				best = state;
 				bestScore = score;
@@ -147,6 +158,7 @@
 
 		best.free = subtractShapes(best.free, shape);
 		best.stepTaskCount++;
+		best.unitTaskCount++;
 		incarnations.push(best.worker.incarnation);
 	}
 
@@ -154,15 +166,17 @@
 }
 
 /** Score of a fit, lower is better: the shares of the worker's capacity that the task leaves unused, plus penalties. */
-function scoreOf({worker, free}: FillState, shape: TaskShape): number {
+function scoreOf({worker, free, unitTaskCount}: FillState, shape: TaskShape, ownInterference: number): number {
 	const {capacity} = worker;
 	const left = subtractShapes(free, shape);
+	const interference = worker.interference + (unitTaskCount > 0 ? ownInterference : 0);
 	const share = (value: number, total: number): number => (total > 0 ? value / total : 0);
 	return (2 * share(left.accelerators, capacity.accelerators))
 		+ share(left.cpuMillis, capacity.cpuMillis)
 		+ share(left.memoryMb, capacity.memoryMb)
 		+ (SLOWNESS_WEIGHT * Math.max(0, worker.slowness - MAX_NORMAL_SLOWNESS))
 		+ (worker.crashExposure * CRASH_EXPOSURE_WEIGHT)
+		+ (interference > 0 ? INTERFERENCE_WEIGHT + Math.min(MAX_INTERFERENCE, interference) : 0)
 		+ (worker.hasFailedHere ? FAILED_HERE_WEIGHT : 0)
 		+ (worker.isTooRisky ? TOO_RISKY_WEIGHT : 0);
 }
--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -8,6 +8,7 @@
 import {UnreadableJobs} from './unreadable-jobs.js';
 import {UrgentHeadroom} from './urgent-headroom.js';
 import type {TrackedWorker} from './tracked-worker.js';
+import {WorkerInterference} from './interference/worker-interference.js';
 
 /** An order to send to a worker incarnation through its agent. */
 export type OutgoingOrder = {readonly agent: string; readonly incarnation: string; readonly order: WorkerOrder};
@@ -25,6 +26,7 @@
 	readonly commits = new CommitQueue();
 	readonly headroom = new UrgentHeadroom();
 	readonly unreadableJobs = new UnreadableJobs();
+	readonly interference: WorkerInterference;
 	/** Open tasks under which a worker has crashed, or may have. */
 	readonly crashSuspects = new Set<Task>();
 	/** Leader's clock at its takeover. */
@@ -44,6 +46,7 @@
 	 */
 	constructor(readonly clock: Clock, readonly limits: PoolLimits, readonly log: DecisionLogger) {
 		this.takenOverAtMs = clock.monotonicMs();
+		this.interference = new WorkerInterference(log);
 	}
 
 	/** @returns The leader's clock in milliseconds. */
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -234,7 +234,13 @@
 			runs += worker.runs.size;
 		}
 
-		return {jobs: openJobs, runs, workers: this.#context.workers.size};
+		return {
+			jobs: openJobs,
+			runs,
+			workers: this.#context.workers.size,
+			interfering_pairs: this.#context.interference.pairs.foundCount,
+			runs_slowed_by_neighbours: this.#context.interference.countSlowedRuns(this.#context.workers.values()),
+		};
 	}
 
 	#runDueRound(): void {
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -12,6 +12,7 @@
 import type {PoolContext} from './pool-context.js';
 import {planPreemption} from './preemption.js';
 import {estimateRemainingMs} from './run-estimate.js';
+import {InterferenceExposure} from './interference/interference-exposure.js';
 import type {RunLifecycle} from './run-lifecycle.js';
 import {listVictims} from './victims.js';
 import {
@@ -72,6 +73,7 @@
 	readonly #runs: RunLifecycle;
 	readonly #idleServices = new IdleServices();
 	readonly #crashExposure = new CrashExposure();
+	readonly #interference: InterferenceExposure;
 	/** Expected ends of running tasks in the present round, by service. */
 	readonly #releasesByService = new Map<string, readonly ExpectedRelease[]>();
 
@@ -82,6 +84,7 @@
 	constructor(context: PoolContext, runs: RunLifecycle) {
 		this.#context = context;
 		this.#runs = runs;
+		this.#interference = new InterferenceExposure(context.interference.pairs);
 	}
 
 	/** Places the units that fit, in the order of {@link listPendingUnits}. */
@@ -96,6 +99,7 @@
 
 		this.#releasesByService.clear();
 		this.#crashExposure.clear();
+		this.#interference.clear();
 		const workers = this.#listPresentWorkers(nowMs);
 		/** Steps of which a task did not fit, apart for tasks that may use other workers; all their tasks have the same shape. */
 		const blockedSteps = [new Set<StepState>(), new Set<StepState>(), new Set<StepState>(), new Set<StepState>()];
@@ -123,6 +127,7 @@
 				allocate(workers, incarnations, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, incarnations);
 				this.#crashExposure.forget(incarnations);
+				this.#interference.forget(incarnations);
 				this.#releasesByService.delete(unit.service);
 			} else if (unit.priority === URGENT_PRIORITY) {
 				this.#reserveOrPreempt(unit, request, serviceWorkers, guarantees);
@@ -279,6 +284,7 @@
 				hasFailedHere: failedWorkerIds.has(worker.facts.id),
 				isTooRisky: roundWorker.isQuarantined || (cannotAffordFailure && isUnreliable(worker, nowMs)),
 				crashExposure: hasCrashSuspects ? this.#crashExposure.of(worker, crashedWorkerIds, nowMs) : 0,
+				interference: this.#interference.of(unit.step, worker),
 			};
 		});
 	}
@@ -309,6 +315,7 @@
 			mayBeRemote: isOverdue || waitedMs >= maxWaitMs,
 			mayBeRisky: isOverdue,
 			isLastAttempt: this.#isOnLastAttempt(unit),
+			ownInterference: this.#interference.ofUnit(unit.step),
 			...(runningWorker && {stepRack: rackOf(runningWorker.facts)}),
 		};
 	}
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -13,6 +13,8 @@
 export class WorkerListReconciler {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	/** Runs whose success is in the lists that are being processed. */
+	readonly #completedRuns: Run[] = [];
 
 	/**
 	 * @param context - State of the pool.
@@ -32,12 +34,14 @@
 	reconcile(worker: TrackedWorker, running: readonly ListedRun[]): void {
 		worker.endAcknowledgements.settleEnded(name => this.#context.hasJobEnded(name));
 		const listed = new Map(running.map(entry => [entry.task, entry]));
+		const listedRuns: Run[] = [];
 		for (const run of worker.runs.values()) {
 			const entry = listed.get(run.task.name);
 			if (entry?.run === run.number) {
 				listed.delete(run.task.name);
 				run.firstListedAtWorkerClockMs ??= worker.workerClockMs;
 				this.#runs.onListed(run, entry, worker.listsAsOfMs);
+				listedRuns.push(run);
 			} else if (run.phase === RUN_PHASES.stopping && run.stopAcknowledgedOrderCount !== undefined && run.stopAcknowledgedOrderCount <= worker.orderCountBeforeLists) {
 				this.#runs.end(run, RUN_OUTCOMES.stopped, '');
 			} else if (isLateStartOverdue(run, this.#context.nowMs())) {
@@ -52,6 +56,7 @@
 		}
 
 		this.#stopUnexpected(worker, [...listed.values()].filter(entry => entry.run > (worker.highestEndedRuns.get(entry.task) ?? 0)));
+		this.#context.interference.observe(worker, listedRuns, this.#completedRuns.splice(0), this.#context.nowMs());
 	}
 
 	/**
@@ -68,6 +73,10 @@
 			return;
 		}
 
+		if (run?.number === listed.run && listed.outcome === RUN_OUTCOMES.done) {
+			this.#completedRuns.push(run);
+		}
+
 		worker.endAcknowledgements.add(listed.sequence, listed.task);
 		// An end may be acknowledged only after its outcome is stored.
 		this.#context.commits.enqueueAll(() => {
