--- a/packages/pool/src/interference/interference.ts
+++ b/packages/pool/src/interference/interference.ts
@@ -1,17 +1,18 @@
-import {NeighbourChanges, type WorkerReading} from './neighbour-changes.js';
+import {NeighbourChanges, type PaceChange, type WorkerReading} from './neighbour-changes.js';
 import {PairEvidence} from './pair-evidence.js';
 
-/** A pair of kinds that has been found or forgotten: runs of `kind` beside `neighbour` take `slowdown` times as long. */
+/** A pair of kinds that has been found or forgotten: runs of `kind` beside `neighbour` take `slowdown` times as long, and those of `neighbour` as well if it is mutual. */
 export type InterferenceDecision = {
 	readonly isFound: boolean;
 	readonly kind: string;
 	readonly neighbour: string;
+	readonly isMutual: boolean;
 	readonly slowdown: number;
 	readonly weight: number;
 	readonly workers: number;
 };
 
-/** Callers choose the names of images, so the number of pairs must be bounded; 32 kinds that run together have as many. */
+/** Callers choose the names of images, so the number of pairs must be bounded; 26 kinds that run together have as many. */
 const MAX_PAIRS = 1024;
 
 const DECAY_INTERVAL_MS = 10_000;
@@ -19,10 +20,18 @@
 /** Weight below which evidence is dropped. */
 const MIN_WEIGHT = 0.2;
 
-/** Learns which kinds of work slow each other down on one worker. */
+/** Changes of `kind` beside `neighbour`; of a mutual pair, also those of `neighbour` beside `kind`. */
+type Pair = {readonly kind: string; readonly neighbour: string; readonly isMutual: boolean; readonly evidence: PairEvidence};
+
+/**
+ * Learns which kinds of work slow each other down on one worker.
+ *
+ * Changes count for their direction, since a kind may slow down another one and not be affected, and for both
+ * directions together, which finds kinds that slow each other down in about half of the time.
+ */
 export class Interference {
 	readonly #changes = new NeighbourChanges();
-	readonly #pairs = new Map<string, {readonly kind: string; readonly neighbour: string; readonly evidence: PairEvidence}>();
+	readonly #pairs = new Map<string, Pair>();
 	/** Slowdown of the pairs that are to be kept apart: by kind, the neighbours that slow it down. */
 	readonly #found = new Map<string, Map<string, number>>();
 	readonly #onDecision: (decision: InterferenceDecision) => void;
@@ -54,19 +63,11 @@
 	observe(reading: WorkerReading): void {
 		const {atMs} = reading;
 		for (const change of this.#changes.observe(reading)) {
-			const key = JSON.stringify([change.kind, change.neighbour]);
-			let pair = this.#pairs.get(key);
-			if (!pair) {
-				if (this.#pairs.size >= MAX_PAIRS) {
-					this.#dropWeakestPair();
-				}
-
-				pair = {kind: change.kind, neighbour: change.neighbour, evidence: new PairEvidence()};
-				this.#pairs.set(key, pair);
+			const {kind, neighbour} = change;
+			this.#addChange(change, {kind, neighbour, isMutual: false}, atMs);
+			if (kind !== neighbour) {
+				this.#addChange(change, kind < neighbour ? {kind, neighbour, isMutual: true} : {kind: neighbour, neighbour: kind, isMutual: true}, atMs);
 			}
-
-			pair.evidence.add(change, atMs);
-			this.#decide(pair);
 		}
 
 		if (atMs >= this.#decayDueMs) {
@@ -110,6 +111,22 @@
 		return kinds.filter(kind => [...this.#found.get(kind)?.keys() ?? []].some(neighbour => (counts.get(neighbour) ?? 0) > (neighbour === kind ? 1 : 0))).length;
 	}
 
+	#addChange(change: PaceChange, terms: Omit<Pair, 'evidence'>, nowMs: number): void {
+		const key = JSON.stringify([terms.kind, terms.neighbour, terms.isMutual]);
+		let pair = this.#pairs.get(key);
+		if (!pair) {
+			if (this.#pairs.size >= MAX_PAIRS) {
+				this.#dropWeakestPair();
+			}
+
+			pair = {...terms, evidence: new PairEvidence()};
+			this.#pairs.set(key, pair);
+		}
+
+		pair.evidence.add(change, nowMs);
+		this.#decide(pair);
+	}
+
 	#decayAll(nowMs: number): void {
 		for (const [key, pair] of this.#pairs) {
 			pair.evidence.decay(nowMs);
@@ -118,28 +135,39 @@
 				this.#pairs.delete(key);
 			}
 		}
+
+		this.#listFound();
 	}
 
-	#decide({kind, neighbour, evidence}: {readonly kind: string; readonly neighbour: string; readonly evidence: PairEvidence}): void {
-		const isChanged = evidence.decide();
-		const extraShare = Math.exp(evidence.slowdown) - 1;
-		if (evidence.isFound) {
-			const neighbours = this.#found.get(kind) ?? new Map<string, number>();
-			this.#found.set(kind, neighbours.set(neighbour, extraShare));
-		} else if (isChanged) {
-			this.#found.get(kind)!.delete(neighbour);
-			if (this.#found.get(kind)!.size === 0) {
-				this.#found.delete(kind);
-			}
+	#decide({kind, neighbour, isMutual, evidence}: Pair): void {
+		if (!evidence.decide()) {
+			return;
 		}
 
-		if (isChanged) {
-			this.#onDecision({
-				isFound: evidence.isFound, kind, neighbour, slowdown: 1 + extraShare, weight: evidence.weight, workers: evidence.workerCount,
-			});
+		this.#listFound();
+		this.#onDecision({
+			isFound: evidence.isFound, kind, neighbour, isMutual, slowdown: Math.exp(evidence.slowdown), weight: evidence.weight, workers: evidence.workerCount,
+		});
+	}
+
+	#listFound(): void {
+		this.#found.clear();
+		for (const {kind, neighbour, isMutual, evidence} of this.#pairs.values()) {
+			if (evidence.isFound) {
+				const extraShare = Math.exp(evidence.slowdown) - 1;
+				this.#addFound(kind, neighbour, extraShare);
+				if (isMutual) {
+					this.#addFound(neighbour, kind, extraShare);
+				}
+			}
 		}
 	}
 
+	#addFound(kind: string, neighbour: string, extraShare: number): void {
+		const neighbours = this.#found.get(kind) ?? new Map<string, number>();
+		this.#found.set(kind, neighbours.set(neighbour, Math.max(extraShare, neighbours.get(neighbour) ?? 0)));
+	}
+
 	#dropWeakestPair(): void {
 		let weakest: string | undefined;
 		let leastWeight = Number.POSITIVE_INFINITY;
--- a/packages/pool/src/interference/worker-interference.ts
+++ b/packages/pool/src/interference/worker-interference.ts
@@ -11,9 +11,9 @@
 
 	/** @param log - Logs decisions. */
 	constructor(log: (event: string, fields: LogFields) => void) {
-		this.pairs = new Interference(({isFound, kind, neighbour, slowdown, weight, workers}) => {
+		this.pairs = new Interference(({isFound, kind, neighbour, isMutual, slowdown, weight, workers}) => {
 			log(isFound ? 'interference found' : 'interference forgotten', {
-				kind, neighbour, slowdown: Math.round(slowdown * 100) / 100, evidence: Math.round(weight * 10) / 10, workers,
+				kind, neighbour, isMutual, slowdown: Math.round(slowdown * 100) / 100, evidence: Math.round(weight * 10) / 10, workers,
 			});
 		});
 	}
