--- a/packages/pool/src/interference/pair-evidence.ts
+++ b/packages/pool/src/interference/pair-evidence.ts
@@ -1,4 +1,4 @@
-/** Time in which evidence that is not renewed loses half of its weight: a found pair that never runs together is forgotten after 12 minutes. */
+/** Time in which evidence that is not renewed loses half of its weight: a found pair that never runs together is forgotten after 20 minutes at most. */
 export const EVIDENCE_HALF_LIFE_MS = 300_000;
 
 /** Changes that a pair needs to be found, by weight; a precise one weighs 1. */
