--- a/packages/pool/src/placement.ts
+++ b/packages/pool/src/placement.ts
@@ -20,6 +20,10 @@
 	readonly crashExposure: number;
 	/** Expected cost of tasks that slow each other down there, as a share of their run times; 0 without any. */
 	readonly interference: number;
+	/** Whether it is one of the fast workers of a service whose speeds differ much. */
+	readonly isFast: boolean;
+	/** Added to the score of a fit for the worker's speed; 0 where speeds do not count. */
+	readonly speedPenalty: number;
 };
 
 /** What is to be placed together: a single task, or all members of a gang. */
@@ -36,6 +40,8 @@
 	readonly stepRack?: string;
 	/** The same cost of tasks of the unit itself on one worker. */
 	readonly ownInterference: number;
+	/** Whether fast workers are tried before slow ones, or after them; absent where speeds do not count. */
+	readonly prefersFast?: boolean;
 };
 
 /** Weight of a worker's slowness against the capacity that the task leaves unused. */
@@ -103,15 +109,31 @@
 		groups.push(...racksByFreeAccelerators(allowed));
 	}
 
+	const nearGroups = splitBySpeed(request, groups);
+	const farGroups: Array<readonly CandidateWorker[]> = [];
 	if (groups.length === 0 || request.mayBeRemote || !canEverFit(request, groups)) {
-		groups.push(allowed);
+		farGroups.push(allowed);
 	}
 
 	if (request.mayBeRisky && allowed.length < eligible.length) {
-		groups.push(eligible.filter(worker => !(request.isLastAttempt && worker.isTooRisky && worker.hasFailedHere)));
+		farGroups.push(eligible.filter(worker => !(request.isLastAttempt && worker.isTooRisky && worker.hasFailedHere)));
 	}
 
-	return groups;
+	return [...nearGroups, ...farGroups.flatMap(group => splitBySpeed(request, [group]))];
+}
+
+/**
+ * Puts groups of one speed class before those of all workers, since the slowest member sets the pace of a gang. They leave
+ * out workers with a disadvantage that may be worse than a mixed gang; for single tasks the score decides.
+ */
+function splitBySpeed({prefersFast, count}: PlacementRequest, groups: ReadonlyArray<readonly CandidateWorker[]>): ReadonlyArray<readonly CandidateWorker[]> {
+	if (prefersFast === undefined || count === 1) {
+		return groups;
+	}
+
+	const isSound = ({hasFailedHere, crashExposure, slowness}: CandidateWorker): boolean => !hasFailedHere && crashExposure === 0 && slowness <= MAX_NORMAL_SLOWNESS;
+	const ofOneSpeed = [prefersFast, !prefersFast].flatMap(isFast => groups.map(group => group.filter(worker => worker.isFast === isFast && isSound(worker))));
+	return [...ofOneSpeed.filter(group => group.length > 0), ...groups];
 }
 
 /** Orders racks by free accelerators, the fullest rack first, which keeps whole racks free for wide gangs. */
@@ -175,6 +197,7 @@
 		+ share(left.cpuMillis, capacity.cpuMillis)
 		+ share(left.memoryMb, capacity.memoryMb)
 		+ (SLOWNESS_WEIGHT * Math.max(0, worker.slowness - MAX_NORMAL_SLOWNESS))
+		+ worker.speedPenalty
 		+ (worker.crashExposure * CRASH_EXPOSURE_WEIGHT)
 		+ (interference > 0 ? INTERFERENCE_WEIGHT + Math.min(MAX_INTERFERENCE, interference) : 0)
 		+ (worker.hasFailedHere ? FAILED_HERE_WEIGHT : 0)
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -8,13 +8,17 @@
 import {
 	JOB_STATES, type JobState, type OrderOutcome, type PoolConfig, type WorkerOrder,
 } from './model.js';
-import {type DecisionLogger, type OutgoingOrder, PoolContext} from './pool-context.js';
+import {
+	type DecisionLogger, type OutgoingOrder, POOL_EVENTS, PoolContext,
+} from './pool-context.js';
 import type {PoolLimits} from './pool-limits.js';
 import {recover, type StoredState} from './state-recovery.js';
 import {type JobRow, type MemberRow, TABLES} from './rows.js';
+import type {StoredRow} from './ports.js';
 import {RoundPacer} from './round-pacer.js';
 import {RunLifecycle} from './run-lifecycle.js';
 import {SchedulingRound} from './scheduling-round.js';
+import {decodeSpeedsRow, SpeedsRowWriter} from './speeds-row.js';
 import {type AgentReport, WorkerRegistry} from './worker-registry.js';
 
 /** Runs write a checkpoint every 1 to 2 s; one transaction a second stores those of all runs. */
@@ -39,6 +43,7 @@
 	readonly #crashes: CrashLedger;
 	readonly #workers: WorkerRegistry;
 	readonly #schedulingRound: SchedulingRound;
+	readonly #speedsRow: SpeedsRowWriter;
 	readonly #roundPacer = new RoundPacer();
 	readonly #onRound: (durationMs: number) => void;
 	#isRecovered = false;
@@ -63,6 +68,7 @@
 		});
 		this.#workers = new WorkerRegistry(this.#context, this.#runs, this.#crashes);
 		this.#schedulingRound = new SchedulingRound(this.#context, this.#runs);
+		this.#speedsRow = new SpeedsRowWriter(this.#context);
 	}
 
 	/** Whether a worker has refused this leader's epoch. */
@@ -78,6 +84,23 @@
 		});
 	}
 
+	/**
+	 * Adopts the speeds that an earlier leader knew. Placement does not wait for them; without a readable row, the speeds
+	 * are learned again.
+	 *
+	 * @param rows - Rows of the speeds table.
+	 */
+	restoreSpeeds(rows: readonly StoredRow[]): void {
+		for (const row of rows) {
+			const speeds = decodeSpeedsRow(row.value);
+			if (speeds) {
+				this.#context.speeds.restore(speeds.workers, this.#context.nowMs());
+			} else {
+				this.#context.log(POOL_EVENTS.rowUnreadable, {table: row.table, key: row.key, rowVersion: row.version});
+			}
+		}
+	}
+
 	/** @param config - The newest configuration. */
 	setConfig(config: PoolConfig): void {
 		this.#context.setConfig(config);
@@ -146,6 +169,8 @@
 			}
 		}
 
+		this.#context.refreshSpeeds();
+		this.#speedsRow.tick();
 		this.#runDueRound();
 	}
 
@@ -234,12 +259,16 @@
 			runs += worker.runs.size;
 		}
 
+		const classes = [...this.#context.speeds.allClasses().values()];
 		return {
 			jobs: openJobs,
 			runs,
 			workers: this.#context.workers.size,
 			interfering_pairs: this.#context.interference.pairs.foundCount,
 			runs_slowed_by_neighbours: this.#context.interference.countSlowedRuns(this.#context.workers.values()),
+			workers_with_known_speed: classes.reduce((sum, {knownWorkers}) => sum + knownWorkers, 0),
+			fast_workers: classes.reduce((sum, {fast}) => sum + fast.size, 0),
+			max_speed_spread: Math.max(1, ...classes.map(({spread}) => spread)),
 		};
 	}
 
--- a/packages/pool/tests/interference-placement.test.ts
+++ b/packages/pool/tests/interference-placement.test.ts
@@ -10,7 +10,7 @@
 
 function candidate(incarnation: string, options: Partial<CandidateWorker> = {}): CandidateWorker {
 	return {
-		incarnation, rack: 'r1', labels: ['a', 'r1'], capacity: CAPACITY, free: CAPACITY, slowness: 1, sameStepCount: 0, hasFailedHere: false, isTooRisky: false, crashExposure: 0, interference: 0, ...options,
+		incarnation, rack: 'r1', labels: ['a', 'r1'], capacity: CAPACITY, free: CAPACITY, slowness: 1, sameStepCount: 0, hasFailedHere: false, isTooRisky: false, crashExposure: 0, interference: 0, isFast: false, speedPenalty: 0, ...options,
 	};
 }
 
