--- a/packages/pool/src/pool-context.ts
+++ b/packages/pool/src/pool-context.ts
@@ -9,6 +9,7 @@
 import {UnreadableJobs} from './unreadable-jobs.js';
 import {UrgentHeadroom} from './urgent-headroom.js';
 import type {TrackedWorker} from './tracked-worker.js';
+import {WorkerInterference} from './interference/worker-interference.js';
 import {WorkerSpeeds} from './worker-speeds.js';
 
 /** An order to send to a worker incarnation through its agent. */
@@ -28,6 +29,7 @@
 	readonly headroom = new UrgentHeadroom();
 	readonly evacuations: Evacuations;
 	readonly unreadableJobs = new UnreadableJobs();
+	readonly interference: WorkerInterference;
 	readonly speeds: WorkerSpeeds;
 	/** Open tasks under which a worker has crashed, or may have. */
 	readonly crashSuspects = new Set<Task>();
@@ -49,6 +51,7 @@
 	constructor(readonly clock: Clock, readonly limits: PoolLimits, readonly log: DecisionLogger) {
 		this.evacuations = new Evacuations(limits);
 		this.takenOverAtMs = clock.monotonicMs();
+		this.interference = new WorkerInterference(log);
 		this.speeds = new WorkerSpeeds(limits.minSpeedSpread, (service, {isActive, spread, knownWorkers, fast}) => {
 			log('worker speeds', {
 				service, isActive, spread: Math.round(spread * 100) / 100, knownWorkers, fastWorkers: fast.size,
--- a/packages/pool/src/pool-core.ts
+++ b/packages/pool/src/pool-core.ts
@@ -287,6 +287,8 @@
 			jobs: openJobs,
 			runs,
 			workers: this.#context.workers.size,
+			interfering_pairs: this.#context.interference.pairs.foundCount,
+			runs_slowed_by_neighbours: this.#context.interference.countSlowedRuns(this.#context.workers.values()),
 			workers_with_known_speed: classes.reduce((sum, {knownWorkers}) => sum + knownWorkers, 0),
 			fast_workers: classes.reduce((sum, {fast}) => sum + fast.size, 0),
 			max_speed_spread: Math.max(1, ...classes.map(({spread}) => spread)),
--- a/packages/pool/src/scheduling-round.ts
+++ b/packages/pool/src/scheduling-round.ts
@@ -13,6 +13,7 @@
 import type {PoolContext} from './pool-context.js';
 import {planPreemption} from './preemption.js';
 import {estimateRemainingMs} from './run-estimate.js';
+import {InterferenceExposure} from './interference/interference-exposure.js';
 import {
 	allocate, groupByService, isHalfIdle, type RoundWorker,
 } from './round-worker.js';
@@ -59,6 +60,7 @@
 	readonly #idleServices = new IdleServices();
 	readonly #crashExposure = new CrashExposure();
 	readonly #evacuationLog: EvacuationLog;
+	readonly #interference: InterferenceExposure;
 	readonly #speedPreference: SpeedPreference;
 	/** Expected ends of running tasks in the present round, by service. */
 	readonly #releasesByService = new Map<string, readonly ExpectedRelease[]>();
@@ -72,6 +74,7 @@
 		this.#context = context;
 		this.#runs = runs;
 		this.#evacuationLog = evacuationLog;
+		this.#interference = new InterferenceExposure(context.interference.pairs);
 		this.#speedPreference = new SpeedPreference(context);
 	}
 
@@ -87,6 +90,7 @@
 
 		this.#releasesByService.clear();
 		this.#crashExposure.clear();
+		this.#interference.clear();
 		this.#speedPreference.clear();
 		const workers = this.#listPresentWorkers(nowMs);
 		/** Steps of which a task did not fit, apart for tasks that may use other workers; all their tasks have the same shape. */
@@ -120,6 +124,7 @@
 				allocate(workers, incarnations, unit.step.spec.shape);
 				this.#runs.start(unit.tasks, incarnations);
 				this.#crashExposure.forget(incarnations);
+				this.#interference.forget(incarnations);
 				this.#releasesByService.delete(unit.service);
 				continue;
 			}
@@ -288,6 +293,7 @@
 				hasFailedHere: failedWorkerIds.has(worker.facts.id),
 				isTooRisky: roundWorker.isQuarantined || (cannotAffordFailure && isUnreliable(worker, nowMs)),
 				crashExposure: hasCrashSuspects ? this.#crashExposure.of(worker, crashedWorkerIds, nowMs) : 0,
+				interference: this.#interference.of(unit.step, worker),
 			};
 		});
 	}
@@ -318,6 +324,7 @@
 			mayBeRemote: isOverdue || waitedMs >= maxWaitMs,
 			mayBeRisky: isOverdue,
 			isLastAttempt: this.#isOnLastAttempt(unit),
+			ownInterference: this.#interference.ofUnit(unit.step),
 			...(runningWorker && {stepRack: rackOf(runningWorker.facts)}),
 			...(prefersFast !== undefined && {prefersFast}),
 		};
--- a/packages/pool/src/speed-preference.ts
+++ b/packages/pool/src/speed-preference.ts
@@ -12,8 +12,11 @@
 /** The same for urgent units, whose objective leaves little more than the time on slow workers. */
 const URGENT_ON_TIME_MARGIN = 1.1;
 
-/** Above the largest score of a fit (4), so that best fit does not decide between the speed classes. */
-const OTHER_CLASS_PENALTY = 4.5;
+/**
+ * Above the largest score of a fit (4), so that best fit does not decide between the speed classes, and above that of
+ * neighbours that slow a task down by less than the difference between the classes (4.1 and the share of added time).
+ */
+const OTHER_CLASS_PENALTY = 5;
 
 /** Decides between workers that fit equally, so that the speeds of unknown ones become known. */
 const KNOWN_WORKER_PENALTY = 0.05;
--- a/packages/pool/src/worker-list-reconciler.ts
+++ b/packages/pool/src/worker-list-reconciler.ts
@@ -14,6 +14,8 @@
 export class WorkerListReconciler {
 	readonly #context: PoolContext;
 	readonly #runs: RunLifecycle;
+	/** Runs whose success is in the lists that are being processed. */
+	readonly #completedRuns: Run[] = [];
 	readonly #paces = new PaceObserver();
 
 	/**
@@ -34,6 +36,7 @@
 	reconcile(worker: TrackedWorker, running: readonly ListedRun[]): void {
 		worker.endAcknowledgements.settleEnded(name => this.#context.hasJobEnded(name));
 		const listed = new Map(running.map(entry => [entry.task, entry]));
+		const listedRuns: Run[] = [];
 		const progressing: Array<readonly [Run, ListedRun]> = [];
 		for (const run of worker.runs.values()) {
 			const entry = listed.get(run.task.name);
@@ -41,6 +44,7 @@
 				listed.delete(run.task.name);
 				run.firstListedAtWorkerClockMs ??= worker.workerClockMs;
 				this.#runs.onListed(run, entry, worker.listsAsOfMs);
+				listedRuns.push(run);
 				if (run.phase === RUN_PHASES.running) {
 					progressing.push([run, entry]);
 				}
@@ -58,6 +62,7 @@
 		}
 
 		this.#stopUnexpected(worker, [...listed.values()].filter(entry => entry.run > (worker.highestEndedRuns.get(entry.task) ?? 0)));
+		this.#context.interference.observe(worker, listedRuns, this.#completedRuns.splice(0), this.#context.nowMs());
 		this.#observePaces(worker, progressing);
 	}
 
@@ -75,6 +80,10 @@
 			return;
 		}
 
+		if (run?.number === listed.run && listed.outcome === RUN_OUTCOMES.done) {
+			this.#completedRuns.push(run);
+		}
+
 		worker.endAcknowledgements.add(listed.sequence, listed.task);
 		// An end may be acknowledged only after its outcome is stored.
 		this.#context.commits.enqueueAll(() => {
--- a/packages/pool/tests/speed-placement.test.ts
+++ b/packages/pool/tests/speed-placement.test.ts
@@ -136,10 +136,10 @@
 		it(`preempts for an urgent gang without room the work ${title}`, () => {
 			const workers: readonly CandidateWorker[] = ['s1', 's2', 'f1', 'f2'].map(incarnation => ({
 				incarnation, rack: 'r', labels: [], capacity: WHOLE, free: {...WHOLE, accelerators: 0}, isFast: incarnation.startsWith('f'),
-				slowness: 1, sameStepCount: 0, hasFailedHere: false, isTooRisky: false, crashExposure: 0, speedPenalty: 0,
+				slowness: 1, sameStepCount: 0, hasFailedHere: false, isTooRisky: false, crashExposure: 0, speedPenalty: 0, interference: 0,
 			}));
 			const victims = workers.map(({incarnation, isFast}) => ({id: incarnation, shapes: new Map([[incarnation, WHOLE]]), lostCoreSeconds: isFast ? 100 : slowLoss}));
-			const request = {step: makeStep(gangOf(2)), count: 2, mayBeRemote: false, mayBeRisky: false, isLastAttempt: false, prefersFast: true};
+			const request = {step: makeStep(gangOf(2)), count: 2, mayBeRemote: false, mayBeRisky: false, isLastAttempt: false, prefersFast: true, ownInterference: 0};
 			expect(planPreemption(request, workers, victims)?.incarnations).to.deep.equal(expected);
 		});
 	}
