Bound what clients of each listener may hold

Cause: no listener of pool-entry and pool-agent limited connections, or bytes across connections.

Change: all listeners use a server with a stream between socket and parser (packages/pool-runtime/src/bounded-*.ts). Budgets for each listener, bodies in reserved pages, whole heads only, requests in progress for each connection, JSON values counted before parsing, time limits, replacement of idle connections, trusted connections at internal listeners. The caller API checks route, key and job id before it reads a body. polka is no longer a dependency of pool-runtime.

--- a/packages/pool-agent/src/pool-agent-program.ts
+++ b/packages/pool-agent/src/pool-agent-program.ts
@@ -1,6 +1,4 @@
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
 	JsonClient, type Logger, parseJson, SystemClock,
 } from '@amaranthsail/core';
@@ -11,7 +9,7 @@
 	decodeLeaderRow, leaseMsWithin, LEADER_KEY, type PoolStore, TABLES,
 } from '@amaranthsail/pool';
 import {
-	answerSafely, decoded, ErrorGuard, GracefulServer, listen, type ProcessMetrics, readBody, type RouteHandler, sendJson, serveJson, sleep,
+	answerSafely, answerWithoutBody, BoundedServer, decoded, ErrorGuard, GracefulServer, listen, listenerLimits, ListenerMonitor, type ListenerOptions, MAX_INTERNAL_BODY_BYTES, type ProcessMetrics, receiveBody, refusalAnswer, refusalHeaders, type RouteHandler, sendJson, serveJson, sleep,
 } from '@amaranthsail/pool-runtime';
 import {decodeOrderRequest, decodeWatchRequest} from './agent-message-decoding.js';
 import {PoolAgentCore} from './pool-agent-core.js';
@@ -67,12 +65,16 @@
 			return {status: 200, body: await core.onOrder(request)};
 		}),
 	};
+	const observer = new ListenerMonitor(logger, metrics);
+	const optionsOf = (name: 'peers' | 'control' | 'metrics'): ListenerOptions => ({
+		limits: listenerLimits(settings.clientLimits, name, {maxBodyBytes: name === 'metrics' ? 0 : MAX_INTERNAL_BODY_BYTES, isInternal: name !== 'metrics'}), observer,
+	});
 	const servers: readonly GracefulServer[] = [
 		new GracefulServer(await serveJson(address, routes, (path, error) => {
 			guard.record('leader request', error, {path});
-		})),
-		new GracefulServer(await listen(createControlServer(core, guard, logger, metrics), settings.controlAddress!)),
-		new GracefulServer(await metrics.serve(`${settings.ip}:${settings.metricsPort}`)),
+		}, optionsOf('peers'))),
+		new GracefulServer(await listen(createControlServer(core, guard, logger, metrics, optionsOf('control')), settings.controlAddress!)),
+		new GracefulServer(await metrics.serve(`${settings.ip}:${settings.metricsPort}`, optionsOf('metrics'))),
 	];
 	const stopping = new AbortController();
 	void guard.supervise('announcing', async () => {
@@ -121,28 +123,40 @@
 }
 
 /** Server for the heartbeats and the deregistration of the worker on the same VM. */
-function createControlServer(core: PoolAgentCore, guard: ErrorGuard, logger: Logger, metrics: ProcessMetrics): Server {
-	return createServer((message, response) => {
+function createControlServer(core: PoolAgentCore, guard: ErrorGuard, logger: Logger, metrics: ProcessMetrics, {limits, observer}: ListenerOptions): Server {
+	return new BoundedServer(limits, observer, (message, response) => {
 		void answerSafely(message, response, async () => serveWorker(message, response), (path, error) => {
 			guard.record('worker request', error, {path});
 		});
 	});
 
 	async function serveWorker(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		const text = await readBody(message);
 		const call = parseWorkerCall(message.method ?? '', message.url ?? '');
 		if (!call) {
-			sendJson(response, {status: 404});
+			await answerWithoutBody(message, response, limits, {status: 404});
+			return;
+		}
+
+		const received = await receiveBody(message, limits);
+		if (!received) {
+			response.destroy();
 			return;
 		}
 
+		if ('refusal' in received) {
+			sendJson(response, refusalAnswer(received.refusal), refusalHeaders(received.refusal));
+			return;
+		}
+
+		const {text} = received;
+
 		if (call.kind === 'leave') {
-			core.onLeave(call.workerId, decodeLeave(text === undefined ? undefined : parseJson(text)));
+			core.onLeave(call.workerId, decodeLeave(parseJson(text)));
 			sendJson(response, {status: 200, body: {}});
 			return;
 		}
 
-		const heartbeat = decodeHeartbeat(call.workerId, text === undefined ? undefined : parseJson(text));
+		const heartbeat = decodeHeartbeat(call.workerId, parseJson(text));
 		if ('problem' in heartbeat) {
 			logger.warn('heartbeat refused', {worker: call.workerId, problem: heartbeat.problem});
 			metrics.count('heartbeats', {outcome: 'refused'});
--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -7,11 +7,12 @@
 	type ClientAccount, type JobRow, type Queue, termsOf,
 } from '@amaranthsail/pool';
 import {
-	type ProcessMetrics, readBody, type RouteAnswer, sendJson,
+	connectionOf, discardBody, type ListenerLimits, type ProcessMetrics, type ReceivedBody, receiveBody, refusalAnswer, refusalHeaders, type RouteAnswer, sendJson,
 } from '@amaranthsail/pool-runtime';
 import type {ConfigFollower, KnownConfig} from './config-follower.js';
 import type {JobRequestOutcome} from './job-request-outcome.js';
 import type {JobService} from './job-service.js';
+import {SharedRefresh} from './shared-refresh.js';
 
 /** Deadline of callers that send none. */
 const DEFAULT_DEADLINE_MS = 3000;
@@ -29,7 +30,7 @@
 const MAX_FRESH_CONFIG_AGE_MS = 150;
 
 /** Largest request body that is accepted from a caller. */
-const MAX_BODY_BYTES = 262_144;
+export const MAX_BODY_BYTES = 262_144;
 
 /** Value of `Retry-After`: the store or a leader is usually available again by then. */
 const RETRY_AFTER_S = '1';
@@ -37,6 +38,9 @@
 /** How often one request is checked against a configuration before it fails because the configuration keeps changing. */
 const MAX_CONFIG_CHECKS = 3;
 
+/** A path or a host of legal length is far shorter; the rest of a head would fill the log. */
+const MAX_LOGGED_LENGTH = 300;
+
 /** Number of digits of a job id, which ends the path of a request. */
 const JOB_ID_LENGTH = 16;
 
@@ -51,21 +55,30 @@
 	readonly isConfigUsable: () => boolean;
 	/** Number of jobs of a queue that have not started; undefined when no leader has reported recently. */
 	readonly pendingCount: (queue: string) => number | undefined;
+	/** Limits of the listener. */
+	readonly limits: ListenerLimits;
 };
 
-type CallerRequest = CallerHeaders & {readonly method: string; readonly path: string; readonly body: string | undefined};
+type CallerRequest = CallerHeaders & {readonly method: string; readonly path: string; /** Absent if the request needs none. */ readonly body?: string};
 
 type SelectedQueue = {readonly known: KnownConfig; readonly queue: Queue; readonly account: ClientAccount | undefined; readonly jobId: string};
 
 /** HTTP API for callers: submits, cancels and reads jobs. */
 export class CallerApi {
 	readonly #deps: CallerApiDependencies;
+	readonly #refresh: SharedRefresh;
 	readonly #unansweredRequests = new Set<() => void>();
 	#isEnded = false;
 
 	/** @param deps - Dependencies. */
 	constructor(deps: CallerApiDependencies) {
 		this.#deps = deps;
+		this.#refresh = new SharedRefresh(async () => deps.config.refresh());
+	}
+
+	/** Limits of the listener. */
+	get limits(): ListenerLimits {
+		return this.#deps.limits;
 	}
 
 	/**
@@ -76,16 +89,26 @@
 	 */
 	async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const startedAtMs = this.#deps.clock.monotonicMs();
-		const body = await readBody(message, MAX_BODY_BYTES);
-		const request: CallerRequest = {...decodeCallerHeaders(message.headers), method: message.method ?? '', path: (message.url ?? '').split('?')[0]!, body};
-		const answer = await this.#answerBeforeEnd(request);
+		const head: CallerRequest = {...decodeCallerHeaders(message.headers), method: message.method ?? '', path: (message.url ?? '').split('?')[0]!};
+		const refused = head.method === 'POST' && !connectionOf(message)?.isRefused(message) ? await this.#answerBeforeEnd(head, async () => this.#refuseWithoutBody(head)) : undefined;
+		const received = await this.#receive(message, head.method === 'POST' && refused === undefined);
+		if (!received) {
+			// Nobody waits for an answer, and nothing of the request has been carried out.
+			response.destroy();
+			return;
+		}
+
+		const request: CallerRequest = 'text' in received ? {...head, body: received.text} : head;
+		const refusal = 'refusal' in received ? received.refusal : undefined;
+		const answer = refusal ? this.#unlessUnknown(head, refusalAnswer(refusal)) : refused ?? await this.#answerBeforeEnd(request, async () => this.#answer(request));
 		const tookMs = this.#deps.clock.monotonicMs() - startedAtMs;
 		sendJson(response, answer, {
+			...(refusal && refusalHeaders(refusal)),
 			...((answer.status === 503 || answer.status === 429) && {'retry-after': RETRY_AFTER_S}),
 		});
 		const {known} = this.#deps.config;
 		this.#deps.logger.info('request answered', {
-			method: request.method, path: request.path, host: request.host, status: answer.status, tookMs: Math.round(tookMs), configVersion: known?.config.version ?? 'none', configAgeMs: Math.round(Math.min(this.#deps.config.ageMs, 1e6)), deadlineMs: request.deadlineMs ?? 'none', ...(answer.body !== undefined && {answer: answer.body}),
+			method: request.method, path: request.path.slice(0, MAX_LOGGED_LENGTH), host: request.host.slice(0, MAX_LOGGED_LENGTH), status: answer.status, tookMs: Math.round(tookMs), configVersion: known?.config.version ?? 'none', configAgeMs: Math.round(Math.min(this.#deps.config.ageMs, 1e6)), deadlineMs: request.deadlineMs ?? 'none', ...(answer.body !== undefined && {answer: answer.body}),
 		});
 		this.#deps.metrics.observe('request', tookMs, {method: request.method, status: String(answer.status)});
 	}
@@ -99,7 +122,35 @@
 		}
 	}
 
-	async #answerBeforeEnd(request: CallerRequest): Promise<RouteAnswer> {
+	/** Reads a body that is needed; any other one is not kept. */
+	async #receive(message: IncomingMessage, isNeeded: boolean): Promise<ReceivedBody> {
+		if (isNeeded) {
+			return receiveBody(message, this.#deps.limits);
+		}
+
+		const refusal = await discardBody(message, this.#deps.limits.maxBodyBytes);
+		if (refusal === 'left') {
+			return undefined;
+		}
+
+		return refusal ? {refusal} : {text: ''};
+	}
+
+	/** The answer to a request that is refused whatever its body says, before any memory is used for the body. */
+	async #refuseWithoutBody(request: CallerRequest): Promise<RouteAnswer | undefined> {
+		const selected = await this.#selectQueue(request);
+		if ('status' in selected) {
+			return selected.status === 503 ? this.#unlessUnknown(request, selected) : selected;
+		}
+
+		return this.#refuseJobId(selected.jobId);
+	}
+
+	#refuseJobId(jobId: string): RouteAnswer | undefined {
+		return jobId === '' || isJobId(jobId) ? undefined : {status: 400, body: {problem: 'job id: expected 16 hexadecimal digits'}};
+	}
+
+	async #answerBeforeEnd<Answer extends RouteAnswer | undefined>(request: CallerRequest, makeAnswer: () => Promise<Answer>): Promise<Answer | RouteAnswer> {
 		const unfinished = (): RouteAnswer => this.#unlessUnknown(request, {status: 503, body: {problem: 'this entry is stopping'}});
 		if (this.#isEnded) {
 			return unfinished();
@@ -113,7 +164,7 @@
 		});
 		this.#unansweredRequests.add(end);
 		try {
-			return await Promise.race([this.#answer(request), ended]);
+			return await Promise.race([makeAnswer(), ended]);
 		} finally {
 			this.#unansweredRequests.delete(end);
 		}
@@ -137,7 +188,7 @@
 				return toAnswer(outcome);
 			}
 
-			await this.#deps.config.refresh();
+			await this.#refresh.run();
 		}
 
 		return this.#unlessUnknown(request, {status: 503, body: {problem: 'the configuration keeps changing'}});
@@ -158,13 +209,14 @@
 			return this.#answerPending(request, queue);
 		}
 
-		if (!isJobId(jobId)) {
-			return {status: 400, body: {problem: 'job id: expected 16 hexadecimal digits'}};
+		const refused = this.#refuseJobId(jobId);
+		if (refused) {
+			return refused;
 		}
 
 		switch (request.method) {
 			case 'POST': {
-				const spec = decodeJobSpec(request.body === undefined ? undefined : parseJson(request.body));
+				const spec = decodeJobSpec(parseJson(request.body ?? ''));
 				if ('problem' in spec) {
 					return {status: 400, body: spec};
 				}
@@ -202,7 +254,7 @@
 	async #selectQueue(request: CallerRequest): Promise<SelectedQueue | RouteAnswer> {
 		const {config} = this.#deps;
 		if (!config.known || !this.#deps.isConfigUsable()) {
-			await config.refresh();
+			await this.#refresh.run();
 			if (!config.known || !this.#deps.isConfigUsable()) {
 				return {status: 503, body: {problem: 'no current configuration'}};
 			}
@@ -213,7 +265,7 @@
 			return selected;
 		}
 
-		await config.refresh();
+		await this.#refresh.run();
 		return selectFromConfig(config.known, request);
 	}
 }
--- a/packages/pool-entry/src/entry-calls.ts
+++ b/packages/pool-entry/src/entry-calls.ts
@@ -16,7 +16,7 @@
 const LEADER_TIMEOUT_MS = 350;
 
 /** Statuses with which an entry rejects a call before its handler runs. */
-const REJECTED_CALL_STATUSES: ReadonlySet<number> = new Set([400, 404]);
+const REJECTED_CALL_STATUSES: ReadonlySet<number> = new Set([400, 404, 413, 503]);
 
 /** Calls of callers' requests to other entries. */
 export class EntryCalls {
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -1,4 +1,3 @@
-import {createServer} from 'node:http';
 import {
 	asFields, JsonClient, type Logger, SystemClock,
 } from '@amaranthsail/core';
@@ -8,9 +7,9 @@
 import {DEFAULT_LIMITS, leaseMsWithin, type PoolLimits} from '@amaranthsail/pool';
 import {ANNOUNCE_PATH, type AnnounceRequest, decodeAnnounceRequest} from '@amaranthsail/pool-agent';
 import {
-	answerSafely, decoded, ErrorGuard, GracefulServer, listen, type ProcessMetrics, type RouteAnswer, type RouteHandler, serveJson, sleep,
+	answerSafely, BoundedServer, connectionOf, decoded, ErrorGuard, GracefulServer, listen, listenerLimits, ListenerMonitor, type ListenerOptions, MAX_INTERNAL_BODY_BYTES, type ProcessMetrics, type RouteAnswer, type RouteHandler, serveJson, sleep,
 } from '@amaranthsail/pool-runtime';
-import {CallerApi} from './caller-api.js';
+import {CallerApi, MAX_BODY_BYTES} from './caller-api.js';
 import type {Leadership} from './commit-loop.js';
 import {ConfigFollower} from './config-follower.js';
 import {EntryDirectory} from './entry-directory.js';
@@ -119,23 +118,27 @@
 			jobs: this.#jobs,
 			isConfigUsable: () => this.#isConfigUsable(),
 			pendingCount: queue => this.#pendingCounts.countOf(queue, this.#leader),
+			limits: listenerLimits(settings.clientLimits, 'callers', {maxBodyBytes: MAX_BODY_BYTES, isInternal: false}),
 		});
 	}
 
 	/** Opens all servers and starts following the configuration and the leader. */
 	async start(): Promise<void> {
-		const {callerAddress, readinessAddress, ip, metricsPort} = this.#settings;
+		const {callerAddress, readinessAddress, ip, metricsPort, clientLimits} = this.#settings;
+		const observer = new ListenerMonitor(this.#logger, this.#metrics);
+		const peers: ListenerOptions = {limits: listenerLimits(clientLimits, 'peers', {maxBodyBytes: MAX_INTERNAL_BODY_BYTES, isInternal: true}), observer};
+		const bodiless = {maxBodyBytes: 0, isInternal: false};
 		this.#servers.push(
 			new GracefulServer(await serveJson(this.#address, this.#routes(), (path, error) => {
 				this.#guard.record('peer request', error, {path});
-			})),
-			new GracefulServer(await this.#metrics.serve(`${ip}:${metricsPort}`)),
-			new GracefulServer(await listen(createServer((message, response) => {
-				const isReady = message.url === READINESS_PATH && this.#isReady();
+			}, peers)),
+			new GracefulServer(await this.#metrics.serve(`${ip}:${metricsPort}`, {limits: listenerLimits(clientLimits, 'metrics', bodiless), observer})),
+			new GracefulServer(await listen(new BoundedServer(listenerLimits(clientLimits, 'readiness', bodiless), observer, (message, response) => {
+				const isReady = message.url === READINESS_PATH && this.#isReady() && !connectionOf(message)?.isRefused(message);
 				response.writeHead(isReady ? 200 : 503);
 				response.end();
 			}), readinessAddress!)),
-			new GracefulServer(await listen(createServer((message, response) => {
+			new GracefulServer(await listen(new BoundedServer(this.#callerApi.limits, observer, (message, response) => {
 				void answerSafely(message, response, async () => this.#callerApi.serve(message, response), (path, error) => {
 					this.#guard.record('caller request', error, {path});
 				});
--- a/packages/pool-entry/tests/caller-api.test.ts
+++ b/packages/pool-entry/tests/caller-api.test.ts
@@ -2,7 +2,9 @@
 import {expect} from 'chai';
 import {JsonClient, silentLogger, SystemClock} from '@amaranthsail/core';
 import type {PoolConfig, Queue, StoredRow} from '@amaranthsail/pool';
-import {listen, ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
+import {
+	DEFAULT_LISTENER_LIMITS, listen, ProcessMetrics, sleep,
+} from '@amaranthsail/pool-runtime';
 import {MemoryPoolStore} from './support.js';
 import {CallerApi, type CallerApiDependencies} from '@amaranthsail/pool-entry/caller-api.js';
 import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
@@ -62,7 +64,7 @@
 		store, clock, logger: silentLogger, config, leader: () => undefined, storedJob: () => undefined, leaderAddress: () => undefined, entries: () => [],
 	});
 	const api = new CallerApi({
-		clock, logger: silentLogger, metrics: new ProcessMetrics(), config, jobs, isConfigUsable: () => options.isConfigUsable ?? true, pendingCount: () => undefined,
+		clock, logger: silentLogger, metrics: new ProcessMetrics(), config, jobs, isConfigUsable: () => options.isConfigUsable ?? true, pendingCount: () => undefined, limits: DEFAULT_LISTENER_LIMITS,
 	});
 	const server = await listen(createServer((message, response) => {
 		void api.serve(message, response);
--- a/packages/pool-runtime/src/json-server.ts
+++ b/packages/pool-runtime/src/json-server.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {parseJson} from '@amaranthsail/core';
-import polka from 'polka';
+import {BoundedServer, type ListenerObserver} from './bounded-server.js';
+import {DEFAULT_LISTENER_LIMITS, type ListenerLimits} from './listener-limits.js';
+import {type BodyRefusal, discardBody, receiveBody} from './request-body.js';
 
 /** Status and JSON body of an answer. */
 export type RouteAnswer = {readonly status: number; readonly body?: unknown};
@@ -12,36 +14,31 @@
 /** Receives the unexpected errors of single requests. */
 export type RequestErrorHandler = (path: string, error: unknown) => void;
 
-/** Bodies of calls between the system's own processes stay below this size. */
-const MAX_BODY_BYTES = 4 * 1024 * 1024;
-
 /** Longer than the intervals between calls, so that a caller does not write to a connection that is being closed. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
+/** Value of `Retry-After`: a crowd of clients that hold memory without progress is closed by then. */
+const RETRY_AFTER_S = '1';
+
 /**
- * Reads a request body.
+ * Reads a request body of a server that has no clients from outside, such as an emulator.
  *
  * @param message - The request.
- * @param maxBytes - Largest accepted body.
  * @returns The text, or undefined when it is too large or the request failed before its end.
  */
-export async function readBody(message: IncomingMessage, maxBytes = MAX_BODY_BYTES): Promise<string | undefined> {
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
-	return new Promise(resolve => {
-		message.on('data', (chunk: Uint8Array) => {
-			bytes += chunk.length;
-			if (bytes <= maxBytes) {
-				chunks.push(chunk);
-			}
-		});
-		message.on('end', () => {
-			resolve(bytes <= maxBytes ? Buffer.concat(chunks).toString() : undefined);
-		});
-		message.on('error', () => {
-			resolve(undefined);
-		});
-	});
+export async function readBody(message: IncomingMessage): Promise<string | undefined> {
+	const received = await receiveBody(message, {...DEFAULT_LISTENER_LIMITS, maxJsonValues: Number.POSITIVE_INFINITY});
+	return received && 'text' in received ? received.text : undefined;
+}
+
+/** @returns The answer to a request whose body was refused. */
+export function refusalAnswer({status, problem}: BodyRefusal): RouteAnswer {
+	return {status, body: {problem}};
+}
+
+/** @returns Headers of the answer to such a request; the rest of a body that was not read ends the connection. */
+export function refusalHeaders({status, isUnfinished}: BodyRefusal): Readonly<Record<string, string>> {
+	return {...(status === 503 && {'retry-after': RETRY_AFTER_S}), ...(isUnfinished && {connection: 'close'})};
 }
 
 /**
@@ -92,24 +89,60 @@
 	};
 }
 
+/** Limits of a server, and who is told what it does about its clients. */
+export type ListenerOptions = {readonly limits: ListenerLimits; readonly observer?: ListenerObserver};
+
 /**
  * Starts a server for calls between the system's own processes.
  *
  * @param address - `host:port` to listen on.
  * @param routes - Handlers of `POST` requests, by path.
  * @param onError - Receives unexpected errors of handlers.
+ * @param options - Limits for the clients.
  * @returns The server, once it listens.
  */
-export async function serveJson(address: string, routes: Readonly<Record<string, RouteHandler>>, onError: RequestErrorHandler): Promise<Server> {
-	const app = polka();
-	for (const [path, handler] of Object.entries(routes)) {
-		app.post(path, async (message, response) => answerSafely(message, response, async () => {
-			const text = await readBody(message);
-			sendJson(response, await handler(text === undefined ? undefined : parseJson(text)));
-		}, onError));
-	}
+export async function serveJson(address: string, routes: Readonly<Record<string, RouteHandler>>, onError: RequestErrorHandler, options?: ListenerOptions): Promise<Server> {
+	const {limits, observer} = options ?? {limits: DEFAULT_LISTENER_LIMITS};
+	const handlers = new Map(Object.entries(routes));
+	const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const handler = message.method === 'POST' ? handlers.get((message.url ?? '').split('?')[0]!) : undefined;
+		if (!handler) {
+			await answerWithoutBody(message, response, limits, {status: 404});
+			return;
+		}
 
-	return listen(createServer(app.handler as (message: IncomingMessage, response: ServerResponse) => void), address);
+		const received = await receiveBody(message, limits);
+		if (!received) {
+			response.destroy();
+		} else if ('refusal' in received) {
+			sendJson(response, refusalAnswer(received.refusal), refusalHeaders(received.refusal));
+		} else {
+			sendJson(response, await handler(parseJson(received.text)));
+		}
+	};
+
+	return listen(new BoundedServer(limits, observer, (message, response) => {
+		void answerSafely(message, response, async () => serve(message, response), onError);
+	}), address);
+}
+
+/**
+ * Answers a request whose body is not needed.
+ *
+ * @param message - The request.
+ * @param response - The response to write.
+ * @param limits - Limits of the listener.
+ * @param answer - Status and body.
+ */
+export async function answerWithoutBody(message: IncomingMessage, response: ServerResponse, limits: ListenerLimits, answer: RouteAnswer): Promise<void> {
+	const refusal = await discardBody(message, limits.maxBodyBytes);
+	if (refusal === 'left') {
+		response.destroy();
+	} else if (refusal) {
+		sendJson(response, refusalAnswer(refusal), refusalHeaders(refusal));
+	} else {
+		sendJson(response, answer);
+	}
 }
 
 /**
--- a/packages/pool-runtime/src/metrics.ts
+++ b/packages/pool-runtime/src/metrics.ts
@@ -1,6 +1,8 @@
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import {listen} from './json-server.js';
+import {BoundedServer} from './bounded-server.js';
+import {connectionOf} from './connection-of.js';
+import {listen, type ListenerOptions} from './json-server.js';
 
 /** From a call within a region to the longest wait of a caller. */
 const LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
@@ -14,6 +16,7 @@
 	readonly #counters = new Map<string, Counter>();
 	readonly #gauges = new Map<string, Gauge>();
 	readonly #histograms = new Map<string, Histogram>();
+	#textInProgress: Promise<string> | undefined;
 
 	/**
 	 * Counts an event.
@@ -55,15 +58,16 @@
 	 *
 	 * @param name - Name of the gauge, without prefix.
 	 * @param value - The value.
+	 * @param labels - Labels; the label names of one gauge never change.
 	 */
-	set(name: string, value: number): void {
+	set(name: string, value: number, labels: Readonly<Record<string, string>> = {}): void {
 		let gauge = this.#gauges.get(name);
 		if (!gauge) {
-			gauge = new Gauge({name: `amaranthsail_${name}`, help: name, registers: [this.#registry]});
+			gauge = new Gauge({name: `amaranthsail_${name}`, help: name, labelNames: Object.keys(labels), registers: [this.#registry]});
 			this.#gauges.set(name, gauge);
 		}
 
-		gauge.set(value);
+		gauge.set(labels, value);
 	}
 
 	/** @returns All metrics in Prometheus' text format. */
@@ -75,15 +79,33 @@
 	 * Serves the metrics on every path.
 	 *
 	 * @param address - `host:port` to listen on.
+	 * @param options - Limits for the clients.
 	 * @returns The server, once it listens.
 	 */
-	async serve(address: string): Promise<Server> {
-		const server = createServer((_message, response) => {
+	async serve(address: string, {limits, observer}: ListenerOptions): Promise<Server> {
+		const server = new BoundedServer(limits, observer, (message, response) => {
 			void (async () => {
+				if (connectionOf(message)?.isRefused(message)) {
+					response.writeHead(503, {connection: 'close'}).end();
+					return;
+				}
+
 				response.writeHead(200, {'content-type': this.#registry.contentType});
-				response.end(await this.text());
+				response.end(await this.#sharedText());
 			})();
 		});
 		return listen(server, address);
 	}
+
+	/** Requests that arrive while a text is made share it, so that many at once need the memory of one. */
+	async #sharedText(): Promise<string> {
+		this.#textInProgress ??= (async () => {
+			try {
+				return await this.text();
+			} finally {
+				this.#textInProgress = undefined;
+			}
+		})();
+		return this.#textInProgress;
+	}
 }
