--- a/packages/pool-entry/src/pool-leader.ts
+++ b/packages/pool-entry/src/pool-leader.ts
@@ -5,6 +5,7 @@
 import {type ErrorGuard, type ProcessMetrics, sleep} from '@amaranthsail/pool-runtime';
 import {AgentLinks} from './agent-links.js';
 import {CommitLoop, type Leadership} from './commit-loop.js';
+import {createDecisionLog} from './decision-log.js';
 import type {EvacuationFollower} from './evacuation-follower.js';
 import {LeadershipPermit} from './leadership-permit.js';
 
@@ -68,15 +69,7 @@
 		this.#leadership = leadership;
 		this.#lastReadAtMs = deps.clock.monotonicMs();
 		this.#permit = new LeadershipPermit(deps.clock.monotonicMs(), deps.limits.deposedLeaderGraceMs);
-		this.core = new PoolCore(deps.clock, deps.limits, (event, fields) => {
-			deps.logger.info(event, {epoch: leadership.row.epoch, ...fields});
-			deps.metrics.count('decisions', {event: event.replaceAll(' ', '_')});
-			if (event === POOL_EVENTS.rowUnreadable) {
-				deps.metrics.count('unreadable_rows', {table: String(fields.table)});
-			} else if (event === POOL_EVENTS.startWithdrawn) {
-				deps.metrics.count('withdrawn_starts', {reason: String(fields.reason).replaceAll(' ', '_')});
-			}
-		}, durationMs => {
+		this.core = new PoolCore(deps.clock, deps.limits, createDecisionLog(leadership.row.epoch, deps.logger, deps.metrics), durationMs => {
 			deps.metrics.observe('round', durationMs);
 		});
 		this.#agentLinks = new AgentLinks({
