Let the store settle what another entry has announced

An entry that was told of a configuration version that does not exist answered 503 for good: the announcement ended only with a configuration of that version. An announcement ends once the store has answered a request sent after it, or the announcing entry itself has an older row.

--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -96,6 +96,17 @@
 		}
 	}
 
+	/**
+	 * Withdraws an announcement that has proved wrong. Announcements come from other processes and may be malformed.
+	 *
+	 * @param rowVersion - The version that was announced.
+	 */
+	withdrawAnnounced(rowVersion: number): void {
+		if (this.#announced?.rowVersion === rowVersion) {
+			this.#announced = undefined;
+		}
+	}
+
 	/** @param listener - Called with each new configuration. */
 	onChange(listener: (config: PoolConfig) => void): void {
 		this.#listener = listener;
@@ -203,7 +214,7 @@
 			return undefined;
 		}
 
-		this.#onRows(page.value.rows, 'read', sentAtMs);
+		this.#onRows(page.value.rows, 'read', {sentAtMs, confirmedAtMs: sentAtMs});
 		this.#tableListener?.onGap();
 		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
 		return page.value.version;
@@ -217,17 +228,21 @@
 			return page.error.kind === 'history_lost' && await this.#read() !== undefined;
 		}
 
-		this.#onRows(page.value.rows, origin, this.#clock.monotonicMs());
+		this.#onRows(page.value.rows, origin, {sentAtMs, confirmedAtMs: this.#clock.monotonicMs()});
 		this.#tableListener?.onRows(page.value.rows, sentAtMs);
 		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
 		return true;
 	}
 
-	#onRows(rows: readonly StoredRow[], origin: string, confirmedAtMs: number): void {
+	#onRows(rows: readonly StoredRow[], origin: string, {sentAtMs, confirmedAtMs}: {readonly sentAtMs: number; readonly confirmedAtMs: number}): void {
 		for (const row of rows) {
 			this.applyIfNewer(row, origin);
 		}
 
 		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, confirmedAtMs);
+		if (this.#announced && this.#announced.sinceMs <= sentAtMs) {
+			// The store has been asked since, so the known configuration is the newest, whatever was announced.
+			this.#announced = undefined;
+		}
 	}
 }
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -327,6 +327,9 @@
 		const row = answer.ok ? decodeStoredRow(asFields(answer.value.body).row) : undefined;
 		if (row) {
 			this.#config.applyIfNewer(row, `peer ${address}`);
+			if (row.version < rowVersion) {
+				this.#config.withdrawAnnounced(rowVersion);
+			}
 		}
 	}
 
--- a/packages/pool-entry/tests/config-follower.test.ts
+++ b/packages/pool-entry/tests/config-follower.test.ts
@@ -85,6 +85,29 @@
 		});
 	}
 
+	// A malformed announcement kept an entry from serving for good.
+	it('is not behind any more once the store has been asked since', async () => {
+		const store = new MemoryPoolStore();
+		store.put(SOURCE.table, SOURCE.key, {});
+		const follower = createFollower(store);
+		await follower.refresh();
+		follower.recordAnnounced(Number.MAX_SAFE_INTEGER);
+		await delay(SHORT_WAIT_MS);
+		expect(follower.behindMs).to.be.above(0);
+		await follower.refresh();
+		expect(follower.behindMs).to.equal(0);
+	});
+
+	it('is not behind any more once the announcement is withdrawn', async () => {
+		const follower = createFollower(new MemoryPoolStore());
+		follower.recordAnnounced(2);
+		await delay(SHORT_WAIT_MS);
+		follower.withdrawAnnounced(3);
+		expect(follower.behindMs).to.be.above(0);
+		follower.withdrawAnnounced(2);
+		expect(follower.behindMs).to.equal(0);
+	});
+
 	it('counts from the first announcement', async () => {
 		const follower = createFollower(new MemoryPoolStore());
 		follower.recordAnnounced(1);
