--- a/packages/pool-runtime/src/connection-context.ts
+++ b/packages/pool-runtime/src/connection-context.ts
@@ -11,7 +11,7 @@
 export type ConnectionContext = {
 	readonly limits: ListenerLimits;
 	readonly budget: ByteBudget;
-	/** Time of the server, which stands still while the process does not run. */
+	/** Clock of the server, in milliseconds; does not advance while the process is suspended. */
 	readonly nowMs: () => number;
 	/** Receives the reason for which the connection was closed. */
 	readonly onClosed: (reason: string) => void;
