--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -261,8 +261,8 @@
 	return commands;
 }
 
-async function endLate(system, recordFile) {
-	const summary = 'result: could not run, the case takes too long';
+async function endEarly(system, recordFile, reason) {
+	const summary = `result: could not run: ${reason}`;
 	console.log(summary);
 	await system.close(recordFile, summary);
 	process.exit(2);
@@ -279,8 +279,14 @@
 	const recordFile = path.join(process.cwd(), 'record.txt');
 	const hasTrouble = process.env.TROUBLE !== '0';
 	const timer = setTimeout(() => {
-		endLate(system, recordFile);
+		endEarly(system, recordFile, 'the case takes too long');
 	}, MAX_CASE_MS);
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.once(signal, () => {
+			endEarly(system, recordFile, signal);
+		});
+	}
+
 	let summary;
 	let code;
 	try {
