--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -8,11 +8,28 @@
 const LIST_INTERVAL_MS = 20;
 const HEARTBEAT_ACK_MS = 1000;
 
+/** Workers hold the members of a gang back until all of them are there, for at most this time. */
+const GANG_TIMEOUT_MS = 3000;
+
+/** The gangs whose members run on the workers of one system, by job, occurrence, step and run. */
+const gangs = new Map();
+
+function joinGang(task, run, size) {
+	const key = `${task.slice(0, task.lastIndexOf('.'))} run ${run}`;
+	const gang = gangs.get(key) ?? {
+		members: 0, hasBegun: false, isBroken: false, isDone: false,
+	};
+	gangs.set(key, gang);
+	gang.members++;
+	gang.hasBegun ||= gang.members === size;
+	return gang;
+}
+
 /**
  * Stand-in of a worker on a VM. It accepts only what the protocol page allows: fencing tokens, leases, runs by number,
  * ends in order, 500 at a time. It does not guard its capacity.
  *
- * The text `spec` of a job is JSON with `taskMs`, the time that each of its tasks takes.
+ * The text `spec` of a job is JSON with `taskMs`, the time that each of its tasks takes, and `gangSize` for a gang.
  */
 export class Worker {
 	/** While true, nothing is answered or sent. */
@@ -61,6 +78,12 @@
 	async crash() {
 		const {life} = this;
 		this.life = undefined;
+		for (const {gang} of life.runs.values()) {
+			if (gang) {
+				gang.isBroken = true;
+			}
+		}
+
 		this.#server.closeAllConnections();
 		await new Promise(resolve => {
 			this.#server.close(resolve);
@@ -100,8 +123,9 @@
 			this.#checkLease(life);
 			const nowMs = performance.now();
 			for (const [task, run] of life.runs) {
-				if (nowMs >= run.endsAtMs) {
-					this.#end(life, task, 'done');
+				const outcome = outcomeOf(run, nowMs);
+				if (outcome !== undefined) {
+					this.#end(life, task, outcome);
 				}
 			}
 
@@ -137,7 +161,12 @@
 	}
 
 	#end(life, task, how) {
-		const {run} = life.runs.get(task);
+		const {run, gang} = life.runs.get(task);
+		if (gang) {
+			gang.isDone ||= how === 'done';
+			gang.isBroken ||= how !== 'done';
+		}
+
 		life.runs.delete(task);
 		life.highest.set(task, Math.max(run, life.highest.get(task) ?? 0));
 		life.endCount++;
@@ -232,10 +261,9 @@
 			this.#end(life, task, 'stopped');
 		}
 
-		const {taskMs} = JSON.parse(spec);
-		const nowMs = performance.now();
+		const {taskMs, gangSize} = JSON.parse(spec);
 		life.runs.set(task, {
-			run, taskMs, startedAtMs: nowMs, endsAtMs: nowMs + taskMs,
+			run, taskMs, startedAtMs: performance.now(), ...(gangSize !== undefined && {gang: joinGang(task, run, gangSize)}),
 		});
 		this.#record('run started', {
 			task, run, worker: life.id, born: life.born,
@@ -267,3 +295,22 @@
 		});
 	}
 }
+
+/** @returns How a run ends now; undefined while it goes on. */
+function outcomeOf(run, nowMs) {
+	const {gang, startedAtMs, taskMs} = run;
+	if (gang && !gang.hasBegun) {
+		if (gang.isBroken) {
+			return 'broken';
+		}
+
+		return nowMs >= startedAtMs + GANG_TIMEOUT_MS ? 'alone' : undefined;
+	}
+
+	run.begunAtMs ??= gang ? nowMs : startedAtMs;
+	if (gang?.isDone || nowMs >= run.begunAtMs + taskMs) {
+		return 'done';
+	}
+
+	return gang?.isBroken ? 'broken' : undefined;
+}
