Test which configuration an entry on a narrow link serves, failing

Change: a store at the other end of a link whose transfers share its bandwidth, on a virtual clock, and six tests with it.

--- /dev/null
+++ b/packages/pool-entry/tests/config-freshness.test.ts
@@ -0,0 +1,127 @@
+import {expect} from 'chai';
+import {ManualClock, silentLogger} from '@amaranthsail/core';
+import {NarrowLinkStore} from './narrow-link.js';
+import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
+
+const SOURCE = {table: 'configurations', key: 'newest'};
+
+/** Time after which a change has to be in force. */
+const CONFIG_APPLY_MS = 3000;
+
+/** 10 Mbit/s. */
+const LINK_BYTES_PER_MS = 1250;
+
+const STEP_MS = 10;
+
+const FIRST_CHANGE_MS = 1000;
+
+function isUsable(follower: ConfigFollower, isLeaderAnswering: boolean): boolean {
+	return follower.behindMs < CONFIG_APPLY_MS - 1300 && (follower.ageMs < CONFIG_APPLY_MS - 300 || isLeaderAnswering);
+}
+
+type Change = {readonly atMs: number; readonly bytes: number};
+
+type Scenario = {
+	readonly changes: readonly Change[];
+	readonly isLeaderAnswering?: boolean;
+	/** Whether requests arrive that are refused only after the configuration was read again. */
+	readonly isReadForRefusals?: boolean;
+};
+
+type Course = {
+	/** Times at which a configuration was usable although a change was older than its bound. */
+	readonly overdueAtMs: readonly number[];
+	/** Time from each change until it was in force. */
+	readonly inForceAfterMs: readonly number[];
+	readonly transfers: number;
+};
+
+/** Plays 12 s of changes to an entry on a narrow link. */
+async function play({changes, isLeaderAnswering = false, isReadForRefusals = false}: Scenario): Promise<Course> {
+	const clock = new ManualClock();
+	const store = new NarrowLinkStore(clock, LINK_BYTES_PER_MS);
+	const follower = new ConfigFollower(store, {...SOURCE, decode: row => ({version: row.version, queues: [], accounts: []})}, clock, silentLogger);
+	store.put(SOURCE.table, SOURCE.key, {});
+	const ended = follower.run();
+	const written: Array<{readonly atMs: number; readonly version: number}> = [];
+	const inForceAfterMs: number[] = [];
+	const overdueAtMs: number[] = [];
+	for (let atMs = 0; atMs < 12_000; atMs += STEP_MS) {
+		for (const {bytes} of changes.filter(change => change.atMs === atMs)) {
+			written.push({atMs, version: store.putLarge(SOURCE.table, SOURCE.key, bytes).version});
+		}
+
+		if (isReadForRefusals && atMs % 100 === 0) {
+			void follower.refresh();
+		}
+
+		await store.advance(STEP_MS);
+		const version = follower.known?.row.version ?? 0;
+		for (const [index, change] of written.entries()) {
+			if (version >= change.version) {
+				inForceAfterMs[index] ??= atMs - change.atMs;
+			} else if (atMs - change.atMs > CONFIG_APPLY_MS && isUsable(follower, isLeaderAnswering)) {
+				overdueAtMs.push(atMs);
+			}
+		}
+	}
+
+	follower.stop();
+	await store.advance(1000);
+	await ended;
+	return {overdueAtMs, inForceAfterMs, transfers: store.transfers};
+}
+
+describe('an entry on a narrow link serves no configuration that was replaced longer ago than the bound', () => {
+	const cases: ReadonlyArray<{readonly name: string; readonly scenario: Scenario}> = [
+		{
+			name: 'while the second of two large changes is on its way',
+			scenario: {changes: [{atMs: FIRST_CHANGE_MS, bytes: 2_400_000}, {atMs: FIRST_CHANGE_MS + 200, bytes: 2_400_000}]},
+		},
+		{
+			name: 'while a change is on its way and a leader answers that has not got it either',
+			scenario: {changes: [{atMs: FIRST_CHANGE_MS, bytes: 5_000_000}], isLeaderAnswering: true},
+		},
+		{
+			name: 'while the second of two changes is on its way and a leader answers',
+			scenario: {changes: [{atMs: FIRST_CHANGE_MS, bytes: 2_400_000}, {atMs: FIRST_CHANGE_MS + 200, bytes: 2_400_000}], isLeaderAnswering: true},
+		},
+	];
+	for (const {name, scenario} of cases) {
+		it(name, async () => {
+			const {overdueAtMs, inForceAfterMs} = await play(scenario);
+			expect(overdueAtMs[0]).to.equal(undefined);
+			expect(inForceAfterMs).to.have.lengthOf(scenario.changes.length);
+		});
+	}
+});
+
+describe('an entry on a narrow link has a change in force within the bound', () => {
+	const cases: ReadonlyArray<{readonly name: string; readonly scenario: Scenario}> = [
+		{name: 'that takes most of the bound to transfer', scenario: {changes: [{atMs: FIRST_CHANGE_MS, bytes: 2_400_000}]}},
+		{name: 'that takes most of the bound, while requests are refused', scenario: {changes: [{atMs: FIRST_CHANGE_MS, bytes: 2_400_000}], isReadForRefusals: true}},
+	];
+	for (const {name, scenario} of cases) {
+		it(name, async () => {
+			const {inForceAfterMs, transfers} = await play(scenario);
+			expect(inForceAfterMs[0]).to.be.at.most(CONFIG_APPLY_MS);
+			expect(transfers, 'copies of the row on the link').to.equal(1);
+		});
+	}
+});
+
+describe('a version that was announced while an older one was on its way', () => {
+	it('is overdue since it was announced, not since the older one arrived', async () => {
+		const clock = new ManualClock();
+		const follower = new ConfigFollower(new NarrowLinkStore(clock, LINK_BYTES_PER_MS), {...SOURCE, decode: row => ({version: row.version, queues: [], accounts: []})}, clock, silentLogger);
+		const row = {...SOURCE, value: {}, isRemoved: false};
+		follower.applyIfNewer({...row, version: 1}, 'test');
+		follower.recordAnnounced(2);
+		clock.advance(100);
+		follower.recordAnnounced(3);
+		clock.advance(1000);
+		follower.applyIfNewer({...row, version: 2}, 'test');
+		follower.recordAnnounced(3);
+		expect(follower.behindMs).to.equal(1000);
+	});
+});
