Log when a configuration was asked for and whether it may be used

Change: 'configuration in force' says how long ago the row was asked for and what was known of the previous version; a line and the gauge configuration_usable say whether an entry may answer by its configuration, with the ages that decide it.

--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -38,6 +38,9 @@
 /** The store answers at once whether there is a change. */
 const SHORTEST_FEED_WAIT_MS = 1;
 
+/** Ages before the first confirmation are infinite, which JSON cannot express. */
+const MAX_LOGGED_AGE_MS = 1e6;
+
 /** Keeps the newest configuration. It never returns to an older version, whatever the store's feed or a peer sends. */
 export class ConfigFollower {
 	readonly #store: PoolStore;
@@ -125,8 +128,9 @@
 	 *
 	 * @param row - The row, from any source.
 	 * @param origin - Where it comes from, for the log.
+	 * @param askedAtMs - Time at which it was asked for, for the log.
 	 */
-	applyIfNewer(row: StoredRow, origin: string): void {
+	applyIfNewer(row: StoredRow, origin: string, askedAtMs?: number): void {
 		if (row.table !== this.#source.table || row.key !== this.#source.key || row.version <= (this.#known?.row.version ?? 0)) {
 			return;
 		}
@@ -143,6 +147,7 @@
 
 		this.#logger.info('configuration in force', {
 			version: config.version, previous: this.#known?.config.version ?? 'none', rowVersion: row.version, origin, queues: config.queues.length, accounts: config.accounts.length,
+			ageMs: Math.round(Math.min(this.ageMs, MAX_LOGGED_AGE_MS)), behindMs: Math.round(this.behindMs), ...(askedAtMs !== undefined && {askedMsAgo: Math.round(this.#clock.monotonicMs() - askedAtMs)}),
 		});
 		this.#known = {config, row};
 		if (this.#announced && this.#announced.rowVersion <= row.version) {
@@ -177,7 +182,7 @@
 			if (isReached !== isStoreReached) {
 				isStoreReached = isReached;
 				this.#logger.info(isStoreReached ? 'store reached again' : 'store not reached', {
-					purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(this.ageMs), behindMs: Math.round(this.behindMs),
+					purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(Math.min(this.ageMs, MAX_LOGGED_AGE_MS)), behindMs: Math.round(this.behindMs),
 				});
 			}
 
@@ -236,7 +241,7 @@
 
 	#onRows(rows: readonly StoredRow[], origin: string, {sentAtMs, confirmedAtMs}: {readonly sentAtMs: number; readonly confirmedAtMs: number}): void {
 		for (const row of rows) {
-			this.applyIfNewer(row, origin);
+			this.applyIfNewer(row, origin, sentAtMs);
 		}
 
 		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, confirmedAtMs);
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -70,6 +70,7 @@
 	#leader: PoolLeader | undefined;
 	#isStopping = false;
 	#isFetchingConfig = false;
+	#wasConfigUsable = false;
 
 	/**
 	 * @param settings - Settings of this process.
@@ -198,7 +199,16 @@
 	 */
 	#isConfigUsable(): boolean {
 		const limitMs = this.#settings.bounds.configApplyMs - CONFIG_MARGIN_MS;
-		return this.#config.behindMs < limitMs - MAX_HELLO_INTERVAL_MS && this.#isConfigConfirmed(limitMs);
+		const isUsable = this.#config.behindMs < limitMs - MAX_HELLO_INTERVAL_MS && this.#isConfigConfirmed(limitMs);
+		if (isUsable !== this.#wasConfigUsable) {
+			this.#wasConfigUsable = isUsable;
+			this.#logger.info(isUsable ? 'configuration usable' : 'configuration not usable', {
+				version: this.#config.known?.config.version ?? 'none', ageMs: Math.round(Math.min(this.#config.ageMs, 1e6)), behindMs: Math.round(this.#config.behindMs), leaderSilentMs: Math.round(Math.min(this.#follower.leaderSilentMs, 1e6)), isLeading: this.#leader !== undefined,
+			});
+		}
+
+		this.#metrics.set('configuration_usable', isUsable ? 1 : 0);
+		return isUsable;
 	}
 
 	#isConfigConfirmed(limitMs: number): boolean {
