Receive a changed configuration once at a time

Seen: on a narrow link (10 Mbit/s) a change was in force later than its transfer takes, and requests that had to read the configuration waited for their whole time.

Cause: the feed, a read for a request that would be refused and a request to a peer each fetched the row, beside one another.

Change: an answer of the feed that has begun to bring a change is known while it arrives.

Evidence: "that takes most of the bound, while requests are refused" failed before: in force after 3,820 ms (bound 3,000) with two copies on the link, now after the time of one. The test counts bytes on the link instead of begun transfers, since a copy that is given up at its first bytes costs nothing; the code before fails it as well (two whole copies).

--- a/packages/core/src/json-http.ts
+++ b/packages/core/src/json-http.ts
@@ -29,6 +29,8 @@
 	readonly timeoutMs: number;
 	/** Longest time for the whole answer. A large one takes seconds on a slow link, on which a silent connection has to be noticed earlier. */
 	readonly transferTimeoutMs?: number;
+	/** Called with the status and the bytes of the body that have arrived, whenever there are more of them. If it returns false, the answer is not needed any more, and the request fails. */
+	readonly onProgress?: (status: number, receivedBytes: number) => boolean;
 	/** Decides, before anything is written, whether the request may use a connection; if not, it fails as not sent. */
 	readonly acceptsConnection?: (socket: Socket) => boolean;
 };
@@ -164,8 +166,15 @@
 			});
 			outgoing.on('response', response => {
 				const chunks: Uint8Array[] = [];
+				let receivedBytes = 0;
 				response.on('data', (chunk: Uint8Array) => {
 					chunks.push(chunk);
+					receivedBytes += chunk.length;
+					if (jsonRequest.onProgress?.(response.statusCode ?? 0, receivedBytes) === false) {
+						abort('the answer is not needed any more');
+						return;
+					}
+
 					if (jsonRequest.transferTimeoutMs !== undefined) {
 						clearTimeout(timer);
 						timer = setTimeout(onTimeout, Math.max(0, Math.min(jsonRequest.timeoutMs, endMs - performance.now())));
--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -38,6 +38,9 @@
 /** The store answers at once whether there is a change. */
 const SHORTEST_FEED_WAIT_MS = 1;
 
+/** An answer of the feed without a change is shorter. */
+const MIN_CHANGE_BYTES = 1024;
+
 /** Ages before the first confirmation are infinite, which JSON cannot express. */
 const MAX_LOGGED_AGE_MS = 1e6;
 
@@ -54,6 +57,8 @@
 	/** Position in the store's change feed. */
 	#feedVersion: number | undefined;
 	#refreshing: Promise<number | undefined> | undefined;
+	/** An answer of the feed with a change that has begun to arrive. */
+	#transfer: Promise<boolean> | undefined;
 	#listener: ((config: PoolConfig) => void) | undefined;
 	#tableListener: TableListener | undefined;
 	#isStopped = false;
@@ -92,6 +97,11 @@
 		return this.#announced ? this.#clock.monotonicMs() - this.#announced.sinceMs : 0;
 	}
 
+	/** Whether the store is sending a change. */
+	get isReceiving(): boolean {
+		return this.#transfer !== undefined;
+	}
+
 	/** @param rowVersion - Version of the configuration row that another entry has. */
 	recordAnnounced(rowVersion: number): void {
 		if (rowVersion > (this.#known?.row.version ?? 0) && !this.#announced) {
@@ -200,6 +210,7 @@
 
 	async #refreshAndRelease(): Promise<number | undefined> {
 		try {
+			await this.#transfer;
 			// The feed returns the configuration only if it has changed.
 			if (this.#feedVersion !== undefined && await this.#follow(SHORTEST_FEED_WAIT_MS, 'read')) {
 				return this.#feedVersion;
@@ -225,10 +236,33 @@
 		return page.value.version;
 	}
 
-	/** @returns Whether the store has answered. */
+	/**
+	 * Asks the feed for changes. Of two answers with the same change only the first one is received.
+	 *
+	 * @returns Whether the store has answered.
+	 */
 	async #follow(waitMs: number, origin: string): Promise<boolean> {
+		let earlier: Promise<boolean> | undefined;
+		const result = this.#followOnce(waitMs, origin, receivedBytes => {
+			if (receivedBytes < MIN_CHANGE_BYTES) {
+				return true;
+			}
+
+			this.#transfer ??= result;
+			earlier = this.#transfer === result ? undefined : this.#transfer;
+			return earlier === undefined;
+		});
+		const isReached = await result;
+		if (this.#transfer === result) {
+			this.#transfer = undefined;
+		}
+
+		return earlier ?? isReached;
+	}
+
+	async #followOnce(waitMs: number, origin: string, onProgress: (receivedBytes: number) => boolean): Promise<boolean> {
 		const sentAtMs = this.#clock.monotonicMs();
-		const page = await this.#store.follow(this.#source.table, this.#feedVersion!, waitMs);
+		const page = await this.#store.follow(this.#source.table, this.#feedVersion!, waitMs, onProgress);
 		if (!page.ok) {
 			return page.error.kind === 'history_lost' && await this.#read() !== undefined;
 		}
--- a/packages/pool/src/ports.ts
+++ b/packages/pool/src/ports.ts
@@ -48,8 +48,13 @@
 	/** Reads rows in key order. */
 	read(table: string, range: KeyRange, timeoutMs: number): Promise<Result<RowPage, StoreError>>;
 
-	/** Waits up to `waitMs` for changes after a version. */
-	follow(table: string, afterVersion: number, waitMs: number): Promise<Result<RowPage, StoreError>>;
+	/**
+	 * Waits up to `waitMs` for changes after a version.
+	 *
+	 * @param onProgress - Called with the bytes of a page that have arrived, whenever there are more of them. The call fails
+	 * once it returns false.
+	 */
+	follow(table: string, afterVersion: number, waitMs: number, onProgress?: (receivedBytes: number) => boolean): Promise<Result<RowPage, StoreError>>;
 }
 
 /** One incarnation of a worker as the receiver of orders. */
