Count a configuration as confirmed from when the store was asked

Seen: an entry on a narrow link answered by a configuration that had been replaced more than 3 s before.

Cause: an answer of the feed confirmed the configuration as of its receipt. One that brings a change leaves the store at once and may take seconds on the link; whatever changes in that time is not in it. Each of two large changes close to one another restarted the time for which the configuration counted as current.

Change: an answer with a change confirms as of the call, one without as of the end of the store's wait. After a change the store is asked at once, so that a transfer that ends in time leaves no gap. What relied on the age to see whether the store answers (relayed requests, final refusals, requests to peers) uses the time since the last byte of the store instead. The new class config-freshness.ts holds these times and what has been announced.

Three test files set the age of the configuration to stand for a silent store; they set that silence now, with the same values.

--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -1,6 +1,7 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import type {PoolConfig, PoolStore, StoredRow} from '@amaranthsail/pool';
 import {sleep} from '@amaranthsail/pool-runtime';
+import {ConfigFreshness} from './config-freshness.js';
 
 /** Where the configuration is stored and how it is decoded. */
 export type ConfigSource = {
@@ -51,12 +52,12 @@
 	readonly #clock: Clock;
 	readonly #logger: Logger;
 	#known: KnownConfig | undefined;
-	#confirmedAtMs = Number.NEGATIVE_INFINITY;
-	/** A newer row than the known one that another entry has, and since when this is known. */
-	#announced: {readonly rowVersion: number; readonly sinceMs: number} | undefined;
+	readonly #freshness: ConfigFreshness;
 	/** Position in the store's change feed. */
 	#feedVersion: number | undefined;
 	#refreshing: Promise<number | undefined> | undefined;
+	/** Whether the last answer of the feed had a change; then the store is asked at once whether that is the newest one. */
+	#hasChanged = false;
 	/** An answer of the feed with a change that has begun to arrive. */
 	#transfer: Promise<boolean> | undefined;
 	#listener: ((config: PoolConfig) => void) | undefined;
@@ -74,6 +75,7 @@
 		this.#source = source;
 		this.#clock = clock;
 		this.#logger = logger;
+		this.#freshness = new ConfigFreshness(clock);
 	}
 
 	/** The current configuration, or undefined before the first one. */
@@ -87,14 +89,19 @@
 		return {table, key};
 	}
 
-	/** Milliseconds since the store or a peer confirmed that the known configuration is the newest. */
+	/** Milliseconds since the known configuration was confirmed to be the newest. */
 	get ageMs(): number {
-		return this.#clock.monotonicMs() - this.#confirmedAtMs;
+		return this.#freshness.ageMs;
+	}
+
+	/** Milliseconds since the store last sent a part of an answer. */
+	get storeSilentMs(): number {
+		return this.#freshness.storeSilentMs;
 	}
 
 	/** Milliseconds since another entry was first heard to have a newer configuration than the known one; 0 if none has. */
 	get behindMs(): number {
-		return this.#announced ? this.#clock.monotonicMs() - this.#announced.sinceMs : 0;
+		return this.#freshness.behindMs;
 	}
 
 	/** Whether the store is sending a change. */
@@ -104,9 +111,7 @@
 
 	/** @param rowVersion - Version of the configuration row that another entry has. */
 	recordAnnounced(rowVersion: number): void {
-		if (rowVersion > (this.#known?.row.version ?? 0) && !this.#announced) {
-			this.#announced = {rowVersion, sinceMs: this.#clock.monotonicMs()};
-		}
+		this.#freshness.recordAnnounced(rowVersion);
 	}
 
 	/**
@@ -115,9 +120,7 @@
 	 * @param rowVersion - The version that was announced.
 	 */
 	withdrawAnnounced(rowVersion: number): void {
-		if (this.#announced?.rowVersion === rowVersion) {
-			this.#announced = undefined;
-		}
+		this.#freshness.withdrawAnnounced(rowVersion);
 	}
 
 	/** @param listener - Called with each new configuration. */
@@ -160,16 +163,14 @@
 			ageMs: Math.round(Math.min(this.ageMs, MAX_LOGGED_AGE_MS)), behindMs: Math.round(this.behindMs), ...(askedAtMs !== undefined && {askedMsAgo: Math.round(this.#clock.monotonicMs() - askedAtMs)}),
 		});
 		this.#known = {config, row};
-		if (this.#announced && this.#announced.rowVersion <= row.version) {
-			this.#announced = undefined;
-		}
-
+		this.#freshness.recordKnown(row.version);
 		this.#listener?.(config);
 	}
 
 	/** Records that the known configuration is the newest one at present. */
 	markConfirmed(): void {
-		this.#confirmedAtMs = this.#clock.monotonicMs();
+		this.#freshness.recordReceived();
+		this.#freshness.recordConfirmed(this.#clock.monotonicMs());
 	}
 
 	/**
@@ -188,11 +189,11 @@
 	async run(): Promise<void> {
 		let isStoreReached = true;
 		while (!this.#isStopped) {
-			const isReached = this.#feedVersion === undefined ? await this.refresh() !== undefined : await this.#follow(FEED_WAIT_MS, 'feed');
+			const isReached = this.#feedVersion === undefined ? await this.refresh() !== undefined : await this.#follow(this.#hasChanged ? SHORTEST_FEED_WAIT_MS : FEED_WAIT_MS, 'feed');
 			if (isReached !== isStoreReached) {
 				isStoreReached = isReached;
 				this.#logger.info(isStoreReached ? 'store reached again' : 'store not reached', {
-					purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(Math.min(this.ageMs, MAX_LOGGED_AGE_MS)), behindMs: Math.round(this.behindMs),
+					purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(Math.min(this.ageMs, MAX_LOGGED_AGE_MS)), behindMs: Math.round(this.behindMs), storeSilentMs: Math.round(Math.min(this.storeSilentMs, MAX_LOGGED_AGE_MS)),
 				});
 			}
 
@@ -230,7 +231,7 @@
 			return undefined;
 		}
 
-		this.#onRows(page.value.rows, 'read', {sentAtMs, confirmedAtMs: sentAtMs});
+		this.#onRows(page.value.rows, 'read', {sentAtMs, asOfMs: sentAtMs});
 		this.#tableListener?.onGap();
 		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
 		return page.value.version;
@@ -244,6 +245,7 @@
 	async #follow(waitMs: number, origin: string): Promise<boolean> {
 		let earlier: Promise<boolean> | undefined;
 		const result = this.#followOnce(waitMs, origin, receivedBytes => {
+			this.#freshness.recordReceived();
 			if (receivedBytes < MIN_CHANGE_BYTES) {
 				return true;
 			}
@@ -267,21 +269,22 @@
 			return page.error.kind === 'history_lost' && await this.#read() !== undefined;
 		}
 
-		this.#onRows(page.value.rows, origin, {sentAtMs, confirmedAtMs: this.#clock.monotonicMs()});
+		// A change is sent at once, and its transfer may take seconds, in which there may be another one.
+		this.#hasChanged = page.value.rows.length > 0;
+		const asOfMs = this.#hasChanged ? sentAtMs : Math.min(sentAtMs + waitMs, this.#clock.monotonicMs());
+		this.#onRows(page.value.rows, origin, {sentAtMs, asOfMs});
 		this.#tableListener?.onRows(page.value.rows, sentAtMs);
 		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
 		return true;
 	}
 
-	#onRows(rows: readonly StoredRow[], origin: string, {sentAtMs, confirmedAtMs}: {readonly sentAtMs: number; readonly confirmedAtMs: number}): void {
+	/** @param asOfMs - Time at which the store had no newer rows. */
+	#onRows(rows: readonly StoredRow[], origin: string, {sentAtMs, asOfMs}: {readonly sentAtMs: number; readonly asOfMs: number}): void {
+		this.#freshness.recordReceived();
 		for (const row of rows) {
 			this.applyIfNewer(row, origin, sentAtMs);
 		}
 
-		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, confirmedAtMs);
-		if (this.#announced && this.#announced.sinceMs <= sentAtMs) {
-			// The store has been asked since, so the known configuration is the newest, whatever was announced.
-			this.#announced = undefined;
-		}
+		this.#freshness.recordConfirmed(asOfMs);
 	}
 }
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -326,7 +326,7 @@
 		}
 
 		this.#config.recordAnnounced(rowVersion);
-		if (this.#isFetchingConfig || this.#config.isReceiving || (this.#config.known && this.#config.behindMs < FEED_DELAY_MS && this.#config.ageMs < MAX_HELLO_INTERVAL_MS)) {
+		if (this.#isFetchingConfig || this.#config.isReceiving || (this.#config.known && this.#config.behindMs < FEED_DELAY_MS && this.#config.storeSilentMs < MAX_HELLO_INTERVAL_MS)) {
 			return;
 		}
 
--- a/packages/pool-entry/src/request-executor.ts
+++ b/packages/pool-entry/src/request-executor.ts
@@ -149,7 +149,7 @@
 			}
 
 			// Relaying while the store is merely slow would add to the load that slows it down for all entries.
-			if (makeRelayRequest && (wasRefused || this.#deps.config.ageMs > STORE_SUSPECT_TIMEOUT_MS)) {
+			if (makeRelayRequest && (wasRefused || this.#deps.config.storeSilentMs > STORE_SUSPECT_TIMEOUT_MS)) {
 				const relayed = await this.#relay(makeRelayRequest, endMs, write?.rowKey);
 				if (relayed?.kind === 'unknown') {
 					recordUnknown();
@@ -229,6 +229,6 @@
 
 	/** Whether a request that no other entry can execute is refused at once: nothing was written, and the store is unreachable from here. */
 	#isRefusalFinal(isOutcomeUnknown: boolean): boolean {
-		return !isOutcomeUnknown && this.#deps.config.ageMs > STORE_UNREACHABLE_TIMEOUT_MS;
+		return !isOutcomeUnknown && this.#deps.config.storeSilentMs > STORE_UNREACHABLE_TIMEOUT_MS;
 	}
 }
--- a/packages/pool-entry/tests/job-service.test.ts
+++ b/packages/pool-entry/tests/job-service.test.ts
@@ -89,7 +89,7 @@
 		const store = new MemoryPoolStore();
 		const server = await servePeer({[PEER_PATHS.relay]: () => ({status: 200, body: {kind: 'accepted'}})});
 		const {service, config, configRow} = createService(store, [server.address]);
-		Object.defineProperty(config, 'ageMs', {value: 5000});
+		Object.defineProperty(config, 'storeSilentMs', {value: 5000});
 		store.fault = 'lose_call';
 		expect(await service.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 1000, deadlineMs: 1000})).to.deep.equal({kind: 'accepted'});
 		expect(store.transactions).to.equal(0);
@@ -109,18 +109,18 @@
 		expect(outcomes.map(outcome => outcome.kind)).to.deep.equal(Array.from({length: 9}, () => 'accepted'));
 	});
 
-	const outages: ReadonlyArray<{title: string; ageMs: number; peer: string | undefined; outcome: string; transactions: number}> = [
-		{title: 'refuses at once when the store is unreachable here and from a peer', ageMs: 5000, peer: 'not_stored', outcome: 'not_stored', transactions: 0},
-		{title: 'calls the store itself when no peer answers', ageMs: 5000, peer: undefined, outcome: 'accepted', transactions: 1},
-		{title: 'calls the store itself while the store may only be slow', ageMs: 1200, peer: 'not_stored', outcome: 'accepted', transactions: 1},
+	const outages: ReadonlyArray<{title: string; storeSilentMs: number; peer: string | undefined; outcome: string; transactions: number}> = [
+		{title: 'refuses at once when the store is unreachable here and from a peer', storeSilentMs: 5000, peer: 'not_stored', outcome: 'not_stored', transactions: 0},
+		{title: 'calls the store itself when no peer answers', storeSilentMs: 5000, peer: undefined, outcome: 'accepted', transactions: 1},
+		{title: 'calls the store itself while the store may only be slow', storeSilentMs: 1200, peer: 'not_stored', outcome: 'accepted', transactions: 1},
 	];
-	for (const {title, ageMs, peer, outcome, transactions} of outages) {
+	for (const {title, storeSilentMs, peer, outcome, transactions} of outages) {
 		// While the store refused all entries, each request was held for 1.2 s, twice, though no call could succeed.
 		it(title, async () => {
 			const store = new MemoryPoolStore();
 			const server = await servePeer({[PEER_PATHS.relay]: () => ({status: 200, body: {kind: peer}})});
 			const {service, config, configRow} = createService(store, peer === undefined ? [] : [server.address]);
-			Object.defineProperty(config, 'ageMs', {value: ageMs});
+			Object.defineProperty(config, 'storeSilentMs', {value: storeSilentMs});
 			expect(await service.submit({jobId: 'j1', row: ROW, configRow, budgetMs: 1000, deadlineMs: 1000})).to.deep.equal({kind: outcome});
 			expect(store.transactions).to.equal(transactions);
 			server.close();
@@ -130,7 +130,7 @@
 	it('answers a relayed request with not_stored at once when the store is unreachable here too', async () => {
 		const store = new MemoryPoolStore();
 		const {service, config, configRow} = createService(store);
-		Object.defineProperty(config, 'ageMs', {value: 5000});
+		Object.defineProperty(config, 'storeSilentMs', {value: 5000});
 		const answer = await service.onRelay({
 			kind: 'submit', jobId: 'j1', row: ROW, configRowVersion: configRow.version, budgetMs: 1000,
 		});
--- a/packages/pool-entry/tests/late-writes.test.ts
+++ b/packages/pool-entry/tests/late-writes.test.ts
@@ -53,7 +53,7 @@
 		const config = new ConfigFollower(this.store, {table: 'configurations', key: 'newest', decode: row => ({version: row.version, queues: [], accounts: []})}, this.clock, silentLogger);
 		config.applyIfNewer(this.#configRow, 'test');
 		config.markConfirmed();
-		Object.defineProperty(config, 'ageMs', {value: relayTo.length > 0 ? 1000 : 0});
+		Object.defineProperty(config, 'storeSilentMs', {value: relayTo.length > 0 ? 1000 : 0});
 		this.#services[number] = new JobService({
 			store: this.store, clock: this.clock, logger: silentLogger, metrics: new ProcessMetrics(), config, leader: () => undefined, storedJob: () => undefined, leaderAddress: () => undefined, entries: () => relayTo,
 		});
--- a/packages/pool-entry/tests/unknown-outcomes.test.ts
+++ b/packages/pool-entry/tests/unknown-outcomes.test.ts
@@ -155,7 +155,7 @@
 			const store = new MemoryPoolStore();
 			const configRow = store.put(CONFIG.table, CONFIG.key, {});
 			const leader = createEntry(store, configRow, {storedJob: () => stored});
-			Object.defineProperty(leader.config, 'ageMs', {value: 5000});
+			Object.defineProperty(leader.config, 'storeSilentMs', {value: 5000});
 			const peer = await relayPeer(relayTo(leader));
 			const other = createEntry(store, configRow, {entries: () => [peer]});
 			store.fault = 'refuse';
