Let a leader stand in for the store only while the store is silent

Seen: an entry on a narrow link, and a leader on one, answered by a configuration that had been replaced for longer than the bound, for as long as the new one was on its way.

Cause: an answering leader confirmed whatever configuration an entry had, also if the leader had not got the new one either, and a leader confirmed its own. The entry knew better: the store was sending it a change.

Change: one method, ConfigFreshness.isUsable, decides whether requests may be answered by the known configuration. A change counts as known from its first bytes on, and an answering leader counts only if the store has sent nothing for 900 ms (the feed sends every 700 ms). With a store that is down or refuses this entry, nothing changes.

Evidence: two tests of config-freshness.test.ts failed before (usable 3,010 ms after the change) and pass now; the test asks the new method instead of repeating the condition.

--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -43,7 +43,7 @@
 const MIN_CHANGE_BYTES = 1024;
 
 /** Ages before the first confirmation are infinite, which JSON cannot express. */
-const MAX_LOGGED_AGE_MS = 1e6;
+export const MAX_LOGGED_AGE_MS = 1e6;
 
 /** Keeps the newest configuration. It never returns to an older version, whatever the store's feed or a peer sends. */
 export class ConfigFollower {
@@ -99,11 +99,16 @@
 		return this.#freshness.storeSilentMs;
 	}
 
-	/** Milliseconds since another entry was first heard to have a newer configuration than the known one; 0 if none has. */
+	/** Milliseconds since a newer configuration than the known one was first known to exist; 0 if none is. */
 	get behindMs(): number {
 		return this.#freshness.behindMs;
 	}
 
+	/** See {@link ConfigFreshness.isUsable}. */
+	isUsable(boundMs: number, leaderSilentMs: number): boolean {
+		return this.#freshness.isUsable(boundMs, leaderSilentMs);
+	}
+
 	/** Whether the store is sending a change. */
 	get isReceiving(): boolean {
 		return this.#transfer !== undefined;
@@ -251,6 +256,7 @@
 			}
 
 			this.#transfer ??= result;
+			this.#freshness.recordChangeBegun();
 			earlier = this.#transfer === result ? undefined : this.#transfer;
 			return earlier === undefined;
 		});
@@ -273,6 +279,7 @@
 		this.#hasChanged = page.value.rows.length > 0;
 		const asOfMs = this.#hasChanged ? sentAtMs : Math.min(sentAtMs + waitMs, this.#clock.monotonicMs());
 		this.#onRows(page.value.rows, origin, {sentAtMs, asOfMs});
+		this.#freshness.recordChangeReceived();
 		this.#tableListener?.onRows(page.value.rows, sentAtMs);
 		this.#feedVersion = Math.max(this.#feedVersion ?? 0, page.value.version);
 		return true;
--- a/packages/pool-entry/src/config-freshness.ts
+++ b/packages/pool-entry/src/config-freshness.ts
@@ -1,5 +1,14 @@
 import type {Clock} from '@amaranthsail/core';
 
+/** Time before the end of its bound at which a configuration is not used any more; covers the transit of a request. */
+const MARGIN_MS = 300;
+
+/** Longest time until an entry hears of a version that another one has: the interval of its calls to the leader, and the call. */
+const MAX_ANNOUNCEMENT_DELAY_MS = 1000;
+
+/** The feed sends something at least every 700 ms while the store is reached. */
+const MAX_FEED_INTERVAL_MS = 900;
+
 /** Knowledge that all versions of the configuration row up to this one have been replaced, and since when that is known. */
 type Replacement = {readonly rowVersion: number; readonly sinceMs: number};
 
@@ -10,6 +19,8 @@
 	#confirmedAtMs = Number.NEGATIVE_INFINITY;
 	#storeReceivedAtMs = Number.NEGATIVE_INFINITY;
 	#replacements: readonly Replacement[] = [];
+	/** The same by a change that the store is sending, whose version is not known yet. */
+	#receiving: Replacement | undefined;
 
 	/** @param clock - Source of time. */
 	constructor(clock: Clock) {
@@ -28,8 +39,22 @@
 
 	/** Milliseconds since the known configuration was first known to be replaced; 0 if it is not. */
 	get behindMs(): number {
-		const replacement = this.#replacements.find(({rowVersion}) => rowVersion >= this.#knownRowVersion);
-		return replacement ? this.#clock.monotonicMs() - replacement.sinceMs : 0;
+		const sinceMs = Math.min(this.#receiving?.sinceMs ?? Number.POSITIVE_INFINITY, this.#replacements[0]?.sinceMs ?? Number.POSITIVE_INFINITY);
+		return Math.max(0, this.#clock.monotonicMs() - sinceMs);
+	}
+
+	/**
+	 * Whether requests may be answered by the known configuration. The store decides that for as long as it sends anything.
+	 * Without it a leader that answers is enough: it names the newest version that any entry has.
+	 *
+	 * @param boundMs - Time after which a change has to be in force.
+	 * @param leaderSilentMs - Time since a leader has answered; 0 in a leader.
+	 * @returns Whether the known configuration was the newest within the bound, as far as is known.
+	 */
+	isUsable(boundMs: number, leaderSilentMs: number): boolean {
+		const limitMs = boundMs - MARGIN_MS;
+		const isConfirmed = this.ageMs < limitMs || (leaderSilentMs < limitMs && this.storeSilentMs >= MAX_FEED_INTERVAL_MS);
+		return isConfirmed && this.behindMs < limitMs - MAX_ANNOUNCEMENT_DELAY_MS;
 	}
 
 	/** Records that a part of an answer of the store has arrived. */
@@ -37,16 +62,26 @@
 		this.#storeReceivedAtMs = this.#clock.monotonicMs();
 	}
 
+	/** Records that the store has begun to send a change. */
+	recordChangeBegun(): void {
+		this.#receiving ??= {rowVersion: this.#knownRowVersion, sinceMs: this.#clock.monotonicMs()};
+	}
+
+	/** Records that a change has arrived whole. */
+	recordChangeReceived(): void {
+		this.#receiving = undefined;
+	}
+
 	/** @param rowVersion - Version of the configuration row that is known from now on. */
 	recordKnown(rowVersion: number): void {
 		this.#knownRowVersion = rowVersion;
-		this.#replacements = this.#replacements.filter(replacement => replacement.rowVersion >= rowVersion);
+		this.#keep(replacement => replacement.rowVersion >= rowVersion);
 	}
 
 	/** @param asOfMs - Time at which the known configuration was the newest; what was heard up to then has proved wrong. */
 	recordConfirmed(asOfMs: number): void {
 		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, asOfMs);
-		this.#replacements = this.#replacements.filter(({sinceMs}) => sinceMs > this.#confirmedAtMs);
+		this.#keep(({sinceMs}) => sinceMs > this.#confirmedAtMs);
 	}
 
 	/** @param rowVersion - Version of the configuration row that another entry has. */
@@ -63,6 +98,11 @@
 		this.#replacements = this.#replacements.filter(replacement => replacement.rowVersion !== rowVersion - 1);
 	}
 
+	#keep(isValid: (replacement: Replacement) => boolean): void {
+		this.#replacements = this.#replacements.filter(replacement => isValid(replacement));
+		this.#receiving = this.#receiving && isValid(this.#receiving) ? this.#receiving : undefined;
+	}
+
 	#recordReplaced(rowVersion: number): void {
 		if (rowVersion >= this.#knownRowVersion && this.#replacements.length === 0) {
 			this.#replacements = [{rowVersion, sinceMs: this.#clock.monotonicMs()}];
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -11,7 +11,7 @@
 } from '@amaranthsail/pool-runtime';
 import {CallerApi, MAX_BODY_BYTES} from './caller-api.js';
 import type {Leadership} from './commit-loop.js';
-import {ConfigFollower} from './config-follower.js';
+import {ConfigFollower, MAX_LOGGED_AGE_MS} from './config-follower.js';
 import {EntryDirectory} from './entry-directory.js';
 import {EvacuationFollower} from './evacuation-follower.js';
 import {JobService} from './job-service.js';
@@ -25,9 +25,6 @@
 import {PendingCounts} from './pending-counts.js';
 import {PoolLeader} from './pool-leader.js';
 
-/** Margin below the bound within which a new configuration has to be active; covers the transit of a request. */
-const CONFIG_MARGIN_MS = 300;
-
 /** New connections may still arrive after SIGTERM until two readiness checks of the platform have failed. */
 const DRAIN_DELAY_MS = 2500;
 
@@ -192,18 +189,16 @@
 		return !this.#isStopping && this.#config.known !== undefined && this.#isConfigUsable();
 	}
 
-	/**
-	 * The configuration is usable while the store or the leader has confirmed it within the bound. A leader learns of a
-	 * newer one from the entries that call it, so it may rely on its own only while they do. A configuration that another
-	 * entry has replaced for that long is not usable, whoever confirms it.
-	 */
+	/** Whether requests may be answered by the known configuration; see {@link ConfigFollower.isUsable}. */
 	#isConfigUsable(): boolean {
-		const limitMs = this.#settings.bounds.configApplyMs - CONFIG_MARGIN_MS;
-		const isUsable = this.#config.behindMs < limitMs - MAX_HELLO_INTERVAL_MS && this.#isConfigConfirmed(limitMs);
+		const {ageMs, behindMs, storeSilentMs, known} = this.#config;
+		const leaderSilentMs = this.#leader?.canAnswer ? 0 : this.#follower.leaderSilentMs;
+		const isUsable = this.#config.isUsable(this.#settings.bounds.configApplyMs, leaderSilentMs);
 		if (isUsable !== this.#wasConfigUsable) {
 			this.#wasConfigUsable = isUsable;
+			const ages = Object.entries({ageMs, behindMs, storeSilentMs, leaderSilentMs}).map(([name, value]) => [name, Math.round(Math.min(value, MAX_LOGGED_AGE_MS))]);
 			this.#logger.info(isUsable ? 'configuration usable' : 'configuration not usable', {
-				version: this.#config.known?.config.version ?? 'none', ageMs: Math.round(Math.min(this.#config.ageMs, 1e6)), behindMs: Math.round(this.#config.behindMs), leaderSilentMs: Math.round(Math.min(this.#follower.leaderSilentMs, 1e6)), isLeading: this.#leader !== undefined,
+				version: known?.config.version ?? 'none', ...Object.fromEntries(ages) as Record<string, number>, isLeading: this.#leader !== undefined,
 			});
 		}
 
@@ -211,10 +206,6 @@
 		return isUsable;
 	}
 
-	#isConfigConfirmed(limitMs: number): boolean {
-		return this.#config.ageMs < limitMs || this.#leader?.canAnswer === true || this.#follower.leaderSilentMs < limitMs;
-	}
-
 	#followEvacuations(): EvacuationFollower {
 		const source = {table: CONFIG_TABLE, prefix: EVACUATION_PREFIX, decode: decodeEvacuation};
 		const follower = new EvacuationFollower(this.#store, source, this.#clock, this.#logger);
--- a/packages/pool-entry/tests/config-freshness.test.ts
+++ b/packages/pool-entry/tests/config-freshness.test.ts
@@ -15,10 +15,6 @@
 
 const FIRST_CHANGE_MS = 1000;
 
-function isUsable(follower: ConfigFollower, isLeaderAnswering: boolean): boolean {
-	return follower.behindMs < CONFIG_APPLY_MS - 1300 && (follower.ageMs < CONFIG_APPLY_MS - 300 || isLeaderAnswering);
-}
-
 type Change = {readonly atMs: number; readonly bytes: number};
 
 type Scenario = {
@@ -61,7 +57,7 @@
 		for (const [index, change] of written.entries()) {
 			if (version >= change.version) {
 				inForceAfterMs[index] ??= atMs - change.atMs;
-			} else if (atMs - change.atMs > CONFIG_APPLY_MS && isUsable(follower, isLeaderAnswering)) {
+			} else if (atMs - change.atMs > CONFIG_APPLY_MS && follower.isUsable(CONFIG_APPLY_MS, isLeaderAnswering ? 0 : Number.POSITIVE_INFINITY)) {
 				overdueAtMs.push(atMs);
 			}
 		}
