Keep the time of each announced configuration

Seen: in a test only; an entry on a narrow link counts a configuration as overdue later than it is.

Cause: one announcement was kept at a time. A version that was announced while an older one was awaited was not recorded, and counted from the next call to the leader after the older one had arrived: up to 0.9 s, and its whole transfer, later.

Change: the versions that were announced are kept with their times (at most 16), until they are known, refuted or withdrawn.

Evidence: "is overdue since it was announced, not since the older one arrived" failed before (0 ms after 1,000) and passes now.

--- a/packages/pool-entry/src/config-freshness.ts
+++ b/packages/pool-entry/src/config-freshness.ts
@@ -9,6 +9,9 @@
 /** The feed sends something at least every 700 ms while the store is reached. */
 const MAX_FEED_INTERVAL_MS = 900;
 
+/** Replacements that are remembered; of more, the later ones are heard of again. */
+const MAX_REPLACEMENTS = 16;
+
 /** Knowledge that all versions of the configuration row up to this one have been replaced, and since when that is known. */
 type Replacement = {readonly rowVersion: number; readonly sinceMs: number};
 
@@ -18,6 +21,7 @@
 	#knownRowVersion = 0;
 	#confirmedAtMs = Number.NEGATIVE_INFINITY;
 	#storeReceivedAtMs = Number.NEGATIVE_INFINITY;
+	/** In the order of their times, which is that of their versions. */
 	#replacements: readonly Replacement[] = [];
 	/** The same by a change that the store is sending, whose version is not known yet. */
 	#receiving: Replacement | undefined;
@@ -104,8 +108,9 @@
 	}
 
 	#recordReplaced(rowVersion: number): void {
-		if (rowVersion >= this.#knownRowVersion && this.#replacements.length === 0) {
-			this.#replacements = [{rowVersion, sinceMs: this.#clock.monotonicMs()}];
+		const isCovered = rowVersion <= (this.#replacements.at(-1)?.rowVersion ?? Number.NEGATIVE_INFINITY);
+		if (rowVersion >= this.#knownRowVersion && !isCovered && this.#replacements.length < MAX_REPLACEMENTS) {
+			this.#replacements = [...this.#replacements, {rowVersion, sinceMs: this.#clock.monotonicMs()}];
 		}
 	}
 }
