Have the leader tell other entries that its configuration is replaced

Cause: a leader on a narrow link hears of a newer configuration from the entries that have it, and refuses its own callers once that is too long ago. Its answers still named its old version only. An entry that cannot reach the store takes such an answer as a confirmation, and went on with the old version.

Change: the answer says for how long the leader has known that its version is replaced, from its own transfer or from other entries. An entry with that version or an older one counts the same time. What the leader told is not passed on, and the store refutes it.

Entries of an earlier release leave the field out and ignore it.

--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -104,6 +104,11 @@
 		return this.#freshness.behindMs;
 	}
 
+	/** See {@link ConfigFreshness.ownBehindMs}. */
+	get ownBehindMs(): number {
+		return this.#freshness.ownBehindMs;
+	}
+
 	/** See {@link ConfigFreshness.isUsable}. */
 	isUsable(boundMs: number, leaderSilentMs: number): boolean {
 		return this.#freshness.isUsable(boundMs, leaderSilentMs);
@@ -128,6 +133,11 @@
 		this.#freshness.withdrawAnnounced(rowVersion);
 	}
 
+	/** See {@link ConfigFreshness.recordLeader}. */
+	recordLeader(rowVersion: number, behindMs: number): void {
+		this.#freshness.recordLeader(rowVersion, behindMs);
+	}
+
 	/** @param listener - Called with each new configuration. */
 	onChange(listener: (config: PoolConfig) => void): void {
 		this.#listener = listener;
--- a/packages/pool-entry/src/config-freshness.ts
+++ b/packages/pool-entry/src/config-freshness.ts
@@ -25,6 +25,8 @@
 	#replacements: readonly Replacement[] = [];
 	/** The same by a change that the store is sending, whose version is not known yet. */
 	#receiving: Replacement | undefined;
+	/** The same by the last answer of the leader. */
+	#toldByLeader: Replacement | undefined;
 
 	/** @param clock - Source of time. */
 	constructor(clock: Clock) {
@@ -43,8 +45,12 @@
 
 	/** Milliseconds since the known configuration was first known to be replaced; 0 if it is not. */
 	get behindMs(): number {
-		const sinceMs = Math.min(this.#receiving?.sinceMs ?? Number.POSITIVE_INFINITY, this.#replacements[0]?.sinceMs ?? Number.POSITIVE_INFINITY);
-		return Math.max(0, this.#clock.monotonicMs() - sinceMs);
+		return this.#longestMs(this.#receiving, this.#replacements[0], this.#toldByLeader);
+	}
+
+	/** The same without what the leader has told, so that two entries do not confirm each other what neither knows. */
+	get ownBehindMs(): number {
+		return this.#longestMs(this.#receiving, this.#replacements[0]);
 	}
 
 	/**
@@ -79,13 +85,13 @@
 	/** @param rowVersion - Version of the configuration row that is known from now on. */
 	recordKnown(rowVersion: number): void {
 		this.#knownRowVersion = rowVersion;
-		this.#keep(replacement => replacement.rowVersion >= rowVersion);
+		this.#dropIrrelevant();
 	}
 
 	/** @param asOfMs - Time at which the known configuration was the newest; what was heard up to then has proved wrong. */
 	recordConfirmed(asOfMs: number): void {
 		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, asOfMs);
-		this.#keep(({sinceMs}) => sinceMs > this.#confirmedAtMs);
+		this.#dropIrrelevant();
 	}
 
 	/** @param rowVersion - Version of the configuration row that another entry has. */
@@ -93,6 +99,17 @@
 		this.#recordReplaced(rowVersion - 1);
 	}
 
+	/**
+	 * Records what the leader has answered about its configuration.
+	 *
+	 * @param rowVersion - Version of the configuration row that the leader has.
+	 * @param behindMs - Time for which the leader has known that this version is replaced; 0 if it does not know that.
+	 */
+	recordLeader(rowVersion: number, behindMs: number): void {
+		const told = {rowVersion, sinceMs: this.#clock.monotonicMs() - behindMs};
+		this.#toldByLeader = behindMs > 0 && this.#isRelevant(told) ? told : undefined;
+	}
+
 	/**
 	 * Withdraws an announcement that has proved wrong. Announcements come from other processes and may be malformed.
 	 *
@@ -102,9 +119,20 @@
 		this.#replacements = this.#replacements.filter(replacement => replacement.rowVersion !== rowVersion - 1);
 	}
 
-	#keep(isValid: (replacement: Replacement) => boolean): void {
-		this.#replacements = this.#replacements.filter(replacement => isValid(replacement));
-		this.#receiving = this.#receiving && isValid(this.#receiving) ? this.#receiving : undefined;
+	/** Whether a replacement concerns the known configuration, and has not been refuted by the store since. */
+	#isRelevant({rowVersion, sinceMs}: Replacement): boolean {
+		return rowVersion >= this.#knownRowVersion && sinceMs > this.#confirmedAtMs;
+	}
+
+	#dropIrrelevant(): void {
+		const keep = (replacement: Replacement | undefined): Replacement | undefined => replacement && this.#isRelevant(replacement) ? replacement : undefined;
+		this.#replacements = this.#replacements.filter(replacement => this.#isRelevant(replacement));
+		this.#receiving = keep(this.#receiving);
+		this.#toldByLeader = keep(this.#toldByLeader);
+	}
+
+	#longestMs(...replacements: ReadonlyArray<Replacement | undefined>): number {
+		return Math.max(0, ...replacements.map(replacement => replacement ? this.#clock.monotonicMs() - replacement.sinceMs : 0));
 	}
 
 	#recordReplaced(rowVersion: number): void {
--- a/packages/pool-entry/src/peer-message-decoding.ts
+++ b/packages/pool-entry/src/peer-message-decoding.ts
@@ -27,7 +27,7 @@
 
 /** @returns The answer of another entry, or undefined when it is malformed. */
 export function decodeHelloAnswer(body: unknown): HelloAnswer | undefined {
-	const {epoch, isLeading, configRowVersion, entries, pending, isDeputy, largestCores} = asFields(body);
+	const {epoch, isLeading, configRowVersion, configBehindMs, entries, pending, isDeputy, largestCores} = asFields(body);
 	if (!isEpoch(epoch) || typeof isLeading !== 'boolean' || !isCount(configRowVersion)) {
 		return undefined;
 	}
@@ -36,6 +36,7 @@
 		epoch,
 		isLeading,
 		configRowVersion,
+		...(isCount(configBehindMs, 1) && {configBehindMs}),
 		entries: asList(entries).filter(entry => isAddress(entry)),
 		...(isCounts(pending) && {pending}),
 		isDeputy: isDeputy !== false,
--- a/packages/pool-entry/src/peer-messages.ts
+++ b/packages/pool-entry/src/peer-messages.ts
@@ -27,6 +27,8 @@
 	/** Whether the entry leads and its commits succeed, or it is reading the stored state in order to lead. */
 	readonly isLeading: boolean;
 	readonly configRowVersion: number;
+	/** Milliseconds for which the entry has known that this version is replaced; absent if it does not know that. */
+	readonly configBehindMs?: number;
 	/** Addresses of the entries that have called it or that it has learned from others. */
 	readonly entries: readonly string[];
 	/** Number of jobs that have not started, by queue; absent unless the entry leads and has read the stored state. */
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -285,6 +285,7 @@
 		this.#entries.recordCall(request);
 		this.#leader?.recordPeerCall(request.epoch);
 		const pending = this.#pendingCounts.ofLeader(this.#leader);
+		const configBehindMs = Math.ceil(this.#config.ownBehindMs);
 		void this.#fetchConfigIfNewer(request.configRowVersion, request.address);
 		return {
 			status: 200,
@@ -292,6 +293,7 @@
 				epoch: this.#leader?.epoch ?? this.#follower.epoch,
 				isLeading: (this.#leader?.isLeading ?? false) || (this.#leader?.isRecovering ?? false),
 				configRowVersion: this.#config.known?.row.version ?? 0,
+				...(configBehindMs > 0 && {configBehindMs}),
 				entries: this.#entries.addresses,
 				...(pending && {pending}),
 				isDeputy: this.#entries.isDeputy(request.address),
@@ -307,6 +309,10 @@
 			this.#pendingCounts.record(answer.pending);
 		}
 
+		if (answer.isLeading) {
+			this.#config.recordLeader(answer.configRowVersion, answer.configBehindMs ?? 0);
+		}
+
 		void this.#fetchConfigIfNewer(answer.configRowVersion, address);
 	}
 
--- a/packages/pool-entry/tests/config-freshness.test.ts
+++ b/packages/pool-entry/tests/config-freshness.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {ManualClock, silentLogger} from '@amaranthsail/core';
 import {NarrowLinkStore} from './narrow-link.js';
+import {ConfigFreshness} from '@amaranthsail/pool-entry/config-freshness.js';
 import {ConfigFollower} from '@amaranthsail/pool-entry/config-follower.js';
 
 const SOURCE = {table: 'configurations', key: 'newest'};
@@ -122,3 +123,34 @@
 		expect(follower.behindMs).to.equal(1000);
 	});
 });
+
+describe('a leader that says that its configuration is replaced', () => {
+	const known = 5;
+	const cases: ReadonlyArray<{readonly name: string; readonly leaderRowVersion: number; readonly leaderBehindMs: number; readonly isStoreAskedSince?: boolean; readonly behindMs: number}> = [
+		{name: 'makes an entry with the same version refuse after the same time', leaderRowVersion: known, leaderBehindMs: 1000, behindMs: 1000},
+		{name: 'makes an entry with an older version refuse', leaderRowVersion: known + 1, leaderBehindMs: 1000, behindMs: 1000},
+		{name: 'says nothing about a newer version', leaderRowVersion: known - 1, leaderBehindMs: 1000, behindMs: 0},
+		{name: 'is not believed if the store has been asked since', leaderRowVersion: known, leaderBehindMs: 1000, isStoreAskedSince: true, behindMs: 0},
+		{name: 'is believed until it does not say so any more', leaderRowVersion: known, leaderBehindMs: 0, behindMs: 0},
+	];
+	for (const {name, leaderRowVersion, leaderBehindMs, isStoreAskedSince, behindMs} of cases) {
+		it(name, () => {
+			const clock = new ManualClock();
+			const freshness = new ConfigFreshness(clock);
+			freshness.recordKnown(known);
+			freshness.recordConfirmed(clock.monotonicMs());
+			clock.advance(10_000);
+			freshness.recordLeader(known, 500);
+			if (isStoreAskedSince) {
+				freshness.recordConfirmed(clock.monotonicMs() - 100);
+			}
+
+			freshness.recordLeader(leaderRowVersion, leaderBehindMs);
+			expect(freshness.behindMs).to.equal(behindMs);
+			expect(freshness.ownBehindMs, 'what it passes on').to.equal(0);
+			expect(freshness.isUsable(CONFIG_APPLY_MS, 0), 'within the bound').to.equal(true);
+			clock.advance(1000);
+			expect(freshness.isUsable(CONFIG_APPLY_MS, 0)).to.equal(behindMs === 0);
+		});
+	}
+});
--- a/packages/pool-entry/tests/malformed-messages.test.ts
+++ b/packages/pool-entry/tests/malformed-messages.test.ts
@@ -31,7 +31,7 @@
 	{title: 'speeds row', decode: decodeSpeedsRow, valid: {workers: {w1: [0.5, 10]}}},
 	{title: 'incarnation row', decode: decodeIncarnationRow, valid: {life: 'w@1'}},
 	{title: 'hello request', decode: decodeHelloRequest, valid: {address: 'h:1', epoch: 1, configRowVersion: 2, failureDomain: 'd', cores: 1}},
-	{title: 'hello answer', decode: decodeHelloAnswer, valid: {epoch: 1, isLeading: true, configRowVersion: 2, entries: ['h:1'], pending: {q: 1}, isDeputy: true, largestCores: 1}},
+	{title: 'hello answer', decode: decodeHelloAnswer, valid: {epoch: 1, isLeading: true, configRowVersion: 2, configBehindMs: 10, entries: ['h:1'], pending: {q: 1}, isDeputy: true, largestCores: 1}},
 	{title: 'job state request', decode: decodeJobStateRequest, valid: {jobId: 'j'}},
 	{title: 'job state answer', decode: decodeJobStateAnswer, valid: {isLeading: true, state: 'running', account: 'a'}},
 	{title: 'stored notice', decode: decodeStoredNotice, valid: {jobId: 'j', row: JOB_ROW}},
