Know a refused write from an unanswered one on a narrow link

Seen: after 1,400 to 1,800 queues more, 10 to 22 of each hundred submissions got 504, nearly all from entries with 10 Mbit/s (measured by the operators). Nothing had been written for them.

Cause: the store answers a refused write with the rows of its conditions, so with the whole configuration. That answer was cut off after 0.8 s, counted as unknown, and the write was sent again, each time with a further 700 KB on the link.

The entry then reads the job's row alone, and receives the configuration by the transfer that all requests share. While the store sends a changed configuration, a submission waits for it within its budget, and gets 503 if it does not arrive: checked against the old one it would be refused.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -170,6 +170,10 @@
 	async #answer(request: CallerRequest): Promise<RouteAnswer> {
 		const endMs = this.#deps.clock.monotonicMs() + Math.max(ANSWER_MARGIN_MS, (request.deadlineMs ?? DEFAULT_DEADLINE_MS) - ANSWER_MARGIN_MS);
 		for (let check = 0; check < MAX_CONFIG_CHECKS; check++) {
+			if (request.method === 'POST' && !await this.#receivesConfig(request)) {
+				return this.#unlessUnknown(request, {status: 503, body: {problem: 'not accepted: a changed configuration is on its way'}});
+			}
+
 			const selected = await this.#selectQueue(request);
 			if ('status' in selected) {
 				// A key or a queue that was never valid for this request says nothing about an earlier one with the same id.
@@ -191,6 +195,16 @@
 		return this.#unlessUnknown(request, {status: 503, body: {problem: 'the configuration keeps changing'}});
 	}
 
+	/** Waits while the store sends a change: a job is stored only if it was checked against the newest configuration. */
+	async #receivesConfig(request: CallerRequest): Promise<boolean> {
+		const {config} = this.#deps;
+		if (config.isReceiving) {
+			await config.refresh(submitBudgetMs(request));
+		}
+
+		return !config.isReceiving;
+	}
+
 	/** Replaces a refusal while a write for the same job, by this request or an earlier one, may still take effect. */
 	#unlessUnknown({method, path}: CallerRequest, refusal: RouteAnswer): RouteAnswer {
 		const {jobs} = this.#deps;
@@ -219,7 +233,7 @@
 				}
 
 				const row: JobRow = {queue: queue.name, account: accountName, acceptedAtMs: this.#deps.clock.wallMs(), terms: termsOf(queue), spec};
-				return this.#deps.jobs.submit({jobId, row, configRow: known.row, budgetMs: Math.min(MAX_SUBMIT_BUDGET_MS, remainingMs, (request.deadlineMs ?? DEFAULT_DEADLINE_MS) * MAX_SUBMIT_DEADLINE_SHARE), deadlineMs: remainingMs});
+				return this.#deps.jobs.submit({jobId, row, configRow: known.row, budgetMs: Math.min(submitBudgetMs(request), remainingMs), deadlineMs: remainingMs});
 			}
 
 			case 'GET': {
@@ -267,6 +281,10 @@
 	}
 }
 
+function submitBudgetMs({deadlineMs = DEFAULT_DEADLINE_MS}: CallerRequest): number {
+	return Math.min(MAX_SUBMIT_BUDGET_MS, deadlineMs * MAX_SUBMIT_DEADLINE_SHARE);
+}
+
 function selectFromConfig(known: KnownConfig, request: CallerRequest): SelectedQueue | RouteAnswer {
 	let queue: Queue | undefined;
 	for (const candidate of known.config.queues) {
--- a/packages/pool-entry/src/job-service.ts
+++ b/packages/pool-entry/src/job-service.ts
@@ -181,21 +181,29 @@
 				return {kind: 'accepted'};
 			}
 
-			if (stored.error.kind !== 'condition_failed') {
-				return stored.error.kind;
+			const {error} = stored;
+			if (error.kind !== 'condition_failed' && error.kind !== 'condition_failed_unread') {
+				return error.kind;
+			}
+
+			const rows = error.kind === 'condition_failed' ? error.rows : await this.#readPresentRows(jobId, timeoutMs);
+			if (!rows) {
+				return 'unavailable';
 			}
 
-			const conflict = judgeSubmissionConflict(stored.error.rows, {jobId, account: row.account, requiredVersion});
+			const conflict = judgeSubmissionConflict(rows, {jobId, account: row.account, requiredVersion});
 			if (conflict.kind === 'settled') {
 				return conflict.outcome;
 			}
 
 			if (conflict.kind === 'configuration_changed') {
-				for (const other of stored.error.rows) {
+				for (const other of rows) {
 					this.#deps.config.applyIfNewer(other, 'acceptance');
 				}
 
-				return {kind: 'configuration_changed'};
+				// Without the rows of the refusal, only a newer configuration here proves that the write can no longer take effect.
+				const isReplaced = error.kind === 'condition_failed' || (this.#deps.config.known?.row.version ?? 0) > version;
+				return isReplaced ? {kind: 'configuration_changed'} : 'unavailable';
 			}
 
 			requiredVersion = conflict.version;
@@ -204,6 +212,13 @@
 		return 'unavailable';
 	}
 
+	/** Reads the job's rows after a refusal that did not bring them; the configuration comes by the transfer that all requests share. */
+	async #readPresentRows(jobId: string, timeoutMs: number): Promise<readonly StoredRow[] | undefined> {
+		const {store, config} = this.#deps;
+		const [page] = await Promise.all([store.read(TABLES.jobs, jobRowRange(jobId), timeoutMs), config.refresh(timeoutMs)]);
+		return page.ok ? page.value.rows : undefined;
+	}
+
 	async #storeCancellation(jobId: string, account: string, timeoutMs: number): Promise<JobRequestOutcome | StoreCallFailure> {
 		const page = await this.#deps.store.read(TABLES.jobs, jobRowRange(jobId), timeoutMs);
 		if (!page.ok) {
@@ -228,7 +243,7 @@
 			}
 
 			if (stored.error.kind !== 'condition_failed') {
-				return stored.error.kind;
+				return stored.error.kind === 'condition_failed_unread' ? 'unavailable' : stored.error.kind;
 			}
 
 			rows = stored.error.rows;
--- a/packages/pool-entry/tests/caller-api.test.ts
+++ b/packages/pool-entry/tests/caller-api.test.ts
@@ -41,7 +41,7 @@
 	};
 }
 
-async function serveApi(options: {readonly jobs?: Jobs; readonly isPublic?: (check: number) => boolean; readonly isConfigUsable?: boolean} = {}): Promise<Fixture> {
+async function serveApi(options: {readonly jobs?: Jobs; readonly isPublic?: (check: number) => boolean; readonly isConfigUsable?: boolean; readonly configMethods?: {readonly refresh: () => Promise<undefined>; readonly isReceiving: () => boolean}} = {}): Promise<Fixture> {
 	const store = new MemoryPoolStore();
 	const clock = new SystemClock();
 	let host = '';
@@ -61,6 +61,11 @@
 		return refresh(timeoutMs);
 	};
 
+	if (options.configMethods) {
+		config.refresh = options.configMethods.refresh;
+		Object.defineProperty(config, 'isReceiving', {get: options.configMethods.isReceiving});
+	}
+
 	const jobs = options.jobs ?? new JobService({
 		store, clock, logger: silentLogger, metrics: new ProcessMetrics(), config, leader: () => undefined, storedJob: () => undefined, leaderAddress: () => undefined, entries: () => [],
 	});
@@ -138,6 +143,33 @@
 	});
 });
 
+describe('CallerApi while the store sends a changed configuration', () => {
+	const accepted: Jobs = {
+		...fakeJobs(false), submit: async () => ({kind: 'accepted'}), state: async () => ({kind: 'state', state: 'running'}),
+	};
+	const cases: ReadonlyArray<{readonly title: string; readonly method: string; readonly isReceivedInTime: boolean; readonly status: number}> = [
+		{title: 'answers 503 to a job that could only be checked against the old one', method: 'POST', isReceivedInTime: false, status: 503},
+		{title: 'accepts a job once it has arrived', method: 'POST', isReceivedInTime: true, status: 200},
+		{title: 'does not let a state wait', method: 'GET', isReceivedInTime: false, status: 200},
+	];
+	for (const {title, method, isReceivedInTime, status} of cases) {
+		it(title, async () => {
+			let isReceiving = true;
+			const fixture = await serveApi({
+				jobs: accepted, configMethods: {
+					async refresh() {
+						isReceiving = !isReceivedInTime;
+						return undefined;
+					},
+					isReceiving: () => isReceiving,
+				},
+			});
+			expect(await fixture.call(method)).to.equal(status);
+			fixture.close();
+		});
+	}
+});
+
 describe('CallerApi at the end of its process', () => {
 	// All requests in progress were answered with 504, also those that had written nothing.
 	it('answers 503 to a job of which nothing has been written, and writes nothing of it later', async () => {
--- a/packages/pool/src/ports.ts
+++ b/packages/pool/src/ports.ts
@@ -21,6 +21,8 @@
 export type StoreError
 	/** A condition did not hold; nothing was written. `rows` holds the present rows. */
 	= | {readonly kind: 'condition_failed'; readonly rows: readonly StoredRow[]}
+		/** A condition did not hold; nothing was written. The present rows were too large to be transferred for this. */
+		| {readonly kind: 'condition_failed_unread'}
 		/** The request had no effect. */
 		| {readonly kind: 'unavailable'; readonly message: string}
 		/** The request timed out; a write may have taken effect, or may still do so. */
