Bound what empty lines and endless heads cost a process

Seen: clients that send empty lines without end before a request kept a process from answering anything, at every listener of both programs: 60 clients, 2 s, no answer for 20 s afterwards, one core in use.

Cause: the bytes before a request were cut into pieces of one empty line (2 to 4 bytes), and for each piece all the rest was searched, so that 64 KiB cost 0.5 GB of searching. Pieces of a head were put together and searched from the start whenever one arrived. Empty lines counted as progress, began the idle time anew, and nothing limited them.

Change: received bytes are copied a bounded number of times and searched once. Empty lines between requests are skipped together, neither start nor prolong a time limit, and end the connection beyond headerBytes (20,480). A head beyond headerBytes is refused with 431 before it is parsed; requests that are being handled are answered first. Time limits of a connection, its input and its writing are files of their own.

--- a/packages/pool-runtime/src/bounded-connection.ts
+++ b/packages/pool-runtime/src/bounded-connection.ts
@@ -1,17 +1,13 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Duplex} from 'node:stream';
 import type {BudgetHolder} from './byte-budget.js';
 import {type ConnectionContext, HEADER_TEXT_BYTES, REQUEST_BYTES} from './connection-context.js';
-import {headLengthOf} from './head-length.js';
+import {findExceededTimeout} from './connection-timeouts.js';
 import {countDropped, countReceived} from './receive-buffers.js';
-
-/** Bytes of a body that are given to the parser at once. */
-const BODY_SLICE_BYTES = 16 * 1024;
-
-/** The same for a body in chunks, after whose unknown end further requests may follow. */
-const CHUNKED_SLICE_BYTES = 1024;
+import {
+	BODY_SLICE_BYTES, bodySliceBytes, CHUNKED_SLICE_BYTES, HEAD_TOO_LARGE, type InputPart, RequestInput,
+} from './request-input.js';
+import {SocketDuplex} from './socket-duplex.js';
 
 /** Fewer bytes are no progress, so that single bytes do not keep a connection that holds much. */
 const PROGRESS_BYTES = 4096;
@@ -22,26 +18,23 @@
 /** Bytes of further requests behind one; clients within the limits send a few at once. Many requests at once outlive the young generation. */
 const LONG_PIPELINE_BYTES = 4096;
 
-/** Longest wait for the first byte; longer than a legal idle time. */
-const FIRST_BYTE_TIMEOUT_MS = 20_000;
-
 type OpenRequest = {readonly message: IncomingMessage; readonly response: ServerResponse; heldBytes: number; isRefused: boolean};
 
 /**
  * A connection between socket and parser. Counts what it holds in the budget of its listener. Gives the parser whole heads
  * only, because a parsed field of a few bytes needs ten times its length, and none while enough requests are in progress.
  */
-export class BoundedConnection extends Duplex implements BudgetHolder {
-	readonly #socket: Socket;
+export class BoundedConnection extends SocketDuplex implements BudgetHolder {
 	readonly #context: ConnectionContext;
 	readonly #requests = new Map<IncomingMessage, OpenRequest>();
 	#heldBytes = 0;
-	#pending: Uint8Array | undefined;
+	readonly #pending = new RequestInput();
 	#isReadWanted = false;
 	#isFeeding = false;
 	#hasEnded = false;
-	/** Whether the connection is closed after the requests that are being handled. */
-	#isEnding = false;
+	/** Reason for which the connection is closed after the requests that are being handled. */
+	#endingFor: string | undefined;
+	/** Whether anything but empty lines has arrived. */
 	#hasReceived = false;
 	#isTrusted = false;
 	#bodyBytesLeft: number | undefined;
@@ -58,8 +51,7 @@
 	 * @param context - Limits and budget of the listener.
 	 */
 	constructor(socket: Socket, context: ConnectionContext) {
-		super({decodeStrings: false, readableHighWaterMark: CHUNKED_SLICE_BYTES});
-		this.#socket = socket;
+		super(socket, {decodeStrings: false, readableHighWaterMark: CHUNKED_SLICE_BYTES});
 		this.#context = context;
 		this.#phaseAtMs = context.nowMs();
 		this.#progressAtMs = this.#phaseAtMs;
@@ -98,7 +90,7 @@
 
 	/** Time since the last request; undefined while there is a request or a part of one. */
 	get idleMs(): number | undefined {
-		return this.#requests.size === 0 && !this.#pending && !this.#isReadingBody
+		return this.#requests.size === 0 && this.#pending.length === 0 && !this.#isReadingBody
 			? this.#context.nowMs() - this.#phaseAtMs
 			: undefined;
 	}
@@ -119,6 +111,7 @@
 		};
 		this.#requests.set(message, request);
 		this.#last = message;
+		this.#pending.recordRequest();
 		this.#requestsInTurn++;
 		if (this.#requestsInTurn === 1) {
 			setImmediate(() => {
@@ -182,14 +175,14 @@
 
 	/** Gives the parser what has arrived, as far as it takes more. */
 	feed(): void {
-		if (this.#isFeeding || this.#isEnding || this.destroyed) {
+		if (this.#isFeeding || this.#endingFor !== undefined || this.destroyed) {
 			return;
 		}
 
 		this.#isFeeding = true;
 		let length = this.#feedableBytes();
-		while (this.#pending && length > 0) {
-			this.#feedSlice(this.#pending, length);
+		while (length > 0 && !this.destroyed) {
+			this.#feedSlice(length);
 			length = this.#feedableBytes();
 		}
 
@@ -198,20 +191,16 @@
 			return;
 		}
 
-		const isHeadIncomplete = this.#pending !== undefined && this.#isHeadIncomplete(this.#pending);
-		if (this.#pending && !isHeadIncomplete) {
-			this.#socket.pause();
+		if (this.#pending.length > 0 && !this.#isHeadIncomplete) {
+			this.socket.pause();
 		} else if (this.#hasEnded) {
 			this.push(null);
-		} else if (this.#socket.isPaused()) {
-			this.#socket.resume();
+		} else if (this.socket.isPaused()) {
+			this.socket.resume();
 		}
 
 		if (!this.#update()) {
-			this.#isEnding = true;
-			this.#pending = undefined;
-			this.#socket.pause();
-			this.#closeIfAnswered();
+			this.#endFor('budget');
 		}
 	}
 
@@ -220,45 +209,20 @@
 		this.#closeIfAnswered();
 		this.feed();
 		const {limits, nowMs} = this.#context;
-		const {writableLength} = this.#socket;
-		const sentBytes = this.#socket.bytesWritten - writableLength;
+		const {writableLength} = this.socket;
+		const sentBytes = this.socket.bytesWritten - writableLength;
 		if (writableLength > 0 && sentBytes - this.#sentBytes >= PROGRESS_BYTES) {
 			this.#sentBytes = sentBytes;
 			this.#progressAtMs = nowMs();
 		}
 
 		this.#update(true);
-		const phaseMs = nowMs() - this.#phaseAtMs;
 		const {idleMs, stalledMs} = this;
-		if (idleMs !== undefined) {
-			if (idleMs >= (this.#hasReceived ? limits.idleTimeoutMs : Math.min(limits.idleTimeoutMs, FIRST_BYTE_TIMEOUT_MS))) {
-				this.closeFor('idle');
-			}
-		} else if (this.#isReadingBody) {
-			if (phaseMs >= limits.requestTimeoutMs) {
-				this.closeFor('slow_body');
-			}
-		} else if (this.#requests.size === 0) {
-			if (phaseMs >= limits.headerTimeoutMs) {
-				this.closeFor('slow_head');
-			}
-		} else if (stalledMs !== undefined && stalledMs >= limits.answerTimeoutMs) {
-			this.closeFor('slow_reader');
-		}
-	}
-
-	/** Ends the connection after everything that was written; `http.Server` calls it after the last answer. */
-	destroySoon(): void {
-		if (this.writable) {
-			this.end();
-		}
-
-		if (this.writableFinished) {
-			this.destroy();
-		} else {
-			this.once('finish', () => {
-				this.destroy();
-			});
+		const exceeded = findExceededTimeout({
+			idleMs, stalledMs, phaseMs: nowMs() - this.#phaseAtMs, isReadingBody: this.#isReadingBody, hasOpenRequests: this.#requests.size > 0, hasReceived: this.#hasReceived,
+		}, limits);
+		if (exceeded) {
+			this.closeFor(exceeded);
 		}
 	}
 
@@ -267,62 +231,62 @@
 		this.feed();
 	}
 
-	override _write(chunk: string | Uint8Array, encoding: BufferEncoding, callback: (error?: Error) => void): void {
-		this.#socket.write(chunk, encoding, error => {
-			callback(error ?? undefined);
-		});
-	}
-
-	override _writev(chunks: ReadonlyArray<{chunk: string | Uint8Array; encoding: BufferEncoding}>, callback: (error?: Error) => void): void {
-		this.#socket.cork();
-		for (const {chunk, encoding} of chunks.slice(0, -1)) {
-			this.#socket.write(chunk, encoding);
-		}
-
-		const {chunk, encoding} = chunks.at(-1)!;
-		this._write(chunk, encoding, callback);
-
-		this.#socket.uncork();
-	}
-
-	override _final(callback: (error?: Error) => void): void {
-		this.#socket.end(callback);
-	}
-
 	override _destroy(error: Error, callback: (error?: Error) => void): void {
 		this.#context.budget.release(this.#heldBytes);
 		this.#heldBytes = 0;
-		this.#pending = undefined;
+		this.#pending.clear();
 		this.#requests.clear();
-		this.#socket.destroy();
+		this.socket.destroy();
 		callback(error);
 	}
 
 	#onData(chunk: Uint8Array): void {
-		this.#hasReceived = true;
 		countReceived(chunk.length);
-		if (this.#isEnding) {
+		if (this.#endingFor) {
 			return;
 		}
 
-		this.#unreportedBytes += chunk.length;
+		const wasIdle = this.idleMs !== undefined;
+		this.#pending.append(chunk);
+		const skippedBytes = this.#skipEmptyLines();
+		this.#unreportedBytes += chunk.length - skippedBytes;
 		if (this.#unreportedBytes >= PROGRESS_BYTES) {
 			this.#unreportedBytes = 0;
 			this.#progressAtMs = this.#context.nowMs();
 		}
 
-		if (this.idleMs !== undefined) {
-			this.#enterPhase();
+		// Empty lines do not begin a request, so that they neither start its time nor prolong an idle one.
+		if (this.#pending.length > 0) {
+			this.#hasReceived = true;
+			if (wasIdle) {
+				this.#enterPhase();
+			}
 		}
 
-		this.#pending = this.#pending ? Buffer.concat([this.#pending, chunk]) : chunk;
 		this.feed();
 	}
 
+	#skipEmptyLines(): number {
+		const bytes = this.#isReadingBody ? 0 : this.#pending.skipEmptyLines();
+		if (this.#pending.emptyLineBytes > this.#context.limits.maxHeaderBytes) {
+			this.#endFor('empty_lines');
+		}
+
+		return bytes;
+	}
+
+	/** Takes nothing further from the client, and closes the connection once no request is being handled. */
+	#endFor(reason: string): void {
+		this.#endingFor ??= reason;
+		this.#pending.clear();
+		this.socket.pause();
+		this.#closeIfAnswered();
+	}
+
 	/** A request that is being handled may write, so that its caller gets the answer; what follows it has not begun. */
 	#closeIfAnswered(): void {
-		if (this.#isEnding && this.stalledMs !== undefined) {
-			this.closeFor('budget');
+		if (this.#endingFor && this.stalledMs !== undefined) {
+			this.closeFor(this.#endingFor);
 		}
 	}
 
@@ -330,38 +294,48 @@
 		return this.#last?.complete === false;
 	}
 
-	#isHeadIncomplete(pending: Uint8Array): boolean {
-		return !this.#isReadingBody && !this.#hasEnded && pending.length < this.#context.limits.maxHeaderBytes && headLengthOf(pending) === -1;
+	get #isHeadIncomplete(): boolean {
+		return !this.#isReadingBody && !this.#hasEnded && this.#pending.length < this.#context.limits.maxHeaderBytes && this.#pending.headBytes === -1;
 	}
 
 	/** The body of the last request is read beside those in progress, unless nobody takes it yet. */
 	#feedableBytes(): number {
 		const pending = this.#pending;
-		if (!pending || !this.#isReadWanted) {
+		if (pending.length === 0 || !this.#isReadWanted) {
 			return 0;
 		}
 
 		if (this.#last?.complete === false) {
-			const sliceBytes = this.#bodyBytesLeft === undefined ? CHUNKED_SLICE_BYTES : Math.min(BODY_SLICE_BYTES, this.#bodyBytesLeft);
-			return this.#last.readableLength < BODY_SLICE_BYTES ? Math.min(pending.length, Math.max(1, sliceBytes)) : 0;
+			return this.#last.readableLength < BODY_SLICE_BYTES ? Math.min(pending.length, bodySliceBytes(this.#bodyBytesLeft)) : 0;
 		}
 
-		if (this.#requests.size >= this.#context.limits.requestsPerConnection || this.#requestsInTurn >= REQUESTS_PER_TURN || this.#isHeadIncomplete(pending)) {
+		if (this.#requests.size >= this.#context.limits.requestsPerConnection || this.#requestsInTurn >= REQUESTS_PER_TURN || this.#isHeadIncomplete) {
+			return 0;
+		}
+
+		const {headBytes} = pending;
+		if ((headBytes === -1 ? pending.length : headBytes) > this.#context.limits.maxHeaderBytes) {
+			if (this.#requests.size === 0) {
+				this.socket.write(HEAD_TOO_LARGE);
+			}
+
+			this.#endFor('head_bytes');
 			return 0;
 		}
 
-		const headLength = headLengthOf(pending);
-		return headLength === -1 ? pending.length : headLength;
+		return headBytes === -1 ? pending.length : headBytes;
 	}
 
-	#feedSlice(pending: Uint8Array, length: number): void {
-		this.#pending = length === pending.length ? undefined : pending.subarray(length);
-		if (this.#isReadingBody && this.#bodyBytesLeft !== undefined) {
-			this.#bodyBytesLeft -= length;
+	#feedSlice(length: number): void {
+		let part: InputPart = 'head';
+		if (this.#isReadingBody) {
+			part = this.#bodyBytesLeft === undefined ? 'chunkedBody' : 'sizedBody';
+			this.#bodyBytesLeft = this.#bodyBytesLeft === undefined ? undefined : this.#bodyBytesLeft - length;
 		}
 
-		this.#isReadWanted = this.push(pending.subarray(0, length));
-		if (!this.#isReadingBody && this.#pending && this.#pending.length >= LONG_PIPELINE_BYTES) {
+		this.#isReadWanted = this.push(this.#pending.take(length, part));
+		this.#skipEmptyLines();
+		if (!this.#isReadingBody && this.#pending.length >= LONG_PIPELINE_BYTES) {
 			countDropped(REQUEST_BYTES);
 		}
 	}
@@ -377,7 +351,7 @@
 			return true;
 		}
 
-		let neededBytes = (this.#pending?.length ?? 0) + this.writableLength;
+		let neededBytes = this.#pending.length + this.writableLength;
 		for (const {heldBytes, response} of this.#requests.values()) {
 			neededBytes += heldBytes + (response.socket ? 0 : response.writableLength);
 		}
