Read nothing further from a connection that is being ended

Cause: a connection that was to be closed after its requests had been answered was paused and read from again in the same call, since the feeding went on to its end. What arrived was dropped, at the cost of reading it. Beside it, a line in small pieces was searched into the spare room of its buffer (up to 16 KiB for each piece).

Change: feeding stops there; the search ends with the received bytes.

--- a/packages/pool-runtime/src/bounded-connection.ts
+++ b/packages/pool-runtime/src/bounded-connection.ts
@@ -187,7 +187,7 @@
 		}
 
 		this.#isFeeding = false;
-		if (this.destroyed) {
+		if (this.destroyed || this.#endingFor !== undefined) {
 			return;
 		}
 
@@ -266,6 +266,7 @@
 		this.feed();
 	}
 
+	/** @returns Number of skipped bytes. Too many of them end the connection. */
 	#skipEmptyLines(): number {
 		const bytes = this.#isReadingBody ? 0 : this.#pending.skipEmptyLines();
 		if (this.#pending.emptyLineBytes > this.#context.limits.maxHeaderBytes) {
--- a/packages/pool-runtime/src/received-bytes.ts
+++ b/packages/pool-runtime/src/received-bytes.ts
@@ -56,13 +56,14 @@
 	/** @returns Number of the bytes up to the empty line that ends the first head, or -1. */
 	headLength(): number {
 		while (this.#searchedTo < this.#end) {
-			const lineFeed = this.#buffer.indexOf(LINE_FEED, this.#searchedTo);
-			if (lineFeed === -1 || lineFeed >= this.#end) {
+			const offset = this.#buffer.subarray(this.#searchedTo, this.#end).indexOf(LINE_FEED);
+			if (offset === -1) {
 				this.#searchedTo = this.#end;
 				return -1;
 			}
 
-			const next = this.#buffer[lineFeed + 1] === CARRIAGE_RETURN && lineFeed + 1 < this.#end ? lineFeed + 2 : lineFeed + 1;
+			const lineFeed = this.#searchedTo + offset;
+			const next = lineFeed + 1 < this.#end && this.#buffer[lineFeed + 1] === CARRIAGE_RETURN ? lineFeed + 2 : lineFeed + 1;
 			if (next >= this.#end) {
 				// Whether the line after this one is empty is not known yet.
 				this.#searchedTo = lineFeed;
