State ages in log lines by one function

Cause: reading the change again: four places rounded and capped an age each in their own way, one of them by way of a list of entries that was turned back into fields; a private method had one caller; a variable had a name that says nothing of what it holds.

Change: loggedAgeMs in config-freshness.ts serves all four; the method stands in its caller. No decision, message or field changes.

--- a/packages/pool-entry/src/caller-api.ts
+++ b/packages/pool-entry/src/caller-api.ts
@@ -10,6 +10,7 @@
 	connectionOf, discardBody, type ListenerLimits, type ProcessMetrics, type ReceivedBody, receiveBody, refusalAnswer, refusalHeaders, type RouteAnswer, sendJson,
 } from '@amaranthsail/pool-runtime';
 import type {ConfigFollower, KnownConfig} from './config-follower.js';
+import {loggedAgeMs} from './config-freshness.js';
 import type {JobRequestOutcome} from './job-request-outcome.js';
 import type {JobService} from './job-service.js';
 
@@ -105,7 +106,7 @@
 		});
 		const {known} = this.#deps.config;
 		this.#deps.logger.info('request answered', {
-			method: request.method, path: request.path.slice(0, MAX_LOGGED_LENGTH), host: request.host.slice(0, MAX_LOGGED_LENGTH), status: answer.status, tookMs: Math.round(tookMs), configVersion: known?.config.version ?? 'none', configAgeMs: Math.round(Math.min(this.#deps.config.ageMs, 1e6)), deadlineMs: request.deadlineMs ?? 'none', ...(answer.body !== undefined && {answer: answer.body}),
+			method: request.method, path: request.path.slice(0, MAX_LOGGED_LENGTH), host: request.host.slice(0, MAX_LOGGED_LENGTH), status: answer.status, tookMs: Math.round(tookMs), configVersion: known?.config.version ?? 'none', configAgeMs: loggedAgeMs(this.#deps.config.ageMs), deadlineMs: request.deadlineMs ?? 'none', ...(answer.body !== undefined && {answer: answer.body}),
 		});
 		this.#deps.metrics.observe('request', tookMs, {method: request.method, status: String(answer.status)});
 	}
--- a/packages/pool-entry/src/config-follower.ts
+++ b/packages/pool-entry/src/config-follower.ts
@@ -1,7 +1,7 @@
 import type {Clock, Logger} from '@amaranthsail/core';
 import type {PoolConfig, PoolStore, StoredRow} from '@amaranthsail/pool';
 import {sleep} from '@amaranthsail/pool-runtime';
-import {ConfigFreshness} from './config-freshness.js';
+import {ConfigFreshness, loggedAgeMs} from './config-freshness.js';
 
 /** Where the configuration is stored and how it is decoded. */
 export type ConfigSource = {
@@ -42,9 +42,6 @@
 /** An answer of the feed without a change is shorter. */
 const MIN_CHANGE_BYTES = 1024;
 
-/** Ages before the first confirmation are infinite, which JSON cannot express. */
-export const MAX_LOGGED_AGE_MS = 1e6;
-
 /** Keeps the newest configuration. It never returns to an older version, whatever the store's feed or a peer sends. */
 export class ConfigFollower {
 	readonly #store: PoolStore;
@@ -175,7 +172,7 @@
 
 		this.#logger.info('configuration in force', {
 			version: config.version, previous: this.#known?.config.version ?? 'none', rowVersion: row.version, origin, queues: config.queues.length, accounts: config.accounts.length,
-			ageMs: Math.round(Math.min(this.ageMs, MAX_LOGGED_AGE_MS)), behindMs: Math.round(this.behindMs), ...(askedAtMs !== undefined && {askedMsAgo: Math.round(this.#clock.monotonicMs() - askedAtMs)}),
+			ageMs: loggedAgeMs(this.ageMs), behindMs: Math.round(this.behindMs), ...(askedAtMs !== undefined && {askedMsAgo: Math.round(this.#clock.monotonicMs() - askedAtMs)}),
 		});
 		this.#known = {config, row};
 		this.#freshness.recordKnown(row.version);
@@ -208,7 +205,7 @@
 			if (isReached !== isStoreReached) {
 				isStoreReached = isReached;
 				this.#logger.info(isStoreReached ? 'store reached again' : 'store not reached', {
-					purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: Math.round(Math.min(this.ageMs, MAX_LOGGED_AGE_MS)), behindMs: Math.round(this.behindMs), storeSilentMs: Math.round(Math.min(this.storeSilentMs, MAX_LOGGED_AGE_MS)),
+					purpose: 'configuration', version: this.#known?.config.version ?? 'none', ageMs: loggedAgeMs(this.ageMs), behindMs: Math.round(this.behindMs), storeSilentMs: loggedAgeMs(this.storeSilentMs),
 				});
 			}
 
--- a/packages/pool-entry/src/config-freshness.ts
+++ b/packages/pool-entry/src/config-freshness.ts
@@ -12,6 +12,14 @@
 /** Replacements that are remembered; of more, the later ones are heard of again. */
 const MAX_REPLACEMENTS = 16;
 
+/** Ages before the first confirmation are infinite, which JSON cannot express. */
+const MAX_LOGGED_AGE_MS = 1e6;
+
+/** @returns An age as a log line states it. */
+export function loggedAgeMs(ageMs: number): number {
+	return Math.round(Math.min(ageMs, MAX_LOGGED_AGE_MS));
+}
+
 /** Knowledge that all versions of the configuration row up to this one have been replaced, and since when that is known. */
 type Replacement = {readonly rowVersion: number; readonly sinceMs: number};
 
@@ -26,7 +34,7 @@
 	/** The same by a change that the store is sending, whose version is not known yet. */
 	#receiving: Replacement | undefined;
 	/** The same by the last answer of the leader. */
-	#toldByLeader: Replacement | undefined;
+	#reportedByLeader: Replacement | undefined;
 
 	/** @param clock - Source of time. */
 	constructor(clock: Clock) {
@@ -45,10 +53,10 @@
 
 	/** Milliseconds since the known configuration was first known to be replaced; 0 if it is not. */
 	get behindMs(): number {
-		return this.#longestMs(this.#receiving, this.#replacements[0], this.#toldByLeader);
+		return this.#longestMs(this.#receiving, this.#replacements[0], this.#reportedByLeader);
 	}
 
-	/** The same without what the leader has told, so that two entries do not confirm each other what neither knows. */
+	/** The same without what the leader has reported, so that two entries do not confirm each other what neither knows. */
 	get ownBehindMs(): number {
 		return this.#longestMs(this.#receiving, this.#replacements[0]);
 	}
@@ -96,7 +104,11 @@
 
 	/** @param rowVersion - Version of the configuration row that another entry has. */
 	recordAnnounced(rowVersion: number): void {
-		this.#recordReplaced(rowVersion - 1);
+		const replaced: Replacement = {rowVersion: rowVersion - 1, sinceMs: this.#clock.monotonicMs()};
+		const isCovered = replaced.rowVersion <= (this.#replacements.at(-1)?.rowVersion ?? Number.NEGATIVE_INFINITY);
+		if (replaced.rowVersion >= this.#knownRowVersion && !isCovered && this.#replacements.length < MAX_REPLACEMENTS) {
+			this.#replacements = [...this.#replacements, replaced];
+		}
 	}
 
 	/**
@@ -106,8 +118,8 @@
 	 * @param behindMs - Time for which the leader has known that this version is replaced; 0 if it does not know that.
 	 */
 	recordLeader(rowVersion: number, behindMs: number): void {
-		const told = {rowVersion, sinceMs: this.#clock.monotonicMs() - behindMs};
-		this.#toldByLeader = behindMs > 0 && this.#isRelevant(told) ? told : undefined;
+		const replacement = {rowVersion, sinceMs: this.#clock.monotonicMs() - behindMs};
+		this.#reportedByLeader = behindMs > 0 && this.#isRelevant(replacement) ? replacement : undefined;
 	}
 
 	/**
@@ -128,17 +140,10 @@
 		const keep = (replacement: Replacement | undefined): Replacement | undefined => replacement && this.#isRelevant(replacement) ? replacement : undefined;
 		this.#replacements = this.#replacements.filter(replacement => this.#isRelevant(replacement));
 		this.#receiving = keep(this.#receiving);
-		this.#toldByLeader = keep(this.#toldByLeader);
+		this.#reportedByLeader = keep(this.#reportedByLeader);
 	}
 
 	#longestMs(...replacements: ReadonlyArray<Replacement | undefined>): number {
 		return Math.max(0, ...replacements.map(replacement => replacement ? this.#clock.monotonicMs() - replacement.sinceMs : 0));
 	}
-
-	#recordReplaced(rowVersion: number): void {
-		const isCovered = rowVersion <= (this.#replacements.at(-1)?.rowVersion ?? Number.NEGATIVE_INFINITY);
-		if (rowVersion >= this.#knownRowVersion && !isCovered && this.#replacements.length < MAX_REPLACEMENTS) {
-			this.#replacements = [...this.#replacements, {rowVersion, sinceMs: this.#clock.monotonicMs()}];
-		}
-	}
 }
--- a/packages/pool-entry/src/pool-entry-program.ts
+++ b/packages/pool-entry/src/pool-entry-program.ts
@@ -11,7 +11,8 @@
 } from '@amaranthsail/pool-runtime';
 import {CallerApi, MAX_BODY_BYTES} from './caller-api.js';
 import type {Leadership} from './commit-loop.js';
-import {ConfigFollower, MAX_LOGGED_AGE_MS} from './config-follower.js';
+import {ConfigFollower} from './config-follower.js';
+import {loggedAgeMs} from './config-freshness.js';
 import {EntryDirectory} from './entry-directory.js';
 import {EvacuationFollower} from './evacuation-follower.js';
 import {JobService} from './job-service.js';
@@ -196,9 +197,8 @@
 		const isUsable = this.#config.isUsable(this.#settings.bounds.configApplyMs, leaderSilentMs);
 		if (isUsable !== this.#wasConfigUsable) {
 			this.#wasConfigUsable = isUsable;
-			const ages = Object.entries({ageMs, behindMs, storeSilentMs, leaderSilentMs}).map(([name, value]) => [name, Math.round(Math.min(value, MAX_LOGGED_AGE_MS))]);
 			this.#logger.info(isUsable ? 'configuration usable' : 'configuration not usable', {
-				version: known?.config.version ?? 'none', ...Object.fromEntries(ages) as Record<string, number>, isLeading: this.#leader !== undefined,
+				version: known?.config.version ?? 'none', ageMs: loggedAgeMs(ageMs), behindMs: loggedAgeMs(behindMs), storeSilentMs: loggedAgeMs(storeSilentMs), leaderSilentMs: loggedAgeMs(leaderSilentMs), isLeading: this.#leader !== undefined,
 			});
 		}
 
