--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -161,6 +161,8 @@
 
 /** Stand-in of a worker on a side machine: a life behind one port, replaced by a new one after a crash. */
 export class Worker {
+	/** While true, starts are neither answered nor carried out; other calls and heartbeats go on. */
+	isHanging = false;
 	#options;
 	#life;
 	#server;
@@ -240,6 +242,10 @@
 		const life = this.#life;
 		const body = await readJson(message);
 		const expected = message.headers['x-expect-instance'];
+		if (this.isHanging && message.url === '/run-start') {
+			return;
+		}
+
 		if (!life || life !== this.#life) {
 			response.destroy();
 		} else if (expected !== undefined && expected !== life.id) {
