--- a/review/lib-3/http.mjs
+++ b/review/lib-3/http.mjs
@@ -50,13 +50,13 @@
 	response.end(text);
 }
 
-/** Sends one request on a connection of its own. Resolves to status and body, or to an error; never rejects. */
-export async function call(address, {method = 'GET', path, headers = {}, body, timeoutMs = 3000}) {
+/** Sends one request, on a connection of its own unless an agent is given. Resolves to status and body, or to an error; never rejects. */
+export async function call(address, {method = 'GET', path, headers = {}, body, timeoutMs = 3000, agent = false}) {
 	const text = body === undefined ? undefined : JSON.stringify(body);
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const outgoing = request({
-			host, port, method, path, agent: false,
+			host, port, method, path, agent,
 			headers: {...headers, ...(text !== undefined && {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)})},
 		}, async response => {
 			try {
--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -8,6 +8,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {call, sleep} from './http.mjs';
+import {Link} from './link.mjs';
 import {Store} from './store.mjs';
 import {Worker, WORKER_BOUNDS} from './worker.mjs';
 
@@ -115,6 +116,8 @@
 	entries = [];
 	agents = [];
 	workers = [];
+	/** Links between workers and agents, by the machine and `control` or `app`. */
+	links = new Map();
 	/** What workers have started and ended, in order. */
 	runs = [];
 	#options;
@@ -224,7 +227,7 @@
 	}
 
 	close() {
-		for (const part of [...this.entries, ...this.agents, ...this.workers, this.store]) {
+		for (const part of [...this.entries, ...this.agents, ...this.workers, ...this.links.values(), this.store]) {
 			part.close();
 		}
 
@@ -268,7 +271,7 @@
 	async #addWorker(machine, control, number) {
 		const worker = new Worker({
 			name: `i-${machine}`,
-			control,
+			control: await this.#addLink(machine, 'control', control),
 			keepsId: this.#options.keepsId,
 			workOf: this.#options.workOf,
 			facts: {
@@ -281,7 +284,14 @@
 		worker.machine = machine;
 		this.workers.push(worker);
 		await worker.start();
-		return worker.address;
+		return this.#addLink(machine, 'app', worker.address);
+	}
+
+	/** Puts a link between a worker and the agent beside it, in the direction in which connections are opened. */
+	async #addLink(machine, kind, address) {
+		const link = new Link(address);
+		this.links.set(`${machine} ${kind}`, link);
+		return link.listen();
 	}
 
 	#onRun(event) {
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -1,4 +1,5 @@
 /* eslint-disable no-await-in-loop, no-void */
+import {Agent} from 'node:http';
 import {
 	call, listen, readJson, sendJson, sleep,
 } from './http.mjs';
@@ -12,6 +13,8 @@
 /** One life of a worker: its clock, lease, fencing token, runs and their ends. */
 class Life {
 	born = Date.now();
+	/** Time on the clock of this life before which it does not leave; absent unless it drains. */
+	leavesAtMs;
 	#startedAtMs = performance.now();
 	#deps;
 	#runs = new Map();
@@ -36,8 +39,20 @@
 	}
 
 	heartbeat({service, zone, capacity, labels, address}) {
+		const remainingMs = this.leavesAtMs === undefined ? undefined : Math.max(0, this.leavesAtMs - this.clockMs);
 		return {
-			service, address, zone, version: 'v1', slots: 8, state: 'ready', capacity, labels, clockMs: this.clockMs, sequence: ++this.#sequence, born: this.born,
+			service,
+			address,
+			zone,
+			version: 'v1',
+			slots: 8,
+			state: remainingMs === undefined ? 'ready' : 'draining',
+			capacity,
+			labels,
+			clockMs: this.clockMs,
+			sequence: ++this.#sequence,
+			born: this.born,
+			...(remainingMs > 0 && {remainingMs}),
 		};
 	}
 
@@ -169,6 +184,7 @@
 	#port = 0;
 	#lives = 0;
 	#timers = [];
+	#control = new Agent({keepAlive: true, maxSockets: 1});
 	#isClosed = false;
 
 	/**
@@ -199,9 +215,11 @@
 		const life = this.#life;
 		this.#timers = [
 			setInterval(() => life.tick(), TICK_MS),
-			setInterval(() => this.#beat(life), WORKER_BOUNDS.heartbeatIntervalMs),
+			setInterval(() => {
+				void this.#beat(life);
+			}, WORKER_BOUNDS.heartbeatIntervalMs),
 		];
-		this.#beat(life);
+		void this.#beat(life);
 	}
 
 	/** Ends the life without a word; a new one with nothing of this one starts at the same address after `downMs`. */
@@ -216,9 +234,29 @@
 		}
 	}
 
+	/**
+	 * Leaves as planned: reports that it drains, serves for as long as it has said, then deregisters and ends, without an
+	 * acknowledgement some seconds later.
+	 */
+	async leave({remainingMs, endsUnacknowledgedAfterMs}) {
+		const life = this.#life;
+		life.leavesAtMs = life.clockMs + remainingMs;
+		await this.#beat(life);
+		await sleep(remainingMs + 100);
+		this.#options.onRun({event: 'deregisters', worker: life.id, tasks: life.tasks});
+		const answer = await this.#send(`/instances/${life.id}/deregister`, {born: life.born});
+		if (answer.status !== 200) {
+			await sleep(endsUnacknowledgedAfterMs);
+		}
+
+		this.#options.onRun({event: 'leaves', worker: life.id, tasks: life.tasks});
+		this.#endLife();
+	}
+
 	close() {
 		this.#isClosed = true;
 		this.#endLife();
+		this.#control.destroy();
 	}
 
 	#endLife() {
@@ -231,10 +269,13 @@
 		this.#life = undefined;
 	}
 
-	#beat(life) {
-		const body = life.heartbeat({...this.#options.facts, address: this.address});
-		void call(this.#options.control, {
-			method: 'POST', path: `/instances/${life.id}/heartbeat`, body, timeoutMs: 1000,
+	async #beat(life) {
+		return this.#send(`/instances/${life.id}/heartbeat`, life.heartbeat({...this.#options.facts, address: this.address}));
+	}
+
+	async #send(path, body) {
+		return call(this.#options.control, {
+			method: 'POST', path, body, timeoutMs: 1000, agent: this.#control,
 		});
 	}
 
