--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -17,8 +17,8 @@
 /** A process that exits is started again after this time. */
 const RESTART_DELAY_MS = 300;
 
-const KEY = 'key-a';
-const HOST = 'queues.example';
+export const KEY = 'key-a';
+export const HOST = 'queues.example';
 
 /** Bounds of a small deployment. */
 const BOUNDS = {
