--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -89,8 +89,9 @@
 		});
 		closeSync(log);
 		this.#child = child;
-		child.once('exit', () => {
+		child.once('exit', (code, signal) => {
 			if (!this.#isClosed) {
+				this.onExit?.(signal ?? `code ${code}`);
 				setTimeout(() => {
 					if (!this.#isClosed) {
 						this.start();
@@ -118,6 +119,8 @@
 	workers = [];
 	/** Links between workers and agents, by the machine and `control` or `app`. */
 	links = new Map();
+	/** Ends of the project's processes while the system runs. */
+	exits = [];
 	/** What workers have started and ended, in order. */
 	runs = [];
 	#options;
@@ -173,6 +176,11 @@
 			const program = new Program(name, commands[isEntry ? 'pool-entry' : 'pool-agent'], file, path.join(this.#folder, `${name}.log`));
 			program.callers = settings.listenAddresses.front;
 			program.ready = settings.listenAddresses.ready;
+			program.onExit = reason => {
+				this.exits.push({name, reason, atMs: this.nowMs});
+				this.record(`${name}: its process has ended, ${reason}`);
+			};
+
 			(isEntry ? this.entries : this.agents).push(program);
 			program.start();
 		}
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -7,6 +7,9 @@
 const TICK_MS = 20;
 const MAX_LISTED_ENDS = 500;
 
+/** Calls that are carried out late come 2 to 12 s after they were sent. */
+const LATE_MS = 4000;
+
 /** The bounds that concern a worker, as in the site files of the small deployments. */
 export const WORKER_BOUNDS = {maxHoldMs: 6000, stopTimeoutMs: 900, heartbeatIntervalMs: 1500};
 
@@ -178,6 +181,8 @@
 export class Worker {
 	/** While true, starts are neither answered nor carried out; other calls and heartbeats go on. */
 	isHanging = false;
+	/** Decides which starts get no answer and are carried out late, if the life that received them is still there. */
+	isStartLate = () => false;
 	#options;
 	#life;
 	#server;
@@ -287,7 +292,12 @@
 			return;
 		}
 
-		if (!life || life !== this.#life) {
+		if (message.url === '/run-start' && life && this.isStartLate(body, life.id)) {
+			await sleep(LATE_MS);
+			if (life === this.#life) {
+				await life.handle(message.url, body);
+			}
+		} else if (!life || life !== this.#life) {
 			response.destroy();
 		} else if (expected !== undefined && expected !== life.id) {
 			sendJson(response, 421);
