--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -142,6 +142,12 @@
 		process.once('exit', () => {
 			this.close();
 		});
+		for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+			// The processes that were started would survive this one.
+			process.once(signal, () => {
+				process.exit(2);
+			});
+		}
 	}
 
 	get nowMs() {
